Add the HTTP package

The daemon needs HTTP towards callers, backend servers, the platform and operators. Server over libevhtp, pooled client over evhttp, W3C trace context, refusals with their outcome.

Ruled out: leaving a waiting connection unpaused to see its end (a second pipelined request would replace the first); EV_CLOSED on the socket is watched instead. An answer whose end is not marked is not passed on, because it cannot be told from a cut one.

Found on the way: evhttp's header defines HTTP_OK as a macro, which made an enum constant of that name wrong in one file; the constant is renamed.

--- /dev/null
+++ b/packages/http/headers.c
@@ -0,0 +1,167 @@
+/* Header lists and addresses. */
+#include "http.h"
+
+#include <event2/util.h>
+#include <string.h>
+
+const char *http_strerror(enum http_status status)
+{
+	switch (status) {
+	case HTTP_STATUS_OK:
+		return "success";
+	case HTTP_ERR_ADDRESS:
+		return "invalid address";
+	case HTTP_ERR_BIND:
+		return "cannot listen on the address";
+	case HTTP_ERR_NO_MEMORY:
+		return "out of memory";
+	}
+	return "unknown status";
+}
+
+/* Splits at the last colon and takes the brackets off an IPv6 address. */
+static bool split_address(struct base_str text, char host[64], int64_t *port)
+{
+	size_t colon = text.len;
+	struct base_str ip;
+
+	while (colon > 0 && text.ptr[colon - 1] != ':')
+		colon--;
+	if (colon < 2)
+		return false;
+	if (!base_str_to_i64(
+		    (struct base_str){ text.ptr + colon, text.len - colon },
+		    port))
+		return false;
+	ip = (struct base_str){ text.ptr, colon - 1 };
+	if (ip.len > 2 && ip.ptr[0] == '[' && ip.ptr[ip.len - 1] == ']')
+		ip = (struct base_str){ ip.ptr + 1, ip.len - 2 };
+	if (ip.len >= 64 || *port < 0 || *port > 65535)
+		return false;
+	memcpy(host, ip.ptr, ip.len);
+	host[ip.len] = '\0';
+	return true;
+}
+
+enum http_status http_address_parse(struct base_str text,
+				    struct sockaddr_storage *addr,
+				    socklen_t *len, struct base_error *err)
+{
+	struct sockaddr_in *in = (struct sockaddr_in *)addr;
+	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)addr;
+	char host[64];
+	int64_t port;
+
+	memset(addr, 0, sizeof(*addr));
+	if (split_address(text, host, &port)) {
+		if (evutil_inet_pton(AF_INET, host, &in->sin_addr) == 1) {
+			in->sin_family = AF_INET;
+			in->sin_port = htons((uint16_t)port);
+			*len = sizeof(*in);
+			return HTTP_STATUS_OK;
+		}
+		if (evutil_inet_pton(AF_INET6, host, &in6->sin6_addr) == 1) {
+			in6->sin6_family = AF_INET6;
+			in6->sin6_port = htons((uint16_t)port);
+			*len = sizeof(*in6);
+			return HTTP_STATUS_OK;
+		}
+	}
+	base_error_set(err, "'%.*s' is not an address of the form IP:PORT",
+		       BASE_STR_ARG(text));
+	return HTTP_ERR_ADDRESS;
+}
+
+static struct base_str copy_str(struct base_str s)
+{
+	return (struct base_str){ base_str_dup(s), s.len };
+}
+
+static void release_header(struct http_header *h)
+{
+	free((char *)h->name.ptr);
+	free((char *)h->value.ptr);
+}
+
+void http_headers_release(struct http_headers *headers)
+{
+	size_t i;
+
+	for (i = 0; i < headers->count; i++)
+		release_header(&headers->items[i]);
+	free(headers->items);
+	*headers = (struct http_headers){ 0 };
+}
+
+void http_headers_add(struct http_headers *headers, struct base_str name,
+		      struct base_str value)
+{
+	if (headers->count == headers->capacity) {
+		headers->capacity =
+			headers->capacity ? headers->capacity * 2 : 8;
+		headers->items = base_realloc(headers->items,
+					      headers->capacity *
+						      sizeof(*headers->items));
+	}
+	headers->items[headers->count++] = (struct http_header){
+		.name = copy_str(name),
+		.value = copy_str(value),
+	};
+}
+
+void http_headers_copy(struct http_headers *to, const struct http_headers *from)
+{
+	size_t i;
+
+	for (i = 0; i < from->count; i++)
+		http_headers_add(to, from->items[i].name, from->items[i].value);
+}
+
+void http_headers_remove(struct http_headers *headers, struct base_str name)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < headers->count; i++) {
+		if (base_str_equal_nocase(headers->items[i].name, name))
+			release_header(&headers->items[i]);
+		else
+			headers->items[kept++] = headers->items[i];
+	}
+	headers->count = kept;
+}
+
+struct base_str http_headers_find(const struct http_headers *headers,
+				  struct base_str name)
+{
+	size_t i;
+
+	for (i = 0; i < headers->count; i++)
+		if (base_str_equal_nocase(headers->items[i].name, name))
+			return headers->items[i].value;
+	return BASE_STR_NONE;
+}
+
+bool http_header_is_hop_by_hop(struct base_str name)
+{
+	static const char *const names[] = {
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Proxy-Authenticate",
+		"Proxy-Authorization",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Content-Length",
+		"Expect",
+		"Host",
+	};
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(names); i++)
+		if (base_str_equal_nocase(name, base_str_from(names[i])))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/packages/http/refusal.c
@@ -0,0 +1,105 @@
+/* Refusals as callers see them. */
+#include "http.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+
+struct refusal_row {
+	const char *name;
+	int code;
+	bool implies_not_run;
+};
+
+static const struct refusal_row rows[HTTP_REFUSAL_COUNT] = {
+	[HTTP_REFUSAL_BAD_REQUEST] = { "bad_request", 400, true },
+	[HTTP_REFUSAL_UNAUTHENTICATED] = { "unauthenticated", 401, true },
+	[HTTP_REFUSAL_FORBIDDEN] = { "forbidden", 403, true },
+	[HTTP_REFUSAL_NO_ROUTE] = { "no_route", 404, true },
+	[HTTP_REFUSAL_BODY_TOO_LARGE] = { "body_too_large", 413, true },
+	[HTTP_REFUSAL_IDEMPOTENCY_KEY_REQUIRED] = { "idempotency_key_required",
+						    400, true },
+	[HTTP_REFUSAL_IDEMPOTENCY_KEY_INVALID] = { "idempotency_key_invalid",
+						   400, true },
+	[HTTP_REFUSAL_IDEMPOTENCY_MISMATCH] = { "idempotency_mismatch", 422,
+						true },
+	[HTTP_REFUSAL_IN_PROGRESS] = { "in_progress", 409, false },
+	[HTTP_REFUSAL_KEY_TOO_OLD] = { "key_too_old", 409, false },
+	[HTTP_REFUSAL_RATE_LIMITED] = { "rate_limited", 429, true },
+	[HTTP_REFUSAL_OVERLOADED] = { "overloaded", 503, true },
+	[HTTP_REFUSAL_NO_SERVER] = { "no_server", 503, true },
+	[HTTP_REFUSAL_OWNER_UNREACHABLE] = { "owner_unreachable", 503, true },
+	[HTTP_REFUSAL_DRAINING] = { "draining", 503, true },
+	[HTTP_REFUSAL_SUSPECT] = { "suspect", 503, true },
+	[HTTP_REFUSAL_NOT_READY] = { "not_ready", 503, true },
+	[HTTP_REFUSAL_DEADLINE] = { "deadline", 504, false },
+	[HTTP_REFUSAL_CONNECTION_LOST] = { "connection_lost", 502, false },
+	[HTTP_REFUSAL_ANSWER_TOO_LARGE] = { "answer_too_large", 502, false },
+};
+
+const char *http_refusal_name(enum http_refusal refusal)
+{
+	assert(refusal < HTTP_REFUSAL_COUNT);
+	return rows[refusal].name;
+}
+
+bool http_refusal_parse(struct base_str name, enum http_refusal *refusal)
+{
+	size_t i;
+
+	for (i = 0; i < HTTP_REFUSAL_COUNT; i++) {
+		if (base_str_equal(name, base_str_from(rows[i].name))) {
+			*refusal = (enum http_refusal)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+int http_refusal_code(enum http_refusal refusal)
+{
+	assert(refusal < HTTP_REFUSAL_COUNT);
+	return rows[refusal].code;
+}
+
+bool http_refusal_implies_not_run(enum http_refusal refusal)
+{
+	assert(refusal < HTTP_REFUSAL_COUNT);
+	return rows[refusal].implies_not_run;
+}
+
+static void add_header(struct http_headers *headers, const char *name,
+		       const char *value)
+{
+	http_headers_add(headers, base_str_from(name), base_str_from(value));
+}
+
+void http_refusal_build(const struct http_refusal_details *details,
+			struct http_headers *headers, struct base_buf *body)
+{
+	const char *outcome = details->not_run ? "not-run" : "unknown";
+	int64_t ms = (details->retry_after_us + 999) / 1000;
+	char seconds[24];
+	char *text;
+	json_t *json;
+
+	add_header(headers, "Bilberryhinge-Refusal",
+		   http_refusal_name(details->refusal));
+	add_header(headers, "Bilberryhinge-Outcome", outcome);
+	add_header(headers, "Content-Type", "application/json");
+	if (details->retry_after_us > 0) {
+		snprintf(seconds, sizeof(seconds), "%" PRId64,
+			 (ms + 999) / 1000);
+		add_header(headers, "Retry-After", seconds);
+	}
+	json = json_pack("{s:s,s:s,s:I,s:s%}", "reason",
+			 http_refusal_name(details->refusal), "outcome",
+			 outcome, "retry_after_ms", (json_int_t)ms, "detail",
+			 details->detail.ptr ? details->detail.ptr : "",
+			 details->detail.len);
+	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	base_buf_addf(body, "%s\n", text ? text : "{}");
+	free(text);
+	json_decref(json);
+}
--- /dev/null
+++ b/packages/http/tests/test_http.c
@@ -0,0 +1,332 @@
+/* Tests of the HTTP package against real sockets on loopback. */
+#include "http.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct fixture {
+	struct event_base *base;
+	struct http_server *server;
+	struct http_client *client;
+	struct http_exchange *held;
+	bool hold;
+	bool gone;
+	int results;
+	enum http_result result;
+	int status;
+	struct base_buf body;
+	struct base_buf seen;
+};
+
+static void on_gone(void *ctx, struct http_exchange *ex)
+{
+	struct fixture *f = ctx;
+
+	f->gone = true;
+	f->held = NULL;
+	http_exchange_reply(ex, 499, NULL, BASE_STR_NONE);
+	event_base_loopbreak(f->base);
+}
+
+static void handle(void *ctx, struct http_exchange *ex)
+{
+	struct fixture *f = ctx;
+
+	base_buf_reset(&f->seen);
+	base_buf_addf(&f->seen, "%.*s %.*s?%.*s %zu",
+		      BASE_STR_ARG(ex->request.method),
+		      BASE_STR_ARG(ex->request.path),
+		      BASE_STR_ARG(ex->request.query), ex->request.body.len);
+	if (f->hold) {
+		f->held = ex;
+		http_exchange_on_gone(ex, on_gone, f);
+		event_base_loopbreak(f->base);
+		return;
+	}
+	http_exchange_reply(ex, 200, NULL, ex->request.body);
+}
+
+static void on_result(void *ctx, enum http_result result,
+		      const struct http_answer *answer)
+{
+	struct fixture *f = ctx;
+
+	f->results++;
+	f->result = result;
+	f->status = answer ? answer->status : 0;
+	base_buf_reset(&f->body);
+	if (answer)
+		base_buf_add_str(&f->body, answer->body);
+	event_base_loopbreak(f->base);
+}
+
+static void connect_client(struct fixture *f, const char *address)
+{
+	struct http_client_settings settings = {
+		.address = base_str_from(address),
+		.max_connections = 2,
+		.max_answer = 4096,
+	};
+
+	cr_assert(eq(int,
+		     http_client_create(f->base, &settings, &f->client, NULL),
+		     HTTP_STATUS_OK));
+}
+
+static void setup(struct fixture *f)
+{
+	struct http_server_settings settings = {
+		.listen = BASE_STR("127.0.0.1:0"),
+		.max_body = 1000,
+		.max_headers = 4096,
+		.max_connections = 4,
+		.idle_timeout_us = BASE_SECOND_US,
+		.handler = handle,
+		.ctx = f,
+	};
+
+	*f = (struct fixture){ .base = event_base_new() };
+	cr_assert(eq(int,
+		     http_server_create(f->base, &settings, &f->server, NULL),
+		     HTTP_STATUS_OK));
+	connect_client(f, http_server_address(f->server));
+}
+
+static void teardown(struct fixture *f)
+{
+	http_client_destroy(f->client);
+	http_server_destroy(f->server);
+	event_base_free(f->base);
+	base_buf_release(&f->body);
+	base_buf_release(&f->seen);
+}
+
+static struct http_call *post(struct fixture *f, struct base_str body,
+			      int64_t timeout_us)
+{
+	struct http_request request = {
+		.method = BASE_STR("POST"),
+		.path = BASE_STR("/a/b"),
+		.query = BASE_STR("x=1"),
+		.body = body,
+	};
+
+	return http_client_send(f->client, &request, timeout_us, on_result, f);
+}
+
+/* Guards against answers that are mixed up on a reused connection. */
+Test(server, answers_several_requests_on_one_connection)
+{
+	struct fixture f;
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 5; i++) {
+		cr_assert(ne(ptr, post(&f, BASE_STR("hello"), 0), NULL));
+		event_base_dispatch(f.base);
+		cr_assert(eq(int, f.result, HTTP_RESULT_ANSWERED));
+		cr_assert(eq(str, f.body.ptr, "hello"));
+		cr_assert(eq(str, f.seen.ptr, "POST /a/b?x=1 5"));
+	}
+	cr_assert(eq(sz, http_client_connections(f.client), 1));
+	teardown(&f);
+}
+
+/* Guards against a late reply that gets lost after the handler returned. */
+Test(server, replies_after_the_handler_returned)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.hold = true;
+	post(&f, BASE_STR("late"), 0);
+	event_base_dispatch(f.base);
+	cr_assert(eq(sz, http_server_open_exchanges(f.server), 1));
+	http_exchange_reply(f.held, 201, NULL, BASE_STR("done"));
+	event_base_dispatch(f.base);
+	cr_assert(eq(int, f.status, 201));
+	cr_assert(eq(str, f.body.ptr, "done"));
+	cr_assert(eq(sz, http_server_open_exchanges(f.server), 0));
+	teardown(&f);
+}
+
+/* Guards against work that goes on for a caller that hung up. */
+Test(server, reports_a_caller_that_hangs_up)
+{
+	struct fixture f;
+	struct http_call *call;
+
+	setup(&f);
+	f.hold = true;
+	call = post(&f, BASE_STR("x"), 0);
+	event_base_dispatch(f.base);
+	http_call_cancel(call);
+	event_base_dispatch(f.base);
+	cr_assert(f.gone);
+	cr_assert(eq(sz, http_server_open_exchanges(f.server), 0));
+	teardown(&f);
+}
+
+/* Guards against unbounded memory for a request body. */
+Test(server, refuses_an_oversized_body)
+{
+	static char big[3000];
+	struct fixture f;
+
+	setup(&f);
+	memset(big, 'a', sizeof(big));
+	post(&f, (struct base_str){ big, sizeof(big) }, 0);
+	event_base_dispatch(f.base);
+	cr_assert(eq(int, f.status, 413));
+	cr_assert(ne(ptr, strstr(f.body.ptr, "body_too_large"), NULL));
+	teardown(&f);
+}
+
+/* Guards against reporting "lost" when nothing was ever sent. */
+Test(client, reports_a_refused_connection_as_not_sent)
+{
+	struct fixture f = { .base = event_base_new() };
+
+	connect_client(&f, "127.0.0.1:1");
+	post(&f, BASE_STR("x"), 0);
+	event_base_dispatch(f.base);
+	cr_assert(eq(int, f.result, HTTP_RESULT_NOT_SENT));
+	http_client_destroy(f.client);
+	event_base_free(f.base);
+}
+
+Test(client, reports_a_timeout_as_lost)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.hold = true;
+	post(&f, BASE_STR("x"), 50 * BASE_MS_US);
+	event_base_dispatch(f.base);
+	while (!f.results)
+		event_base_dispatch(f.base);
+	cr_assert(eq(int, f.result, HTTP_RESULT_LOST));
+	cr_assert(eq(int, f.results, 1));
+	while (!f.gone)
+		event_base_dispatch(f.base);
+	teardown(&f);
+}
+
+/* Answers the first connection on a plain socket with fixed bytes. */
+struct raw_server {
+	struct event_base *base;
+	int fd;
+	char address[32];
+	const char *answer;
+};
+
+static void raw_answer(evutil_socket_t fd, short events, void *ctx)
+{
+	struct raw_server *raw = ctx;
+	char buf[1024];
+
+	cr_assert(gt(int, (int)read(fd, buf, sizeof(buf)), 0));
+	cr_assert(ge(int, (int)write(fd, raw->answer, strlen(raw->answer)), 0));
+	close(fd);
+}
+
+static void raw_accept(evutil_socket_t fd, short events, void *ctx)
+{
+	struct raw_server *raw = ctx;
+
+	event_base_once(raw->base, accept(fd, NULL, NULL), EV_READ, raw_answer,
+			raw, NULL);
+}
+
+static enum http_result ask_raw(const char *answer)
+{
+	struct fixture f = { .base = event_base_new() };
+	struct raw_server raw = { .base = f.base, .answer = answer };
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	socklen_t len = sizeof(addr);
+	struct event *ev;
+
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	raw.fd = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert(eq(int, bind(raw.fd, (struct sockaddr *)&addr, len), 0));
+	cr_assert(eq(int, listen(raw.fd, 4), 0));
+	getsockname(raw.fd, (struct sockaddr *)&addr, &len);
+	snprintf(raw.address, sizeof(raw.address), "127.0.0.1:%d",
+		 ntohs(addr.sin_port));
+	ev = event_new(f.base, raw.fd, EV_READ | EV_PERSIST, raw_accept, &raw);
+	event_add(ev, NULL);
+	connect_client(&f, raw.address);
+	post(&f, BASE_STR("x"), BASE_SECOND_US);
+	event_base_dispatch(f.base);
+	event_free(ev);
+	close(raw.fd);
+	http_client_destroy(f.client);
+	event_base_free(f.base);
+	base_buf_release(&f.body);
+	return f.result;
+}
+
+/* Guards against a cut answer that is passed on as a whole one. */
+Test(client, never_reports_a_cut_answer_as_whole)
+{
+	cr_assert(eq(int,
+		     ask_raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n"
+			     "\r\nabc"),
+		     HTTP_RESULT_LOST));
+	cr_assert(eq(int,
+		     ask_raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+			     "chunked\r\n\r\n5\r\nabc"),
+		     HTTP_RESULT_LOST));
+	cr_assert(eq(int, ask_raw("HTTP/1.1 200 OK\r\n\r\nabc"),
+		     HTTP_RESULT_INVALID));
+	cr_assert(eq(int, ask_raw(""), HTTP_RESULT_LOST));
+	cr_assert(eq(int,
+		     ask_raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+			     "\r\nabc"),
+		     HTTP_RESULT_ANSWERED));
+	cr_assert(eq(int,
+		     ask_raw("HTTP/1.1 200 OK\r\nContent-Length: 99999"
+			     "\r\n\r\nabc"),
+		     HTTP_RESULT_TOO_LARGE));
+}
+
+/* Guards against trace headers that would be forwarded malformed. */
+Test(trace, accepts_only_valid_parents)
+{
+	struct http_trace trace, child;
+	char text[HTTP_TRACEPARENT_LEN + 1];
+
+	cr_assert(
+		http_trace_parse(BASE_STR("00-0af7651916cd43dd8448eb211c80319c-"
+					  "b7ad6b7169203331-01"),
+				 &trace));
+	http_trace_child(&trace, &child);
+	cr_assert(eq(int, memcmp(trace.trace_id, child.trace_id, 16), 0));
+	http_trace_format(&child, text);
+	cr_assert(http_trace_parse(base_str_from(text), &trace));
+	cr_assert(not(
+		http_trace_parse(BASE_STR("00-00000000000000000000000000000000-"
+					  "b7ad6b7169203331-01"),
+				 &trace)));
+	cr_assert(not(
+		http_trace_parse(BASE_STR("00-0AF7651916cd43dd8448eb211c80319c-"
+					  "b7ad6b7169203331-01"),
+				 &trace)));
+}
+
+Test(refusal, names_parse_back)
+{
+	enum http_refusal parsed;
+	int i;
+
+	for (i = 0; i < HTTP_REFUSAL_COUNT; i++) {
+		const char *name = http_refusal_name((enum http_refusal)i);
+
+		cr_assert(http_refusal_parse(base_str_from(name), &parsed));
+		cr_assert(eq(int, parsed, i));
+	}
+}
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -34,7 +34,7 @@
 }
 
 for program in "$build"/tests/test_*; do
-	run_test "$(basename "$program")" "$program" --jobs 4
+	run_test "$(basename "$program")" timeout 300 "$program" --jobs 4 --timeout 120
 done
 for script in tests/session_*.sh; do
 	[ -e "$script" ] || continue
