--- /dev/null
+++ b/packages/config/check.c
@@ -0,0 +1,187 @@
+/* The check of the whole set. */
+#include "parts.h"
+#include "priority.h"
+#include "unique.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+struct reference_ctx {
+	const struct config_set *set;
+	const struct object *object;
+	struct config_report *report;
+};
+
+static void check_reference(void *ctx, const char *field,
+			    enum object_kind target)
+{
+	struct reference_ctx *c = ctx;
+	const json_t *value = json_object_get(c->object->json, field);
+
+	if (!json_is_string(value))
+		return;
+	if (!set_find(c->set, target, json_string_value(value)))
+		report_add(c->report, object_place(c->object, field), value,
+			   "there is no %s of this name",
+			   object_kind_name(target));
+}
+
+static void check_object(const struct config_set *set,
+			 const struct object *object,
+			 struct config_report *report)
+{
+	struct reference_ctx ctx = { set, object, report };
+
+	if (object->first)
+		report_add(report, object_place(object, "name"),
+			   json_object_get(object->json, "name"),
+			   "duplicate name, first in %s",
+			   object->first->source);
+	object_check_fields(object, report);
+	object_each_reference(object->kind, check_reference, &ctx);
+}
+
+static bool has_server(const struct config_set *set, const char *service)
+{
+	const struct object *vm, *next;
+
+	HASH_ITER (hh, set->by_name[KIND_VM], vm, next)
+		if (object_is(vm, "service", service))
+			return true;
+	return false;
+}
+
+static void check_services(const struct config_set *set,
+			   struct config_report *report)
+{
+	size_t count, i;
+	const struct object **sorted = set_sorted(set, KIND_SERVICE, &count);
+
+	for (i = 0; i < count; i++) {
+		const struct object *service = sorted[i];
+
+		if (!has_server(set, service->name))
+			report_add(report, object_place(service, "name"),
+				   json_object_get(service->json, "name"),
+				   "service without servers: no vm names it");
+		if (object_int(service, "cold_slots") >
+		    object_int(service, "slots"))
+			report_add(report, object_place(service, "cold_slots"),
+				   json_object_get(service->json, "cold_slots"),
+				   "greater than slots");
+	}
+	free(sorted);
+}
+
+/* Each failure domain holds at least one token of every account's burst. */
+static void check_bursts(const struct config_set *set,
+			 struct config_report *report)
+{
+	int64_t domains = HASH_COUNT(set->by_name[KIND_DOMAIN]);
+	size_t count, i;
+	const struct object **sorted = set_sorted(set, KIND_ACCOUNT, &count);
+
+	for (i = 0; i < count; i++) {
+		const json_t *burst = json_object_get(sorted[i]->json, "burst");
+
+		if (json_is_integer(burst) &&
+		    json_integer_value(burst) < domains)
+			report_add(report, object_place(sorted[i], "burst"),
+				   burst,
+				   "below the number of failure domains, "
+				   "%" PRId64,
+				   domains);
+	}
+	free(sorted);
+}
+
+static void check_route_order(const struct config_set *set,
+			      const struct object *route,
+			      const struct object *const *routes, size_t count,
+			      struct config_report *report)
+{
+	const char *service = object_text(route, "service");
+	int64_t height = priority_height(set, object_text(route, "priority"));
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const struct object *other = routes[i];
+
+		if (!object_bool(other, "idempotent") ||
+		    !object_is(other, "service", service) ||
+		    priority_height(set, object_text(other, "priority")) <=
+			    height)
+			continue;
+		report_add(report, object_place(route, "priority"),
+			   json_object_get(route->json, "priority"),
+			   "non-idempotent route in a lower priority than "
+			   "idempotent route \"%s\" of the same service",
+			   other->name);
+		return;
+	}
+}
+
+static void check_routes(const struct config_set *set,
+			 struct config_report *report)
+{
+	size_t count, i;
+	const struct object **sorted = set_sorted(set, KIND_ROUTE, &count);
+
+	for (i = 0; i < count; i++) {
+		const char *priority = object_text(sorted[i], "priority");
+
+		if (!object_bool(sorted[i], "idempotent") &&
+		    priority_height(set, priority) >= 0)
+			check_route_order(set, sorted[i], sorted, count,
+					  report);
+	}
+	free(sorted);
+}
+
+static void check_sizes(const struct config_set *set,
+			struct config_report *report)
+{
+	struct base_buf parts[PARTS_COUNT] = { 0 };
+	size_t i;
+
+	parts_render(set, parts);
+	for (i = 0; i < PARTS_COUNT; i++) {
+		char name[32];
+
+		if (parts[i].len > CONFIG_VALUE_MAX) {
+			json_t *size = json_integer((json_int_t)parts[i].len);
+
+			parts_name(i, name);
+			report_add(report,
+				   (struct report_place){ .kind = "part",
+							  .name = name,
+							  .field = "size" },
+				   size, "value over %d bytes",
+				   CONFIG_VALUE_MAX);
+			json_decref(size);
+		}
+		base_buf_release(&parts[i]);
+	}
+}
+
+enum config_status config_set_check(const struct config_set *set,
+				    struct config_report *report)
+{
+	size_t before = report->count;
+	size_t i;
+
+	for (i = 0; i < set->read_problems.count; i++)
+		report_append_copy(report, &set->read_problems.problems[i]);
+	if (!set->count && report->count == before)
+		report_add(report, (struct report_place){ 0 }, NULL,
+			   "the set has no objects");
+	for (i = 0; i < set->count; i++)
+		check_object(set, set->objects[i], report);
+	unique_check(set, report);
+	priority_check_chain(set, report);
+	check_services(set, report);
+	check_bursts(set, report);
+	check_routes(set, report);
+	check_sizes(set, report);
+	return report->count == before ? CONFIG_OK : CONFIG_ERR_PROBLEMS;
+}
--- /dev/null
+++ b/packages/config/lookup.c
@@ -0,0 +1,239 @@
+/* Look-ups in a snapshot, by binary search in sorted arrays. */
+#include "snapshot.h"
+
+/* Finds the entry of @p name among entries that start with index and name. */
+static const void *find_named(const void *entries, size_t count, size_t size,
+			      struct base_str name)
+{
+	const char *base = entries;
+	size_t low = 0;
+	size_t high = count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+		const char *entry = base + middle * size;
+		const struct base_str *found =
+			(const void *)(entry +
+				       offsetof(struct config_region, name));
+		int order = base_str_compare(*found, name);
+
+		if (!order)
+			return entry;
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
+#define ASSERT_STARTS_LIKE_REGION(type)                              \
+	_Static_assert(offsetof(type, name) ==                       \
+			       offsetof(struct config_region, name), \
+		       "find_named() relies on this layout")
+ASSERT_STARTS_LIKE_REGION(struct config_domain);
+ASSERT_STARTS_LIKE_REGION(struct config_vm);
+ASSERT_STARTS_LIKE_REGION(struct config_service);
+ASSERT_STARTS_LIKE_REGION(struct config_account);
+
+const struct config_region *
+snapshot_find_region(const struct config_snapshot *snapshot,
+		     struct base_str name)
+{
+	return find_named(snapshot->regions, snapshot->region_count,
+			  sizeof(*snapshot->regions), name);
+}
+
+const struct config_domain *
+config_snapshot_find_domain(const struct config_snapshot *snapshot,
+			    struct base_str name)
+{
+	return find_named(snapshot->domains, snapshot->domain_count,
+			  sizeof(*snapshot->domains), name);
+}
+
+const struct config_vm *
+config_snapshot_find_vm(const struct config_snapshot *snapshot,
+			struct base_str name)
+{
+	return find_named(snapshot->vms, snapshot->vm_count,
+			  sizeof(*snapshot->vms), name);
+}
+
+const struct config_service *
+config_snapshot_find_service(const struct config_snapshot *snapshot,
+			     struct base_str name)
+{
+	return find_named(snapshot->services, snapshot->service_count,
+			  sizeof(*snapshot->services), name);
+}
+
+const struct config_account *
+config_snapshot_find_account(const struct config_snapshot *snapshot,
+			     struct base_str name)
+{
+	return find_named(snapshot->accounts, snapshot->account_count,
+			  sizeof(*snapshot->accounts), name);
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	const struct config_key *const *x = a;
+	const struct config_key *const *y = b;
+
+	return base_str_compare((*x)->id, (*y)->id);
+}
+
+static int compare_routes(const void *a, const void *b)
+{
+	const struct config_route *const *x = a;
+	const struct config_route *const *y = b;
+	int order = base_str_compare((*x)->path_prefix, (*y)->path_prefix);
+
+	return order ? order : base_str_compare((*x)->method, (*y)->method);
+}
+
+void snapshot_index(struct snapshot *s)
+{
+	size_t keys = s->pub.key_count;
+	size_t routes = s->pub.route_count;
+	size_t i;
+
+	s->keys_by_id = base_alloc_array(keys, sizeof(*s->keys_by_id));
+	for (i = 0; i < keys; i++)
+		s->keys_by_id[i] = &s->pub.keys[i];
+	qsort(s->keys_by_id, keys, sizeof(*s->keys_by_id), compare_keys);
+	s->routes_by_path =
+		base_alloc_array(routes, sizeof(*s->routes_by_path));
+	for (i = 0; i < routes; i++) {
+		size_t len = s->pub.routes[i].path_prefix.len;
+
+		s->routes_by_path[i] = &s->pub.routes[i];
+		if (len > s->longest_prefix)
+			s->longest_prefix = len;
+	}
+	qsort(s->routes_by_path, routes, sizeof(*s->routes_by_path),
+	      compare_routes);
+}
+
+const struct config_key *
+config_snapshot_find_key(const struct config_snapshot *snapshot,
+			 struct base_str id)
+{
+	const struct snapshot *s = (const struct snapshot *)snapshot;
+	struct config_key wanted = { .id = id };
+	const struct config_key *pointer = &wanted;
+	const struct config_key **found =
+		bsearch(&pointer, s->keys_by_id, snapshot->key_count,
+			sizeof(*s->keys_by_id), compare_keys);
+
+	return found ? *found : NULL;
+}
+
+/* Position of the first route whose prefix is not below @p prefix. */
+static size_t first_route(const struct snapshot *s, struct base_str prefix)
+{
+	size_t low = 0;
+	size_t high = s->pub.route_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (base_str_compare(s->routes_by_path[middle]->path_prefix,
+				     prefix) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static const struct config_route *match_prefix(const struct snapshot *s,
+					       struct base_str method,
+					       struct base_str prefix)
+{
+	const struct config_route *any = NULL;
+	size_t i;
+
+	for (i = first_route(s, prefix); i < s->pub.route_count; i++) {
+		const struct config_route *route = s->routes_by_path[i];
+
+		if (!base_str_equal(route->path_prefix, prefix))
+			break;
+		if (!route->method.len)
+			any = route;
+		else if (base_str_equal(route->method, method))
+			return route;
+	}
+	return any;
+}
+
+const struct config_route *
+config_snapshot_match_route(const struct config_snapshot *snapshot,
+			    struct base_str method, struct base_str path)
+{
+	const struct snapshot *s = (const struct snapshot *)snapshot;
+	const char *query = path.len ? memchr(path.ptr, '?', path.len) : NULL;
+	size_t len = query ? (size_t)(query - path.ptr) : path.len;
+
+	if (!len || path.ptr[0] != '/')
+		return NULL;
+	for (; len > 1; len--) {
+		struct base_str prefix = { path.ptr, len };
+		bool boundary = len == path.len || path.ptr[len] == '/' ||
+				path.ptr[len] == '?';
+		const struct config_route *route;
+
+		if (len > s->longest_prefix || !boundary)
+			continue;
+		route = match_prefix(s, method, prefix);
+		if (route)
+			return route;
+	}
+	return match_prefix(s, method, BASE_STR("/"));
+}
+
+struct ranked {
+	uint64_t weight;
+	const struct config_vm *vm;
+};
+
+/* Greatest weight first; equal weights by name, which is the index. */
+static int compare_ranked(const void *a, const void *b)
+{
+	const struct ranked *x = a;
+	const struct ranked *y = b;
+
+	if (x->weight != y->weight)
+		return x->weight < y->weight ? 1 : -1;
+	return (x->vm->index > y->vm->index) - (x->vm->index < y->vm->index);
+}
+
+size_t config_snapshot_rank_vms(const struct config_snapshot *snapshot,
+				struct base_str key,
+				const struct config_domain *domain,
+				const struct config_service *service,
+				const struct config_vm **out, size_t max)
+{
+	struct ranked *ranked =
+		base_alloc_array(snapshot->vm_count, sizeof(*ranked));
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < snapshot->vm_count; i++) {
+		const struct config_vm *vm = &snapshot->vms[i];
+
+		if ((domain && vm->domain != domain) ||
+		    (service && vm->service != service))
+			continue;
+		ranked[count].weight = base_rendezvous_weight(key, vm->name);
+		ranked[count++].vm = vm;
+	}
+	qsort(ranked, count, sizeof(*ranked), compare_ranked);
+	if (count > max)
+		count = max;
+	for (i = 0; i < count; i++)
+		out[i] = ranked[i].vm;
+	free(ranked);
+	return count;
+}
--- /dev/null
+++ b/packages/config/object.h
@@ -0,0 +1,63 @@
+/* Kinds of objects, their fields, and the check of one object. */
+#ifndef CONFIG_OBJECT_H
+#define CONFIG_OBJECT_H
+
+#include "report.h"
+
+#include <uthash.h>
+
+enum object_kind {
+	KIND_REGION,
+	KIND_DOMAIN,
+	KIND_VM,
+	KIND_SERVICE,
+	KIND_ACCOUNT,
+	KIND_KEY,
+	KIND_PRIORITY,
+	KIND_ROUTE,
+	KIND_COUNT,
+};
+
+struct object {
+	enum object_kind kind;
+	const char *name;
+	const char *source;
+	json_t *json;
+	/** Another object of this kind and name came first. */
+	const struct object *first;
+	UT_hash_handle hh;
+};
+
+const char *object_kind_name(enum object_kind kind);
+bool object_kind_parse(const char *name, enum object_kind *kind);
+/** True for 1 to 64 letters, digits, '.', '_' and '-'. */
+bool object_name_valid(const char *name);
+
+/**
+ * Brings @p json from @p schema to CONFIG_SCHEMA and fills in defaults. Members
+ * that @p schema does not have are reported.
+ */
+void object_upgrade(json_t *json, enum object_kind kind, int schema,
+		    const char *source, struct config_report *report);
+/** Reports unknown, missing and malformed fields. */
+void object_check_fields(const struct object *object,
+			 struct config_report *report);
+
+/** Values of valid fields; neutral values when absent or of another type. */
+const char *object_text(const struct object *object, const char *field);
+int64_t object_int(const struct object *object, const char *field);
+bool object_bool(const struct object *object, const char *field);
+bool object_is(const struct object *object, const char *field,
+	       const char *word);
+struct report_place object_place(const struct object *object,
+				 const char *field);
+
+/**
+ * Calls @p cb for each field of @p kind that names another object.
+ */
+typedef void (*object_reference_cb)(void *ctx, const char *field,
+				    enum object_kind target);
+void object_each_reference(enum object_kind kind, object_reference_cb cb,
+			   void *ctx);
+
+#endif
--- /dev/null
+++ b/packages/config/parts.h
@@ -0,0 +1,20 @@
+/* Grouping of objects into the parts that are published. */
+#ifndef CONFIG_PARTS_H
+#define CONFIG_PARTS_H
+
+#include "set.h"
+
+/* Accounts and keys are sharded so that a change touches a small part. */
+#define PARTS_SHARDS 16
+#define PARTS_COUNT (4 + 2 * PARTS_SHARDS)
+
+/** Writes the name of part @p index to @p name. */
+void parts_name(size_t index, char name[32]);
+/**
+ * Appends the bytes of each part to its buffer; parts without objects stay
+ * empty. Objects are in the order of kind and name, one a line.
+ */
+void parts_render(const struct config_set *set,
+		  struct base_buf parts[PARTS_COUNT]);
+
+#endif
--- /dev/null
+++ b/packages/config/priority.h
@@ -0,0 +1,16 @@
+/* The chain of priorities. */
+#ifndef CONFIG_PRIORITY_H
+#define CONFIG_PRIORITY_H
+
+#include "set.h"
+
+/** Reports cycles and forks. Dangling references are reported elsewhere. */
+void priority_check_chain(const struct config_set *set,
+			  struct config_report *report);
+/**
+ * Returns the number of classes below priority @p name; -1 when it does not
+ * exist, is part of a cycle or leads to one.
+ */
+int64_t priority_height(const struct config_set *set, const char *name);
+
+#endif
