--- a/packages/config/check.c
+++ b/packages/config/check.c
@@ -1,6 +1,7 @@
 /* The check of the whole set. */
 #include "parts.h"
 #include "priority.h"
+#include "route_order.h"
 #include "unique.h"
 
 #include <inttypes.h>
@@ -41,14 +42,27 @@
 	object_each_reference(object->kind, check_reference, &ctx);
 }
 
-static bool has_server(const struct config_set *set, const char *service)
+static int compare_texts(const void *a, const void *b)
 {
+	const char *const *x = a;
+	const char *const *y = b;
+
+	return strcmp(*x, *y);
+}
+
+/* Sorted names of the services that VMs refer to; the caller frees. */
+static const char **used_services(const struct config_set *set, size_t *count)
+{
+	size_t n = HASH_COUNT(set->by_name[KIND_VM]);
+	const char **names = base_alloc_array(n, sizeof(*names));
 	const struct object *vm, *next;
+	size_t i = 0;
 
 	HASH_ITER (hh, set->by_name[KIND_VM], vm, next)
-		if (object_is(vm, "service", service))
-			return true;
-	return false;
+		names[i++] = object_text(vm, "service");
+	qsort(names, n, sizeof(*names), compare_texts);
+	*count = n;
+	return names;
 }
 
 static void check_services(const struct config_set *set,
@@ -56,11 +70,14 @@
 {
 	size_t count, i;
 	const struct object **sorted = set_sorted(set, KIND_SERVICE, &count);
+	size_t used_count;
+	const char **used = used_services(set, &used_count);
 
 	for (i = 0; i < count; i++) {
 		const struct object *service = sorted[i];
 
-		if (!has_server(set, service->name))
+		if (!bsearch(&service->name, used, used_count, sizeof(*used),
+			     compare_texts))
 			report_add(report, object_place(service, "name"),
 				   json_object_get(service->json, "name"),
 				   "service without servers: no vm names it");
@@ -70,6 +87,7 @@
 				   json_object_get(service->json, "cold_slots"),
 				   "greater than slots");
 	}
+	free(used);
 	free(sorted);
 }
 
@@ -95,49 +113,6 @@
 	free(sorted);
 }
 
-static void check_route_order(const struct config_set *set,
-			      const struct object *route,
-			      const struct object *const *routes, size_t count,
-			      struct config_report *report)
-{
-	const char *service = object_text(route, "service");
-	int64_t height = priority_height(set, object_text(route, "priority"));
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		const struct object *other = routes[i];
-
-		if (!object_bool(other, "idempotent") ||
-		    !object_is(other, "service", service) ||
-		    priority_height(set, object_text(other, "priority")) <=
-			    height)
-			continue;
-		report_add(report, object_place(route, "priority"),
-			   json_object_get(route->json, "priority"),
-			   "non-idempotent route in a lower priority than "
-			   "idempotent route \"%s\" of the same service",
-			   other->name);
-		return;
-	}
-}
-
-static void check_routes(const struct config_set *set,
-			 struct config_report *report)
-{
-	size_t count, i;
-	const struct object **sorted = set_sorted(set, KIND_ROUTE, &count);
-
-	for (i = 0; i < count; i++) {
-		const char *priority = object_text(sorted[i], "priority");
-
-		if (!object_bool(sorted[i], "idempotent") &&
-		    priority_height(set, priority) >= 0)
-			check_route_order(set, sorted[i], sorted, count,
-					  report);
-	}
-	free(sorted);
-}
-
 static void check_sizes(const struct config_set *set,
 			struct config_report *report)
 {
@@ -181,7 +156,7 @@
 	priority_check_chain(set, report);
 	check_services(set, report);
 	check_bursts(set, report);
-	check_routes(set, report);
+	route_order_check(set, report);
 	check_sizes(set, report);
 	return report->count == before ? CONFIG_OK : CONFIG_ERR_PROBLEMS;
 }
--- a/packages/config/object.c
+++ b/packages/config/object.c
@@ -235,7 +235,8 @@
 		break;
 	case FIELD_REFERENCE:
 		if (!text)
-			report_add(report, place, value, "not a name of a %s",
+			report_add(report, place, value,
+				   "not the name of an object of kind %s",
 				   kinds[field->target].name);
 		break;
 	}
