Add the command-line tool

Operators check, render, compare and explain sets, create keys and look at a daemon's status with it.

The published form of one example set is a golden file: a change of its bytes makes every daemon fetch all parts anew.

--- /dev/null
+++ b/packages/cli/command_diff.c
@@ -0,0 +1,111 @@
+/* The command `diff`. */
+#include "args.h"
+#include "commands.h"
+#include "load.h"
+#include "print.h"
+
+static const struct argp_option options[] = {
+	ARGS_JSON_OPTION,
+	{ 0 },
+};
+
+static const struct args_spec spec = {
+	.options = options,
+	.usage = "BEFORE AFTER",
+	.doc = "Lists the changes from one configuration set to another.\n\n"
+	       "BEFORE and AFTER are each a file or a folder of .json files. "
+	       "Objects of older schemas are compared after their upgrade. "
+	       "Lines start with + for an added object, - for a removed one "
+	       "and ~ for a changed field."
+	       "\vExit status: 0 when the sets are equal, 1 when they differ, "
+	       "2 when one cannot be read.",
+	.min_paths = 2,
+	.max_paths = 2,
+};
+
+static const char *const type_names[] = {
+	[CONFIG_CHANGE_ADDED] = "added",
+	[CONFIG_CHANGE_REMOVED] = "removed",
+	[CONFIG_CHANGE_FIELD] = "changed",
+};
+
+static void print_change(const struct config_change *change)
+{
+	static const char marks[] = {
+		[CONFIG_CHANGE_ADDED] = '+',
+		[CONFIG_CHANGE_REMOVED] = '-',
+		[CONFIG_CHANGE_FIELD] = '~',
+	};
+
+	printf("%c %s %s", marks[change->type], change->kind, change->name);
+	if (change->type == CONFIG_CHANGE_FIELD)
+		printf(" %s: %s -> %s", change->field,
+		       *change->before ? change->before : "(absent)",
+		       *change->after ? change->after : "(absent)");
+	putchar('\n');
+}
+
+static json_t *value_of(const char *text)
+{
+	json_t *value = json_loads(text, JSON_DECODE_ANY, NULL);
+
+	return value ? value : json_null();
+}
+
+static json_t *diff_json(const struct config_diff *diff)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < diff->count; i++) {
+		const struct config_change *c = &diff->changes[i];
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:s, s:s, s:o, s:o}",
+					"change", type_names[c->type], "kind",
+					c->kind, "name", c->name, "field",
+					c->field, "before", value_of(c->before),
+					"after", value_of(c->after)));
+	}
+	return json_pack("{s:o}", "changes", list);
+}
+
+/* Objects that cannot be read are not compared, so the user is told. */
+static void warn_of_problems(const struct config_set *set, const char *path,
+			     const char *program)
+{
+	struct config_report report = CONFIG_REPORT_INIT;
+
+	if (config_set_check(set, &report))
+		fprintf(stderr,
+			"%s: warning: %s has %zu problem%s, see check\n",
+			program, path, report.count,
+			report.count == 1 ? "" : "s");
+	config_report_release(&report);
+}
+
+int command_diff(int argc, char **argv)
+{
+	BASE_CLEANUP(args_release) struct args args;
+	BASE_CLEANUP(config_set_cleanup) struct config_set *before = NULL;
+	BASE_CLEANUP(config_set_cleanup) struct config_set *after = NULL;
+	struct config_diff diff = CONFIG_DIFF_INIT;
+	bool differs;
+	size_t i;
+
+	args_parse(&spec, argc, argv, &args);
+	before = load_set(&args.paths[0], 1, argv[0]);
+	after = load_set(&args.paths[1], 1, argv[0]);
+	if (!before || !after)
+		return CLI_EXIT_TROUBLE;
+	warn_of_problems(before, args.paths[0], argv[0]);
+	warn_of_problems(after, args.paths[1], argv[0]);
+	config_set_diff(before, after, &diff);
+	differs = diff.count > 0;
+	if (args.json)
+		print_json(diff_json(&diff));
+	for (i = 0; !args.json && i < diff.count; i++)
+		print_change(&diff.changes[i]);
+	config_diff_release(&diff);
+	return differs ? CLI_EXIT_NEGATIVE : CLI_EXIT_OK;
+}
--- /dev/null
+++ b/packages/cli/commands.c
@@ -0,0 +1,27 @@
+/* The table of commands. */
+#include "commands.h"
+
+#include <string.h>
+
+const struct cli_command cli_commands[] = {
+	{ "check", "check a configuration set and name all problems",
+	  command_check },
+	{ "render", "write the published form of a set", command_render },
+	{ "diff", "list the changes from one set to another", command_diff },
+	{ "explain", "show what a route does with an account's request",
+	  command_explain },
+	{ "key", "create a key for an account", command_key },
+	{ "status", "show the status of a daemon", command_status },
+};
+
+const size_t cli_command_count = BASE_ARRAY_SIZE(cli_commands);
+
+const struct cli_command *cli_find_command(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < cli_command_count; i++)
+		if (!strcmp(cli_commands[i].name, name))
+			return &cli_commands[i];
+	return NULL;
+}
--- /dev/null
+++ b/packages/cli/commands.h
@@ -0,0 +1,14 @@
+/* The commands of the tool. */
+#ifndef CLI_COMMANDS_H
+#define CLI_COMMANDS_H
+
+#include "cli.h"
+
+int command_check(int argc, char **argv);
+int command_render(int argc, char **argv);
+int command_diff(int argc, char **argv);
+int command_explain(int argc, char **argv);
+int command_key(int argc, char **argv);
+int command_status(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/packages/cli/main.c
@@ -0,0 +1,78 @@
+/* Entry point of the command-line tool: finds the command and runs it. */
+#include "cli.h"
+
+#include <argp.h>
+#include <sodium.h>
+#include <stdio.h>
+
+const char *argp_program_version = "bilberryhinge 0.1";
+
+struct choice {
+	const struct cli_command *command;
+	/** Position of the command in argv. */
+	int position;
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct choice *choice = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		choice->command = cli_find_command(arg);
+		if (!choice->command)
+			argp_error(state, "unknown command \"%s\"", arg);
+		choice->position = state->next - 1;
+		/* The rest belongs to the command. */
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_error(state, "a command is missing");
+		return EINVAL;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void describe(struct base_buf *doc)
+{
+	size_t i;
+
+	base_buf_addf(doc, "Checks, publishes and explains the configuration "
+			   "of bilberryhinge, and shows the status of its "
+			   "daemons.\n\nCommands:\n");
+	for (i = 0; i < cli_command_count; i++)
+		base_buf_addf(doc, "  %-9s %s\n", cli_commands[i].name,
+			      cli_commands[i].summary);
+	base_buf_addf(doc, "\n\"bilberryhinge COMMAND --help\" describes a "
+			   "command."
+			   "\v"
+			   "Exit status: 0 on success; 1 when the answer is "
+			   "negative (problems, differences, nothing found); 2 "
+			   "for wrong arguments or what cannot be read or "
+			   "written.");
+}
+
+int main(int argc, char **argv)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf doc = BASE_BUF_INIT;
+	BASE_CLEANUP(base_buf_release) struct base_buf name = BASE_BUF_INIT;
+	struct argp argp = { .parser = parse,
+			     .args_doc = "COMMAND [ARGUMENT...]" };
+	struct choice choice = { 0 };
+
+	argp_err_exit_status = CLI_EXIT_TROUBLE;
+	if (sodium_init() < 0) {
+		fputs("bilberryhinge: cannot initialise libsodium\n", stderr);
+		return CLI_EXIT_TROUBLE;
+	}
+	describe(&doc);
+	argp.doc = doc.ptr;
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &choice);
+	base_buf_addf(&name, "bilberryhinge %s", choice.command->name);
+	argv[choice.position] = name.ptr;
+	/* Commands may have an option --version of their own. */
+	argp_program_version = NULL;
+	return choice.command->run(argc - choice.position,
+				   argv + choice.position);
+}
--- /dev/null
+++ b/packages/cli/print.h
@@ -0,0 +1,17 @@
+/* Output that commands share. */
+#ifndef CLI_PRINT_H
+#define CLI_PRINT_H
+
+#include "config.h"
+
+#include <jansson.h>
+#include <stdio.h>
+
+/** One line a problem, then their number. */
+void print_problems(FILE *file, const struct config_report *report);
+json_t *print_problems_json(const struct config_report *report);
+/** Prints an indented document to standard output and releases it. */
+void print_json(json_t *json);
+json_t *print_json_str(struct base_str text);
+
+#endif
--- /dev/null
+++ b/packages/cli/tests/test_cli.c
@@ -0,0 +1,118 @@
+/* Tests of the status command against a small HTTP server. */
+#include "cli.h"
+#include "fetch.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <criterion/redirect.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/** Answers one connection with fixed bytes. */
+struct server {
+	int listener;
+	const char *answer;
+	pthread_t thread;
+	char address[32];
+	char request[512];
+};
+
+static void *serve(void *arg)
+{
+	struct server *server = arg;
+	int fd = accept(server->listener, NULL, NULL);
+	ssize_t n = read(fd, server->request, sizeof(server->request) - 1);
+
+	server->request[n > 0 ? n : 0] = '\0';
+	n = send(fd, server->answer, strlen(server->answer), MSG_NOSIGNAL);
+	(void)n;
+	close(fd);
+	return NULL;
+}
+
+static void start(struct server *server, const char *answer)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t len = sizeof(at);
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->answer = answer;
+	server->listener = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert(eq(int, bind(server->listener, (struct sockaddr *)&at, len),
+		     0));
+	cr_assert(eq(int, listen(server->listener, 4), 0));
+	getsockname(server->listener, (struct sockaddr *)&at, &len);
+	snprintf(server->address, sizeof(server->address), "127.0.0.1:%d",
+		 ntohs(at.sin_port));
+	pthread_create(&server->thread, NULL, serve, server);
+}
+
+static void stop(struct server *server)
+{
+	pthread_join(server->thread, NULL);
+	close(server->listener);
+}
+
+static int run_status(const char *address, bool as_json)
+{
+	char *argv[] = { "bilberryhinge status", "--admin", (char *)address,
+			 as_json ? "--json" : NULL, NULL };
+
+	return cli_find_command("status")->run(as_json ? 4 : 3, argv);
+}
+
+#define ANSWER                                                     \
+	"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"             \
+	"{\"version\":7,\"config\":{\"hash\":\"ab\",\"list\":[]}," \
+	"\"peers\":[{\"name\":\"vm-1\",\"up\":true},3]}"
+
+/* Guards against values that are lost or shown under a wrong path. */
+Test(status, prints_each_value_on_a_line, .init = cr_redirect_stdout)
+{
+	struct server server;
+
+	start(&server, ANSWER);
+	cr_assert(eq(int, run_status(server.address, false), CLI_EXIT_OK));
+	stop(&server);
+	fflush(stdout);
+	cr_assert_stdout_eq_str("version: 7\n"
+				"config.hash: ab\n"
+				"config.list: []\n"
+				"peers[vm-1].name: vm-1\n"
+				"peers[vm-1].up: true\n"
+				"peers[1]: 3\n");
+	cr_assert(eq(int,
+		     strncmp(server.request, "GET /status HTTP/1.1\r\n", 22),
+		     0));
+}
+
+Test(status, prints_the_body_unchanged, .init = cr_redirect_stdout)
+{
+	struct server server;
+
+	start(&server, ANSWER);
+	cr_assert(eq(int, run_status(server.address, true), CLI_EXIT_OK));
+	stop(&server);
+	fflush(stdout);
+	cr_assert_stdout_eq_str(
+		"{\"version\":7,\"config\":{\"hash\":\"ab\",\"list\":[]},"
+		"\"peers\":[{\"name\":\"vm-1\",\"up\":true},3]}\n");
+}
+
+/* Guards against a fault of the daemon that passes for its status. */
+Test(status, tells_faults_of_the_daemon_from_silence)
+{
+	struct server server;
+
+	start(&server, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+	cr_assert(
+		eq(int, run_status(server.address, false), CLI_EXIT_NEGATIVE));
+	stop(&server);
+	cr_assert(eq(int, run_status(server.address, false), CLI_EXIT_TROUBLE));
+	cr_assert(eq(int, run_status("127.0.0.1", false), CLI_EXIT_TROUBLE));
+	cr_assert(eq(int, run_status("127.0.0.1:0", false), CLI_EXIT_TROUBLE));
+}
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -70,6 +70,12 @@
 
 void config_report_release(struct config_report *report);
 
+/**
+ * True for a name that an object may have: 1 to 64 letters, digits, '.', '_'
+ * and '-'.
+ */
+bool config_name_valid(struct base_str name);
+
 /** A builder that collects objects from files or parts. */
 struct config_set;
 
--- a/packages/config/object.c
+++ b/packages/config/object.c
@@ -156,9 +156,9 @@
 	return false;
 }
 
-bool object_name_valid(const char *name)
+bool config_name_valid(struct base_str name)
 {
-	return text_is_name(base_str_from(name));
+	return text_is_name(name);
 }
 
 static json_t *initial_value(const struct field *field)
@@ -250,7 +250,7 @@
 	json_t *value;
 	size_t i;
 
-	if (!object_name_valid(object->name))
+	if (!config_name_valid(base_str_from(object->name)))
 		report_add(report, object_place(object, "name"),
 			   json_object_get(object->json, "name"),
 			   "not 1 to 64 letters, digits, '.', '_' and '-'");
--- a/packages/config/object.h
+++ b/packages/config/object.h
@@ -30,8 +30,6 @@
 
 const char *object_kind_name(enum object_kind kind);
 bool object_kind_parse(const char *name, enum object_kind *kind);
-/** True for 1 to 64 letters, digits, '.', '_' and '-'. */
-bool object_name_valid(const char *name);
 
 /**
  * Brings @p json from @p schema to CONFIG_SCHEMA and fills in defaults. Members
--- /dev/null
+++ b/tests/session_config_cli.sh
@@ -0,0 +1,125 @@
+#!/usr/bin/env bash
+# Runs the command-line tool on the example sets and on sets with problems.
+# The published form of one set is compared with a golden file, so that a
+# change of bytes, which every daemon would fetch anew, is seen in review.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tool=$1/bin/bilberryhinge
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# expect STATUS COMMAND...: output goes to $work/out, messages to $work/err.
+expect() {
+	local wanted=$1 got=0
+	shift
+	"$tool" "$@" >"$work/out" 2>"$work/err" || got=$?
+	if [ "$got" -ne "$wanted" ]; then
+		echo "exit status $got instead of $wanted: $*"
+		cat "$work/out" "$work/err"
+		exit 1
+	fi
+}
+
+# shows FILE TEXT: the text stands in $work/FILE.
+shows() {
+	if ! grep -qF -- "$2" "$work/$1"; then
+		echo "missing in $1: $2"
+		cat "$work/$1"
+		exit 1
+	fi
+}
+
+publish() {
+	expect 0 render --version "$1" --out "$work/pub" "$2"
+	{
+		echo "== manifest"
+		cat "$work/pub/manifest"
+		for part in "$work"/pub/parts/*; do
+			echo "== parts/$(basename "$part")"
+			cat "$part"
+		done
+	} >"$work/published"
+}
+
+expect 0 check examples/lakeshore
+expect 0 check examples/zawadzki
+for command in check render diff explain key status; do
+	expect 0 --help
+	shows out "  $command "
+	expect 0 "$command" --help
+	shows out "Exit status"
+done
+
+publish 1 examples/lakeshore
+diff -u tests/golden/lakeshore_published.txt "$work/published"
+expect 0 render --json --version 1 --out "$work/pub" examples/lakeshore
+shows out '"version": 1'
+
+# A set of several files, one of schema 1, with problems in both.
+cat >"$work/a.json" <<'END'
+{"schema": 1, "objects": [
+  {"kind": "account", "name": "a", "rate": 0, "burst": 1}
+]}
+END
+cat >"$work/b.json" <<'END'
+{"schema": 2, "objects": [
+  {"kind": "key", "name": "k", "account": "b", "id": "k1", "hash": "00"}
+]}
+END
+expect 1 check "$work"
+shows out 'a.json: account "a" rate 0: out of range 1 to 1000000'
+shows out 'b.json: key "k" account "b": there is no account of this name'
+shows out '3 problems'
+expect 1 check --json "$work/a.json" "$work/b.json"
+shows out '"ok": false'
+expect 1 render --version 2 --out "$work/refused" "$work"
+shows err '3 problems'
+[ ! -e "$work/refused" ]
+
+# What cannot be read is told from problems.
+echo '{"schema": 2, "objects": [' >"$work/c.json"
+expect 2 check "$work"
+shows err 'c.json:2:0: '
+expect 2 check "$work/absent.json"
+expect 2 check
+expect 2 render --version 0 --out "$work/pub" examples/lakeshore
+expect 2 render --version 1 examples/lakeshore
+expect 2 render --version 1 --out "$work/a.json" examples/lakeshore
+expect 2 unknown
+
+expect 0 diff examples/lakeshore examples/lakeshore
+cp -r examples/lakeshore "$work/changed"
+sed -i 's/"name": "hill-branch", "rate": 60/"name": "hill-branch", "rate": 61/' \
+	"$work/changed/accounts.json"
+expect 1 diff examples/lakeshore "$work/changed"
+[ "$(cat "$work/out")" = "~ account hill-branch rate: 60 -> 61" ]
+expect 1 diff --json examples/lakeshore "$work/changed"
+shows out '"after": 61'
+
+expect 0 explain --route POST:/reservations --account hill-branch \
+	examples/lakeshore
+shows out 'route      reserve (POST /reservations)'
+shows out 'limits   60 requests/s over all VMs, burst 120, weight 1'
+shows out 'priority   transactions, level 0'
+shows out 'retry      non-idempotent: needs an Idempotency-Key'
+shows out 'reservations-3'
+expect 0 explain --json --route GET:/catalogue/hours examples/lakeshore
+shows out '"open": true'
+expect 1 explain --route GET:/nowhere --account hill-branch examples/lakeshore
+expect 1 explain --route GET:/returns --account nobody examples/lakeshore
+expect 2 explain --route GET:/returns examples/lakeshore
+expect 2 explain --route /returns --account hill-branch examples/lakeshore
+
+# A new key makes a valid set and its secret is not in the object.
+expect 0 key --account hill-branch examples/lakeshore
+secret=$(sed -n 's/^key, shown this once: bhk_[0-9a-f]*_//p' "$work/out")
+object=$(tail -n 1 "$work/out")
+[ "${#secret}" -eq 64 ]
+[[ $object != *"$secret"* ]]
+echo "{\"schema\": 2, \"objects\": [$object]}" >"$work/key.json"
+expect 0 check examples/lakeshore "$work/key.json"
+expect 1 key --account nobody examples/lakeshore
+expect 2 key
+
+expect 2 status --admin 127.0.0.1:1
+shows err 'no answer'
