Rank VMs without sorting all of them

The owner of an idempotency key is the first of all VMs by rank, so each non-idempotent request ranks the whole fleet.

A table of ranks per key was ruled out: keys are different in each request.

--- a/packages/config/lookup.c
+++ b/packages/config/lookup.c
@@ -198,15 +198,25 @@
 	const struct config_vm *vm;
 };
 
-/* Greatest weight first; equal weights by name, which is the index. */
-static int compare_ranked(const void *a, const void *b)
+/*
+ * Inserts into the highest @p max entries found so far. VMs come in the order
+ * of names, so the first of equal weights stays in front.
+ * @return the new number of entries
+ */
+static size_t insert_ranked(struct ranked *top, size_t count, size_t max,
+			    struct ranked entry)
 {
-	const struct ranked *x = a;
-	const struct ranked *y = b;
-
-	if (x->weight != y->weight)
-		return x->weight < y->weight ? 1 : -1;
-	return (x->vm->index > y->vm->index) - (x->vm->index < y->vm->index);
+	size_t at = count;
+
+	while (at > 0 && top[at - 1].weight < entry.weight)
+		at--;
+	if (at == max)
+		return count;
+	if (count < max)
+		count++;
+	memmove(&top[at + 1], &top[at], (count - 1 - at) * sizeof(*top));
+	top[at] = entry;
+	return count;
 }
 
 size_t config_snapshot_rank_vms(const struct config_snapshot *snapshot,
@@ -215,25 +225,26 @@
 				const struct config_service *service,
 				const struct config_vm **out, size_t max)
 {
-	struct ranked *ranked =
-		base_alloc_array(snapshot->vm_count, sizeof(*ranked));
+	struct ranked *top;
 	size_t count = 0;
 	size_t i;
 
+	if (max > snapshot->vm_count)
+		max = snapshot->vm_count;
+	top = base_alloc_array(max, sizeof(*top));
 	for (i = 0; i < snapshot->vm_count; i++) {
 		const struct config_vm *vm = &snapshot->vms[i];
 
 		if ((domain && vm->domain != domain) ||
 		    (service && vm->service != service))
 			continue;
-		ranked[count].weight = base_rendezvous_weight(key, vm->name);
-		ranked[count++].vm = vm;
+		count = insert_ranked(
+			top, count, max,
+			(struct ranked){ base_rendezvous_weight(key, vm->name),
+					 vm });
 	}
-	qsort(ranked, count, sizeof(*ranked), compare_ranked);
-	if (count > max)
-		count = max;
 	for (i = 0; i < count; i++)
-		out[i] = ranked[i].vm;
-	free(ranked);
+		out[i] = top[i].vm;
+	free(top);
 	return count;
 }
--- a/packages/config/tests/test_snapshot.c
+++ b/packages/config/tests/test_snapshot.c
@@ -105,6 +105,39 @@
 	config_snapshot_unref(s);
 }
 
+/* Guards against a short list that is not the start of the long one. */
+Test(snapshot, a_shorter_ranking_is_the_start_of_a_longer_one)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf more = BASE_BUF_INIT;
+	const struct config_snapshot *s;
+	const struct config_vm *all[64];
+	const struct config_vm *some[64];
+	struct base_str key = BASE_STR("k");
+	size_t i, n;
+
+	for (i = 0; i < 40; i++)
+		base_buf_addf(&more,
+			      "%s{\"kind\":\"vm\",\"name\":\"v%zu\","
+			      "\"failure_domain\":\"n1\",\"service\":"
+			      "\"shop\",\"peer_address\":\"127.0.0.1:%zu\"}",
+			      i ? "," : "", i, 8000 + i);
+	s = fixture_load(fixture_set_with(more.ptr));
+	cr_assert(eq(sz, config_snapshot_rank_vms(s, key, NULL, NULL, all, 64),
+		     42));
+	for (i = 1; i < 42; i++)
+		cr_assert(ge(u64, base_rendezvous_weight(key, all[i - 1]->name),
+			     base_rendezvous_weight(key, all[i]->name)));
+	for (n = 0; n <= 42; n++) {
+		cr_assert(eq(
+			sz,
+			config_snapshot_rank_vms(s, key, NULL, NULL, some, n),
+			n));
+		for (i = 0; i < n; i++)
+			cr_assert(eq(ptr, (void *)some[i], (void *)all[i]));
+	}
+	config_snapshot_unref(s);
+}
+
 static bool fetch_damaged(void *ctx, const struct config_part *part,
 			  struct base_str *bytes)
 {
