Limit the number of priorities to 64

The check of the chain compares each pair of priorities and walks the chain from each, which grows with the square or more of their number. A part may hold over 10,000 of them within its 1 MB, which would hold up the control task of every daemon. A guard keeps a queue per class, so more than 64 are taken for a mistake and refused before the chain is walked.

A linear check was weighed; it would still let in a set that the guards are not made for.

--- a/packages/config/priority.c
+++ b/packages/config/priority.c
@@ -12,6 +12,8 @@
 	int64_t limit = HASH_COUNT(set->by_name[KIND_PRIORITY]);
 	int64_t height = 0;
 
+	if (limit > PRIORITY_MAX)
+		limit = PRIORITY_MAX;
 	while (object && height < limit) {
 		const char *below = object_text(object, "above");
 
@@ -66,6 +68,11 @@
 	size_t count, i, j;
 	const struct object **sorted = set_sorted(set, KIND_PRIORITY, &count);
 
+	if (count > PRIORITY_MAX) {
+		report_add(report, object_place(sorted[PRIORITY_MAX], "name"),
+			   NULL, "more than %d priorities", PRIORITY_MAX);
+		count = 0;
+	}
 	for (i = 0; i < count; i++) {
 		if (is_on_cycle(set, sorted[i]))
 			report_add(report, object_place(sorted[i], "above"),
--- a/packages/config/priority.h
+++ b/packages/config/priority.h
@@ -4,7 +4,13 @@
 
 #include "set.h"
 
-/** Reports cycles and forks. Dangling references are reported elsewhere. */
+/* Each guard keeps a queue per class; more classes are taken for a mistake. */
+#define PRIORITY_MAX 64
+
+/**
+ * Reports cycles and forks, or only that there are over PRIORITY_MAX classes.
+ * Dangling references are reported elsewhere.
+ */
 void priority_check_chain(const struct config_set *set,
 			  struct config_report *report);
 /**
--- a/packages/config/tests/test_check.c
+++ b/packages/config/tests/test_check.c
@@ -134,6 +134,20 @@
 	       "directly above the same priority\n");
 }
 
+/* Guards against a check whose time grows with the square of the chain. */
+Test(check, names_too_many_priorities)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf more = BASE_BUF_INIT;
+	int i;
+
+	for (i = 0; i < 63; i++)
+		base_buf_addf(&more,
+			      "%s{\"kind\":\"priority\",\"name\":\"p%d\"}",
+			      i ? "," : "", i);
+	expect(fixture_set_with(more.ptr),
+	       "priority p9 name : more than 64 priorities\n");
+}
+
 Test(check, names_services_without_servers_and_excess_cold_slots)
 {
 	expect(fixture_set_with("{\"kind\":\"service\",\"name\":\"s\","
