Add guard, limits, queue, ramp, cutoff and early refusal

Weighed and ruled out: - The queue length alone as the weight of an account when shedding: with seven accounts at 12% of capacity each and one at 60%, the worst-served of the seven got 98.5%.

--- /dev/null
+++ b/packages/overload/cutoff.h
@@ -0,0 +1,43 @@
+/* Control of the cutoff a guard publishes. */
+#ifndef OVERLOAD_CUTOFF_H
+#define OVERLOAD_CUTOFF_H
+
+#include "overload.h"
+
+struct overload_cutoff {
+	/* Of this level the share is admitted; OVERLOAD_LEVELS: no cutoff. */
+	uint8_t level;
+	double admitted;
+	/* When work at a level was last offered; -1 for never. */
+	int64_t seen_at[OVERLOAD_LEVELS];
+	/* Start of the time over or under the target; -1 when it is not. */
+	int64_t over_since;
+	int64_t under_since;
+	/* Since over_since: work offered and work started. */
+	uint32_t offered;
+	uint32_t started;
+	/* Since under_since: integral of the use of the limit. */
+	double used;
+	int64_t updated_at;
+};
+
+/** State of the guard at an update. */
+struct overload_load {
+	uint32_t in_flight;
+	uint32_t queued;
+	uint32_t limit;
+};
+
+void overload_cutoff_init(struct overload_cutoff *cutoff, int64_t now);
+/** Idempotent work at @p level was offered. */
+void overload_cutoff_offered(struct overload_cutoff *cutoff, uint8_t level,
+			     int64_t now);
+void overload_cutoff_started(struct overload_cutoff *cutoff);
+/** Call after each change of @p load and at overload_cutoff_next_at(). */
+void overload_cutoff_update(struct overload_cutoff *cutoff,
+			    const struct overload_load *load, int64_t now);
+/** @return INT64_MAX when no update is needed without an event */
+int64_t overload_cutoff_next_at(const struct overload_cutoff *cutoff);
+int32_t overload_cutoff_steps(const struct overload_cutoff *cutoff);
+
+#endif
--- /dev/null
+++ b/packages/overload/guard.c
@@ -0,0 +1,414 @@
+/* The guard: puts limit, queue, ramp and cutoff together. */
+#include "cutoff.h"
+#include "queue.h"
+#include "ramp.h"
+
+#include <assert.h>
+#include <uthash.h>
+
+/* The queue holds this multiple of the limit. */
+#define QUEUE_FACTOR 2
+#define SERVICE_GAIN 0.05
+#define RETRY_MIN_US (100 * BASE_MS_US)
+#define RETRY_MAX_US (2 * BASE_SECOND_US)
+
+struct running {
+	uint64_t id;
+	int64_t started_at;
+	int64_t onward_us;
+	uint32_t in_flight;
+	bool idempotent;
+	bool limited;
+	bool paused;
+	UT_hash_handle hh;
+};
+
+/* Work refused on offer, until the caller takes the action. */
+struct refused {
+	uint64_t id;
+	struct refused *next;
+};
+
+struct overload_guard {
+	struct overload_guard_config config;
+	struct overload_limiter *limiter;
+	struct overload_queue *queue;
+	struct overload_ramp ramp;
+	struct overload_cutoff cutoff;
+	struct base_rand rnd;
+	struct running *running;
+	uint32_t in_flight;
+	uint32_t idempotent_in_flight;
+	struct refused *refused;
+	/* Average time in the backend server; 0 while unknown. */
+	double service_us;
+	int64_t now;
+	bool draining;
+};
+
+const char *overload_reason_str(enum overload_reason reason)
+{
+	switch (reason) {
+	case OVERLOAD_REASON_OVERLOADED:
+		return "overloaded";
+	case OVERLOAD_REASON_DEADLINE:
+		return "deadline";
+	case OVERLOAD_REASON_DRAINING:
+		return "draining";
+	}
+	return "unknown";
+}
+
+static void check_config(const struct overload_guard_config *config)
+{
+	assert(config->slots > 0);
+	assert(config->connections > 0);
+	assert(config->cold_slots > 0);
+	assert(config->cold_us >= 0);
+}
+
+static uint32_t min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Time never goes back for the parts of the guard. */
+static int64_t advance(struct overload_guard *guard, int64_t now)
+{
+	if (now > guard->now)
+		guard->now = now;
+	return guard->now;
+}
+
+struct overload_guard *
+overload_guard_create(const struct overload_guard_config *config,
+		      struct overload_limiter *limiter, int64_t now)
+{
+	struct overload_guard *guard = base_alloc(sizeof(*guard));
+
+	check_config(config);
+	guard->config = *config;
+	guard->limiter =
+		limiter ? limiter
+			: overload_limiter_gradient_create(config->slots);
+	guard->queue = overload_queue_create();
+	guard->now = now;
+	overload_ramp_init(&guard->ramp, config, now);
+	overload_cutoff_init(&guard->cutoff, now);
+	base_rand_seed(&guard->rnd, config->seed);
+	return guard;
+}
+
+void overload_guard_destroy(struct overload_guard *guard)
+{
+	struct running *run, *next_run;
+	struct refused *refused;
+
+	if (!guard)
+		return;
+	HASH_ITER (hh, guard->running, run, next_run) {
+		HASH_DEL(guard->running, run);
+		free(run);
+	}
+	while ((refused = guard->refused)) {
+		guard->refused = refused->next;
+		free(refused);
+	}
+	overload_queue_destroy(guard->queue);
+	overload_limiter_destroy(guard->limiter);
+	free(guard);
+}
+
+void overload_guard_reconfigure(struct overload_guard *guard,
+				const struct overload_guard_config *config,
+				int64_t now)
+{
+	check_config(config);
+	advance(guard, now);
+	guard->config = *config;
+	guard->limiter->ops->set_slots(guard->limiter, config->slots);
+	overload_ramp_configure(&guard->ramp, config);
+}
+
+uint32_t overload_guard_limit(const struct overload_guard *guard, int64_t now)
+{
+	uint32_t limit =
+		min_u32(guard->config.slots, guard->config.connections);
+
+	limit = min_u32(limit, guard->limiter->ops->limit(guard->limiter));
+	return min_u32(limit, overload_ramp_bound(&guard->ramp, now));
+}
+
+static void update_cutoff(struct overload_guard *guard)
+{
+	struct overload_load load = {
+		.in_flight = guard->in_flight,
+		.queued = overload_queue_length(guard->queue),
+		.limit = overload_guard_limit(guard, guard->now),
+	};
+
+	overload_cutoff_update(&guard->cutoff, &load, guard->now);
+}
+
+void overload_guard_offer(struct overload_guard *guard,
+			  const struct overload_work *work, int64_t now)
+{
+	struct refused *refused;
+
+	now = advance(guard, now);
+	if (guard->draining) {
+		refused = base_alloc(sizeof(*refused));
+		refused->id = work->id;
+		refused->next = guard->refused;
+		guard->refused = refused;
+		return;
+	}
+	if (work->idempotent)
+		overload_cutoff_offered(&guard->cutoff, work->level, now);
+	overload_queue_push(guard->queue, work);
+}
+
+static int64_t expected_service(const struct overload_guard *guard)
+{
+	/* Without work in flight no answer would ever correct the estimate. */
+	return guard->in_flight ? (int64_t)guard->service_us : 0;
+}
+
+/* Time for the queue to empty, with jitter, so that retries do not align. */
+static int64_t retry_after(struct overload_guard *guard)
+{
+	uint32_t limit = overload_guard_limit(guard, guard->now);
+	double wait = guard->service_us *
+		      (1 + (double)overload_queue_length(guard->queue) / limit);
+
+	if (wait < RETRY_MIN_US)
+		wait = RETRY_MIN_US;
+	if (wait > RETRY_MAX_US)
+		wait = RETRY_MAX_US;
+	return (int64_t)(wait * (0.5 + base_rand_unit(&guard->rnd)));
+}
+
+static void set_drop(struct overload_guard *guard, uint64_t id,
+		     enum overload_reason reason,
+		     struct overload_action *action)
+{
+	action->type = OVERLOAD_ACTION_DROP;
+	action->id = id;
+	action->reason = reason;
+	action->retry_after_us =
+		reason == OVERLOAD_REASON_DRAINING ? 0 : retry_after(guard);
+}
+
+static bool next_refused(struct overload_guard *guard,
+			 struct overload_action *action)
+{
+	struct refused *refused = guard->refused;
+
+	if (!refused)
+		return false;
+	guard->refused = refused->next;
+	set_drop(guard, refused->id, OVERLOAD_REASON_DRAINING, action);
+	free(refused);
+	return true;
+}
+
+static bool idempotent_present(const struct overload_guard *guard)
+{
+	return guard->idempotent_in_flight ||
+	       overload_queue_idempotent(guard->queue);
+}
+
+static bool next_expired(struct overload_guard *guard,
+			 struct overload_action *action)
+{
+	struct overload_work work;
+
+	/* An estimate is no ground to shed non-idempotent work early. */
+	if (!overload_queue_expire(guard->queue, expected_service(guard),
+				   !idempotent_present(guard), guard->now,
+				   &work))
+		return false;
+	set_drop(guard, work.id, OVERLOAD_REASON_DEADLINE, action);
+	return true;
+}
+
+static bool next_start(struct overload_guard *guard,
+		       struct overload_action *action)
+{
+	uint32_t limit = overload_guard_limit(guard, guard->now);
+	struct overload_work work;
+	struct running *run;
+
+	if (guard->in_flight >= limit ||
+	    !overload_queue_pop(guard->queue, guard->now, &work))
+		return false;
+	HASH_FIND(hh, guard->running, &work.id, sizeof(work.id), run);
+	assert(!run);
+	run = base_alloc(sizeof(*run));
+	run->id = work.id;
+	run->started_at = guard->now;
+	run->idempotent = work.idempotent;
+	run->in_flight = ++guard->in_flight;
+	run->limited = guard->in_flight >= limit;
+	guard->idempotent_in_flight += work.idempotent;
+	HASH_ADD(hh, guard->running, id, sizeof(run->id), run);
+	overload_cutoff_started(&guard->cutoff);
+	*action = (struct overload_action){ .type = OVERLOAD_ACTION_START,
+					    .id = work.id };
+	return true;
+}
+
+static bool next_shed(struct overload_guard *guard,
+		      struct overload_action *action)
+{
+	uint32_t limit = overload_guard_limit(guard, guard->now);
+	struct overload_work work;
+
+	if (overload_queue_length(guard->queue) <= QUEUE_FACTOR * limit)
+		return false;
+	if (!overload_queue_shed(guard->queue, idempotent_present(guard),
+				 guard->now, &work))
+		return false;
+	set_drop(guard, work.id, OVERLOAD_REASON_OVERLOADED, action);
+	return true;
+}
+
+bool overload_guard_next(struct overload_guard *guard, int64_t now,
+			 struct overload_action *action)
+{
+	advance(guard, now);
+	if (next_refused(guard, action) || next_expired(guard, action) ||
+	    next_start(guard, action) || next_shed(guard, action))
+		return true;
+	update_cutoff(guard);
+	return false;
+}
+
+static void learn(struct overload_guard *guard, const struct running *run,
+		  enum overload_outcome outcome)
+{
+	int64_t elapsed = guard->now - run->started_at;
+	struct overload_sample sample = {
+		.latency_us = elapsed - run->onward_us,
+		.started_at = run->started_at,
+		.in_flight = run->in_flight,
+		.timed = !run->paused,
+		.failed = outcome != OVERLOAD_OUTCOME_OK,
+		.limited = run->limited,
+	};
+
+	if (sample.latency_us < 0)
+		sample.latency_us = 0;
+	if (sample.timed && !sample.failed)
+		guard->service_us +=
+			guard->service_us > 0
+				? SERVICE_GAIN * (elapsed - guard->service_us)
+				: elapsed;
+	if (overload_ramp_answered(&guard->ramp, &sample, guard->now))
+		guard->limiter->ops->reset(guard->limiter, guard->now);
+	else if (!overload_ramp_cold(&guard->ramp, guard->now))
+		guard->limiter->ops->sample(guard->limiter, &sample,
+					    guard->now);
+}
+
+bool overload_guard_finish(struct overload_guard *guard, uint64_t id,
+			   enum overload_outcome outcome, int64_t now)
+{
+	struct running *run;
+
+	advance(guard, now);
+	HASH_FIND(hh, guard->running, &id, sizeof(id), run);
+	if (!run)
+		return false;
+	HASH_DEL(guard->running, run);
+	guard->in_flight--;
+	guard->idempotent_in_flight -= run->idempotent;
+	if (outcome != OVERLOAD_OUTCOME_SERVER_LOST)
+		learn(guard, run, outcome);
+	else if (run->started_at >= guard->ramp.restarted_at)
+		overload_guard_server_lost(guard, now);
+	free(run);
+	return true;
+}
+
+void overload_guard_onward(struct overload_guard *guard, uint64_t id,
+			   int64_t waited_us)
+{
+	struct running *run;
+
+	HASH_FIND(hh, guard->running, &id, sizeof(id), run);
+	if (run)
+		run->onward_us += waited_us;
+}
+
+bool overload_guard_cancel(struct overload_guard *guard, uint64_t id,
+			   int64_t now)
+{
+	advance(guard, now);
+	return overload_queue_remove(guard->queue, id);
+}
+
+void overload_guard_server_lost(struct overload_guard *guard, int64_t now)
+{
+	now = advance(guard, now);
+	overload_ramp_restart(&guard->ramp, now);
+	guard->limiter->ops->reset(guard->limiter, guard->now);
+}
+
+void overload_guard_woke(struct overload_guard *guard, int64_t paused_us,
+			 int64_t now)
+{
+	struct running *run, *next;
+
+	advance(guard, now);
+	HASH_ITER (hh, guard->running, run, next)
+		run->paused = true;
+	overload_ramp_paused(&guard->ramp, paused_us);
+}
+
+void overload_guard_drain(struct overload_guard *guard)
+{
+	guard->draining = true;
+}
+
+uint32_t overload_guard_in_flight(const struct overload_guard *guard)
+{
+	return guard->in_flight;
+}
+
+uint32_t overload_guard_queued(const struct overload_guard *guard)
+{
+	return overload_queue_length(guard->queue);
+}
+
+bool overload_guard_cold(const struct overload_guard *guard, int64_t now)
+{
+	return overload_ramp_cold(&guard->ramp, now);
+}
+
+int32_t overload_guard_cutoff(const struct overload_guard *guard)
+{
+	return overload_cutoff_steps(&guard->cutoff);
+}
+
+/* Time of the next deadline decision and of the next cutoff change. */
+int64_t overload_guard_next_at(const struct overload_guard *guard)
+{
+	int64_t at = overload_cutoff_next_at(&guard->cutoff);
+	int64_t earliest = overload_queue_earliest(guard->queue);
+
+	if (guard->refused)
+		return guard->now;
+	if (earliest < INT64_MAX) {
+		earliest -= expected_service(guard);
+		if (earliest <= guard->now)
+			earliest = guard->now + BASE_MS_US;
+		at = earliest < at ? earliest : at;
+	}
+	if (overload_queue_length(guard->queue) &&
+	    overload_ramp_cold(&guard->ramp, guard->now)) {
+		earliest = guard->now + BASE_MS_US;
+		at = earliest < at ? earliest : at;
+	}
+	return at;
+}
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -76,8 +76,8 @@
 	void (*sample)(struct overload_limiter *limiter,
 		       const struct overload_sample *sample, int64_t now);
 	void (*set_slots)(struct overload_limiter *limiter, uint32_t slots);
-	/** Forgets what was learned; the server started anew. */
-	void (*reset)(struct overload_limiter *limiter);
+	/** The server is cold: work started so far says nothing any more. */
+	void (*reset)(struct overload_limiter *limiter, int64_t now);
 };
 
 /**
@@ -167,6 +167,15 @@
  */
 bool overload_guard_finish(struct overload_guard *guard, uint64_t id,
 			   enum overload_outcome outcome, int64_t now);
+/**
+ * Work in flight has waited @p waited_us for onward calls. The limit and the
+ * detection of a cold server use the time less these waits, as a slow service
+ * further down says nothing about this server. Report the time during which at
+ * least one onward call was under way, before the work finishes. A failure that
+ * only passes on the failure of an onward call is OVERLOAD_OUTCOME_OK.
+ */
+void overload_guard_onward(struct overload_guard *guard, uint64_t id,
+			   int64_t waited_us);
 /**
  * The caller has gone. Queued work is forgotten without an action. Work in
  * flight still occupies the backend server and must be finished as usual.
--- /dev/null
+++ b/packages/overload/queue.c
@@ -0,0 +1,307 @@
+/* Start-time fair queuing in priority classes. */
+#include "queue.h"
+#include "usage.h"
+
+#include <assert.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+/* Non-idempotent levels first, so that idempotent work never goes ahead. */
+#define CLASSES (2 * OVERLOAD_LEVELS)
+
+struct item {
+	struct overload_work work;
+	struct flow *flow;
+	TAILQ_ENTRY(item) link;
+	UT_hash_handle hh;
+};
+
+TAILQ_HEAD(item_list, item);
+
+/* The work of one account in one class. */
+struct flow {
+	uint32_t account;
+	uint32_t weight;
+	uint32_t length;
+	/* Virtual start time of the first item. */
+	double start;
+	struct item_list items;
+	struct class *class;
+	UT_hash_handle hh;
+};
+
+struct class
+{
+	uint32_t length;
+	double virtual_time;
+	struct flow *flows;
+};
+
+struct overload_queue {
+	struct class classes[CLASSES];
+	struct overload_usage *usage;
+	struct item *by_id;
+	uint32_t length;
+	uint32_t idempotent;
+	/* A lower bound; exact after a scan. */
+	int64_t earliest;
+};
+
+struct overload_queue *overload_queue_create(void)
+{
+	struct overload_queue *queue = base_alloc(sizeof(*queue));
+
+	queue->usage = overload_usage_create();
+	queue->earliest = INT64_MAX;
+	return queue;
+}
+
+static void free_flow(struct flow *flow)
+{
+	HASH_DEL(flow->class->flows, flow);
+	free(flow);
+}
+
+static void free_flows(struct class *class)
+{
+	struct flow *flow, *next;
+
+	HASH_ITER (hh, class->flows, flow, next)
+		free_flow(flow);
+	class->virtual_time = 0;
+}
+
+void overload_queue_destroy(struct overload_queue *queue)
+{
+	struct item *item, *next;
+	size_t i;
+
+	if (!queue)
+		return;
+	HASH_ITER (hh, queue->by_id, item, next) {
+		HASH_DEL(queue->by_id, item);
+		free(item);
+	}
+	for (i = 0; i < CLASSES; i++)
+		free_flows(&queue->classes[i]);
+	overload_usage_destroy(queue->usage);
+	free(queue);
+}
+
+static struct class *class_of(struct overload_queue *queue,
+			      const struct overload_work *work)
+{
+	size_t offset = work->idempotent ? OVERLOAD_LEVELS : 0;
+
+	assert(work->level < OVERLOAD_LEVELS);
+	return &queue->classes[offset + work->level];
+}
+
+static struct flow *flow_of(struct class *class,
+			    const struct overload_work *work)
+{
+	struct flow *flow;
+
+	HASH_FIND(hh, class->flows, &work->account, sizeof(work->account),
+		  flow);
+	if (!flow) {
+		flow = base_alloc(sizeof(*flow));
+		flow->account = work->account;
+		flow->class = class;
+		flow->start = class->virtual_time;
+		TAILQ_INIT(&flow->items);
+		HASH_ADD(hh, class->flows, account, sizeof(flow->account),
+			 flow);
+	}
+	flow->weight = work->weight ? work->weight : 1;
+	return flow;
+}
+
+void overload_queue_push(struct overload_queue *queue,
+			 const struct overload_work *work)
+{
+	struct class *class = class_of(queue, work);
+	struct flow *flow = flow_of(class, work);
+	struct item *item;
+
+	HASH_FIND(hh, queue->by_id, &work->id, sizeof(work->id), item);
+	assert(!item);
+	item = base_alloc(sizeof(*item));
+	item->work = *work;
+	item->flow = flow;
+	HASH_ADD(hh, queue->by_id, work.id, sizeof(item->work.id), item);
+	TAILQ_INSERT_TAIL(&flow->items, item, link);
+	if (!flow->length && flow->start < class->virtual_time)
+		flow->start = class->virtual_time;
+	flow->length++;
+	class->length++;
+	queue->length++;
+	queue->idempotent += work->idempotent;
+	if (work->deadline < queue->earliest)
+		queue->earliest = work->deadline;
+}
+
+static void remove_item(struct overload_queue *queue, struct item *item)
+{
+	struct flow *flow = item->flow;
+
+	TAILQ_REMOVE(&flow->items, item, link);
+	HASH_DEL(queue->by_id, item);
+	flow->length--;
+	flow->class->length--;
+	queue->length--;
+	queue->idempotent -= item->work.idempotent;
+	/* An idle class has no past: all its accounts start equal again. */
+	if (!flow->class->length)
+		free_flows(flow->class);
+	if (!queue->length)
+		queue->earliest = INT64_MAX;
+	free(item);
+}
+
+/* Idle flows that the virtual time has passed have no debt to remember. */
+static struct flow *first_flow(struct class *class)
+{
+	struct flow *first = NULL;
+	struct flow *flow, *next;
+
+	HASH_ITER (hh, class->flows, flow, next) {
+		if (flow->length) {
+			if (!first || flow->start < first->start)
+				first = flow;
+		} else if (flow->start <= class->virtual_time) {
+			free_flow(flow);
+		}
+	}
+	return first;
+}
+
+bool overload_queue_pop(struct overload_queue *queue, int64_t now,
+			struct overload_work *work)
+{
+	struct class *class;
+	struct flow *flow;
+	size_t i;
+
+	for (i = 0; i < CLASSES; i++) {
+		class = &queue->classes[i];
+		if (!class->length)
+			continue;
+		flow = first_flow(class);
+		class->virtual_time = flow->start;
+		flow->start += 1.0 / flow->weight;
+		*work = TAILQ_FIRST(&flow->items)->work;
+		overload_usage_add(queue->usage, work->account, now);
+		remove_item(queue, TAILQ_FIRST(&flow->items));
+		return true;
+	}
+	return false;
+}
+
+/*
+ * The queue length alone says little: an account within its share that has a
+ * short burst would lose work to one that floods all the time.
+ */
+static double flow_use(const struct overload_queue *queue,
+		       const struct flow *flow, int64_t now)
+{
+	double recent = overload_usage_recent(queue->usage, flow->account, now);
+
+	return (recent + flow->length) / flow->weight;
+}
+
+static struct flow *heaviest_flow(const struct overload_queue *queue,
+				  const struct class *class, int64_t now)
+{
+	struct flow *heaviest = NULL;
+	struct flow *flow, *next;
+	double most = 0;
+	double use;
+
+	HASH_ITER (hh, class->flows, flow, next) {
+		if (!flow->length)
+			continue;
+		use = flow_use(queue, flow, now);
+		if (use > most) {
+			most = use;
+			heaviest = flow;
+		}
+	}
+	return heaviest;
+}
+
+bool overload_queue_shed(struct overload_queue *queue, bool idempotent,
+			 int64_t now, struct overload_work *work)
+{
+	struct flow *flow;
+	size_t lowest = idempotent ? OVERLOAD_LEVELS : 0;
+	struct item *item;
+	size_t i;
+
+	for (i = CLASSES; i-- > lowest;) {
+		if (!queue->classes[i].length)
+			continue;
+		flow = heaviest_flow(queue, &queue->classes[i], now);
+		item = TAILQ_LAST(&flow->items, item_list);
+		*work = item->work;
+		remove_item(queue, item);
+		return true;
+	}
+	return false;
+}
+
+static bool out_of_time(const struct overload_work *work, int64_t margin_us,
+			bool all, int64_t now)
+{
+	if (work->deadline <= now)
+		return true;
+	return (all || work->idempotent) && work->deadline - now < margin_us;
+}
+
+bool overload_queue_expire(struct overload_queue *queue, int64_t margin_us,
+			   bool all, int64_t now, struct overload_work *work)
+{
+	int64_t earliest = INT64_MAX;
+	struct item *item, *next;
+
+	if (!queue->length ||
+	    (queue->earliest > now && queue->earliest - now >= margin_us))
+		return false;
+	HASH_ITER (hh, queue->by_id, item, next) {
+		if (out_of_time(&item->work, margin_us, all, now)) {
+			*work = item->work;
+			remove_item(queue, item);
+			return true;
+		}
+		if (item->work.deadline < earliest)
+			earliest = item->work.deadline;
+	}
+	queue->earliest = earliest;
+	return false;
+}
+
+bool overload_queue_remove(struct overload_queue *queue, uint64_t id)
+{
+	struct item *item;
+
+	HASH_FIND(hh, queue->by_id, &id, sizeof(id), item);
+	if (!item)
+		return false;
+	remove_item(queue, item);
+	return true;
+}
+
+uint32_t overload_queue_length(const struct overload_queue *queue)
+{
+	return queue->length;
+}
+
+uint32_t overload_queue_idempotent(const struct overload_queue *queue)
+{
+	return queue->idempotent;
+}
+
+int64_t overload_queue_earliest(const struct overload_queue *queue)
+{
+	return queue->earliest;
+}
--- /dev/null
+++ b/packages/overload/queue.h
@@ -0,0 +1,43 @@
+/* Priority queue of a guard, fair between accounts within a class. */
+#ifndef OVERLOAD_QUEUE_H
+#define OVERLOAD_QUEUE_H
+
+#include "overload.h"
+
+struct overload_queue;
+
+struct overload_queue *overload_queue_create(void);
+void overload_queue_destroy(struct overload_queue *queue);
+/** The id must not be queued already. */
+void overload_queue_push(struct overload_queue *queue,
+			 const struct overload_work *work);
+/**
+ * Takes the next work to run: non-idempotent before idempotent, then by level,
+ * then start-time fair between accounts, then in the order of arrival.
+ * @return false when the queue is empty
+ */
+bool overload_queue_pop(struct overload_queue *queue, int64_t now,
+			struct overload_work *work);
+/**
+ * Takes the newest work, in the lowest class, of the account that has most
+ * work queued and started lately for its weight.
+ * @param idempotent  take idempotent work only
+ * @return false when there is none
+ */
+bool overload_queue_shed(struct overload_queue *queue, bool idempotent,
+			 int64_t now, struct overload_work *work);
+/**
+ * Takes one piece of work that is out of time: whose deadline has come, or for
+ * idempotent work (and for all when @p all is set) is nearer than @p margin_us.
+ * @return false when there is none
+ */
+bool overload_queue_expire(struct overload_queue *queue, int64_t margin_us,
+			   bool all, int64_t now, struct overload_work *work);
+/** @return false when no such work is queued */
+bool overload_queue_remove(struct overload_queue *queue, uint64_t id);
+uint32_t overload_queue_length(const struct overload_queue *queue);
+uint32_t overload_queue_idempotent(const struct overload_queue *queue);
+/** No deadline in the queue is earlier; INT64_MAX when it is empty. */
+int64_t overload_queue_earliest(const struct overload_queue *queue);
+
+#endif
--- /dev/null
+++ b/packages/overload/ramp.c
@@ -0,0 +1,99 @@
+/* Cold start ramp. */
+#include "ramp.h"
+
+/* A rise of the latency to this multiple is the sign of a cold server. */
+#define COLD_RISE 3.0
+/* The rise counts as sudden when it takes at most this long. */
+#define SUDDEN_US (2 * BASE_SECOND_US)
+/* Above this multiple the long-term average is held. */
+#define HOLD_RISE 1.5
+#define RECENT_GAIN 0.2
+#define USUAL_GAIN 0.01
+#define MIN_SAMPLES 20
+
+void overload_ramp_configure(struct overload_ramp *ramp,
+			     const struct overload_guard_config *config)
+{
+	ramp->slots = config->slots;
+	ramp->cold_slots = config->cold_slots < config->slots
+				   ? config->cold_slots
+				   : config->slots;
+	ramp->cold_us = config->cold_us;
+}
+
+void overload_ramp_init(struct overload_ramp *ramp,
+			const struct overload_guard_config *config, int64_t now)
+{
+	*ramp = (struct overload_ramp){ 0 };
+	overload_ramp_configure(ramp, config);
+	overload_ramp_restart(ramp, now);
+}
+
+void overload_ramp_restart(struct overload_ramp *ramp, int64_t now)
+{
+	ramp->restarted_at = now;
+	ramp->warming_since = -1;
+	ramp->samples = 0;
+	ramp->rising_since = -1;
+}
+
+void overload_ramp_paused(struct overload_ramp *ramp, int64_t paused_us)
+{
+	if (ramp->warming_since >= 0)
+		ramp->warming_since += paused_us;
+}
+
+bool overload_ramp_cold(const struct overload_ramp *ramp, int64_t now)
+{
+	return ramp->warming_since < 0 ||
+	       now - ramp->warming_since < ramp->cold_us;
+}
+
+uint32_t overload_ramp_bound(const struct overload_ramp *ramp, int64_t now)
+{
+	uint32_t rest = ramp->slots - ramp->cold_slots;
+	int64_t warming;
+
+	if (ramp->warming_since < 0)
+		return ramp->cold_slots;
+	if (!overload_ramp_cold(ramp, now))
+		return ramp->slots;
+	warming = now - ramp->warming_since;
+	return ramp->cold_slots + (uint32_t)((double)rest * (double)warming /
+					     (double)ramp->cold_us);
+}
+
+static void learn(struct overload_ramp *ramp, double latency, int64_t now)
+{
+	if (!ramp->samples++) {
+		ramp->usual_us = latency;
+		ramp->recent_us = latency;
+	}
+	ramp->recent_us += RECENT_GAIN * (latency - ramp->recent_us);
+	if (ramp->recent_us < HOLD_RISE * ramp->usual_us) {
+		ramp->usual_us += USUAL_GAIN * (latency - ramp->usual_us);
+		ramp->rising_since = -1;
+	} else if (ramp->rising_since < 0) {
+		ramp->rising_since = now;
+	} else if (now - ramp->rising_since > SUDDEN_US) {
+		/* A lasting rise is the new usual, not a cold server. */
+		ramp->usual_us = ramp->recent_us;
+	}
+}
+
+bool overload_ramp_answered(struct overload_ramp *ramp,
+			    const struct overload_sample *sample, int64_t now)
+{
+	if (sample->started_at <= ramp->restarted_at)
+		return false;
+	if (ramp->warming_since < 0 && !sample->failed)
+		ramp->warming_since = now;
+	if (overload_ramp_cold(ramp, now) || !sample->timed || sample->failed)
+		return false;
+	learn(ramp, (double)sample->latency_us, now);
+	if (ramp->samples < MIN_SAMPLES ||
+	    ramp->recent_us <= COLD_RISE * ramp->usual_us)
+		return false;
+	overload_ramp_restart(ramp, now);
+	return true;
+}
--- /dev/null
+++ b/packages/overload/ramp.h
@@ -0,0 +1,41 @@
+/* Cold start of a backend server: what it bears at a time. */
+#ifndef OVERLOAD_RAMP_H
+#define OVERLOAD_RAMP_H
+
+#include "overload.h"
+
+struct overload_ramp {
+	uint32_t slots;
+	uint32_t cold_slots;
+	int64_t cold_us;
+	/* Work started before is no evidence of the state of the server. */
+	int64_t restarted_at;
+	/* When it began to warm up; -1 until it has answered. */
+	int64_t warming_since;
+	/* Latency: long-term average, and the average of the recent samples. */
+	double usual_us;
+	double recent_us;
+	uint32_t samples;
+	int64_t rising_since;
+};
+
+void overload_ramp_init(struct overload_ramp *ramp,
+			const struct overload_guard_config *config,
+			int64_t now);
+void overload_ramp_configure(struct overload_ramp *ramp,
+			     const struct overload_guard_config *config);
+/** The server is cold from here on. */
+void overload_ramp_restart(struct overload_ramp *ramp, int64_t now);
+/**
+ * Work has been answered.
+ * @return true when its latency shows that the server has turned cold; the ramp
+ *         has been restarted then
+ */
+bool overload_ramp_answered(struct overload_ramp *ramp,
+			    const struct overload_sample *sample, int64_t now);
+/** Takes a pause out of the time that counts as warming up. */
+void overload_ramp_paused(struct overload_ramp *ramp, int64_t paused_us);
+uint32_t overload_ramp_bound(const struct overload_ramp *ramp, int64_t now);
+bool overload_ramp_cold(const struct overload_ramp *ramp, int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/overload/tests/test_pressure.c
@@ -0,0 +1,114 @@
+/* Tests of early refusal at entries. */
+#include "overload.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+static void observe_many(struct overload_pressure *p, int32_t cutoff,
+			 int64_t now)
+{
+	int i;
+
+	for (i = 0; i < 50; i++)
+		overload_pressure_observe(p, 0, cutoff, now);
+}
+
+static double admitted_share(struct overload_pressure *p, uint8_t level,
+			     bool idempotent, int64_t now)
+{
+	struct overload_request request = { .level = level,
+					    .idempotent = idempotent,
+					    .weight = 1 };
+	int admitted = 0;
+	int i;
+
+	for (i = 0; i < 10000; i++)
+		admitted += overload_pressure_admit(p, &request, now + i * 50,
+						    NULL);
+	return admitted / 10000.0;
+}
+
+/* Guards against refusing classes that are not shed, or non-idempotent work,
+ * and against losing sight of a service because nothing is sent there. */
+Test(pressure, refuses_levels_beyond_the_cutoff_but_for_probes)
+{
+	struct overload_pressure *p = overload_pressure_create(1, 1);
+
+	cr_assert(eq(dbl, admitted_share(p, 3, true, 0), 1));
+	observe_many(p, 2 * OVERLOAD_CUTOFF_STEPS + 500, 0);
+	cr_assert(eq(dbl, admitted_share(p, 1, true, 0), 1));
+	cr_assert(eq(dbl, admitted_share(p, 3, false, 0), 1));
+	cr_assert(ge(dbl, admitted_share(p, 3, true, 0), 0.006));
+	cr_assert(le(dbl, admitted_share(p, 3, true, 0), 0.014));
+	cr_assert(ge(dbl, admitted_share(p, 2, true, 0), 0.45));
+	cr_assert(le(dbl, admitted_share(p, 2, true, 0), 0.6));
+	overload_pressure_destroy(p);
+}
+
+/* Guards against refusing on the word of a service long recovered. */
+Test(pressure, forgets_old_observations)
+{
+	struct overload_pressure *p = overload_pressure_create(1, 1);
+
+	observe_many(p, 0, 0);
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, BASE_SECOND_US), 0));
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, 5 * BASE_SECOND_US),
+		     OVERLOAD_CUTOFF_NONE));
+	overload_pressure_destroy(p);
+}
+
+/* Guards against one server of several closing the whole service. */
+Test(pressure, averages_over_the_servers_of_a_service)
+{
+	struct overload_pressure *p = overload_pressure_create(1, 1);
+	int32_t cutoff;
+	int i;
+
+	for (i = 0; i < 100; i++)
+		overload_pressure_observe(p, 0,
+					  i % 4 ? OVERLOAD_CUTOFF_NONE : 0, 0);
+	cutoff = overload_pressure_cutoff(p, 0, 0);
+	cr_assert(ge(i32, cutoff, OVERLOAD_CUTOFF_STEPS / 2));
+	cr_assert(le(i32, cutoff, OVERLOAD_CUTOFF_STEPS));
+	overload_pressure_destroy(p);
+}
+
+/* Guards against an entry refusing all accounts alike when one floods it. */
+Test(pressure, takes_the_refusals_from_the_heaviest_account)
+{
+	struct overload_pressure *p = overload_pressure_create(1, 1);
+	struct overload_request request = { .idempotent = true, .weight = 1 };
+	int admitted[2] = { 0 };
+	int64_t retry = 0;
+	int i;
+
+	observe_many(p, 600, 0);
+	for (i = 0; i < 20000; i++) {
+		/* Account 1 sends five of six requests. */
+		request.account = i % 6 ? 1 : 0;
+		if (i % 100 == 0)
+			observe_many(p, 600, i * 100);
+		if (overload_pressure_admit(p, &request, i * 100, &retry) &&
+		    i >= 10000)
+			admitted[request.account]++;
+	}
+	cr_assert(ge(int, admitted[0], 1650));
+	cr_assert(le(int, admitted[0] + admitted[1], 6500));
+	cr_assert(ge(int, admitted[0] + admitted[1], 5700));
+	cr_assert(gt(i64, retry, 0));
+	overload_pressure_destroy(p);
+}
+
+/* Guards against use of routes that a new configuration has removed. */
+Test(pressure, starts_anew_with_other_routes)
+{
+	struct overload_pressure *p = overload_pressure_create(1, 1);
+
+	observe_many(p, 0, 0);
+	admitted_share(p, 0, true, 0);
+	overload_pressure_set_routes(p, 3);
+	cr_assert(eq(dbl, admitted_share(p, 0, true, 0), 1));
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 2, 0),
+		     OVERLOAD_CUTOFF_NONE));
+	overload_pressure_destroy(p);
+}
