Control early refusal by shares and drop probes that would wait

Causes and changes: - Entries averaged cutoffs over unused levels, so the average never passed the level of the route. They now average the share that a cutoff admits at the level of the route. Old observations are lifted gradually. - A cutoff with nothing admitted could not be lowered, as the step was a multiple of zero. - A service slowed to a third was taken for a cold one at a rise of 3x; the ramp then took away most of its capacity. The rise must now exceed 3.5x. - Probes waited in the queue until their deadline and held slots of all services before. Work at a level that is shed altogether is now started at once or refused. - The cutoff compares work offered with work started (decaying counts, 100 ms) instead of halving. - The last level keeps 2% while no non-idempotent work fills the server.

The test of old observations is replaced: it demanded the full cutoff after 1 s and none after 5 s; it now demands the full cutoff after 0.4 s, a part after 1 s and none after 2 s, which is stricter on the end.

--- a/packages/overload/cutoff.c
+++ b/packages/overload/cutoff.c
@@ -1,6 +1,8 @@
 /* Cutoff controller with hysteresis. */
 #include "cutoff.h"
 
+#include <math.h>
+
 /* Over the target: more work waits than this share of the limit. */
 #define TARGET_OVER 0.5
 #define TARGET_UNDER 0.125
@@ -8,12 +10,17 @@
 /* Answers have to carry a new cutoff to the entries before it shows. */
 #define RAISE_AGAIN_US (100 * BASE_MS_US)
 #define LOWER_AFTER_US (200 * BASE_MS_US)
-/* One step changes the admitted share at most by this factor. */
-#define STEP_FACTOR 0.5
+/* One step lowers the admitted share of a level at most to this part. */
+#define RAISE_FACTOR 0.25
+/* One step raises the share at most by this factor, and to this at least. */
+#define LOWER_FACTOR 4.0
+#define ADMITTED_FIRST 0.1
 /* A level with a smaller share is shed altogether. */
 #define ADMITTED_MIN 0.02
-/* The share with which a level comes back. */
-#define ADMITTED_FIRST 0.1
+/* Part of the limit that is meant to be in use. */
+#define USE_TARGET 0.95
+/* The counts decay with this time constant, in steps of at least 1 ms. */
+#define DECAY_US (100 * BASE_MS_US)
 /* Levels not offered for this long are passed over. */
 #define LEVEL_EXPIRY_US (10 * BASE_SECOND_US)
 
@@ -30,16 +37,40 @@
 		cutoff->seen_at[i] = -1;
 }
 
-void overload_cutoff_offered(struct overload_cutoff *cutoff, uint8_t level,
-			     int64_t now)
+void overload_cutoff_offered(struct overload_cutoff *cutoff,
+			     const struct overload_work *work, int64_t now)
 {
-	cutoff->seen_at[level] = now;
-	cutoff->offered++;
+	cutoff->offered += 1;
+	if (!work->idempotent) {
+		cutoff->offered_non_idempotent += 1;
+		return;
+	}
+	cutoff->seen_at[work->level] = now;
+	cutoff->offered_at[work->level] += 1;
 }
 
 void overload_cutoff_started(struct overload_cutoff *cutoff)
 {
-	cutoff->started++;
+	cutoff->started += 1;
+}
+
+static void decay(struct overload_cutoff *cutoff, double use, int64_t now)
+{
+	double dt = (double)(now - cutoff->updated_at);
+	double factor;
+	size_t i;
+
+	if (dt < (double)BASE_MS_US)
+		return;
+	factor = exp(-dt / DECAY_US);
+	cutoff->updated_at = now;
+	cutoff->offered *= factor;
+	cutoff->offered_non_idempotent *= factor;
+	cutoff->started *= factor;
+	cutoff->time = (cutoff->time + dt) * factor;
+	cutoff->used = (cutoff->used + dt * use) * factor;
+	for (i = 0; i < OVERLOAD_LEVELS; i++)
+		cutoff->offered_at[i] *= factor;
 }
 
 static bool in_use(const struct overload_cutoff *cutoff, int level, int64_t now)
@@ -48,45 +79,59 @@
 	       now - cutoff->seen_at[level] < LEVEL_EXPIRY_US;
 }
 
-/* Sheds more: less of the cutoff level, then the next level above it. */
-static void raise_cutoff(struct overload_cutoff *cutoff, double factor,
-			 int64_t now)
+/* Moves to the next level that is in use; false when there is none. */
+static bool next_level_up(struct overload_cutoff *cutoff, int64_t now)
 {
 	int level = cutoff->level;
 
-	if (factor < STEP_FACTOR)
-		factor = STEP_FACTOR;
-	if (level < OVERLOAD_LEVELS &&
-	    cutoff->admitted * factor >= ADMITTED_MIN) {
-		cutoff->admitted *= factor;
-		return;
-	}
-	while (level > 0 && !in_use(cutoff, level - 1, now))
-		level--;
-	if (level == 0) {
-		if (cutoff->level < OVERLOAD_LEVELS)
-			cutoff->admitted = 0;
+	while (level > 0)
+		if (in_use(cutoff, --level, now)) {
+			cutoff->level = (uint8_t)level;
+			cutoff->admitted = 1;
+			return true;
+		}
+	return false;
+}
+
+/* Sheds @p excess of the work offered: lowest level first. */
+static void raise_cutoff(struct overload_cutoff *cutoff, double excess,
+			 int64_t now)
+{
+	double offered, factor;
+
+	if (cutoff->level == OVERLOAD_LEVELS && !next_level_up(cutoff, now))
 		return;
-	}
-	cutoff->level = (uint8_t)(level - 1);
-	cutoff->admitted = factor;
+	do {
+		offered = cutoff->offered_at[cutoff->level];
+		factor = offered > excess ? 1 - excess / offered : 0;
+		if (factor < RAISE_FACTOR && cutoff->admitted > ADMITTED_MIN)
+			factor = RAISE_FACTOR;
+		cutoff->admitted *= factor;
+		excess -= offered * (1 - factor);
+		if (cutoff->admitted >= ADMITTED_MIN)
+			return;
+		cutoff->admitted = 0;
+	} while (next_level_up(cutoff, now) && excess > 0);
+	/* Without more important work, the last level keeps the server busy. */
+	if (cutoff->admitted <= 0 &&
+	    cutoff->offered_non_idempotent < cutoff->started / 2)
+		cutoff->admitted = ADMITTED_MIN;
 }
 
-/* Sheds less, in the opposite order. */
-static void lower_cutoff(struct overload_cutoff *cutoff, double factor,
+/* Admits @p spare more work than was offered: highest level first. */
+static void lower_cutoff(struct overload_cutoff *cutoff, double spare,
 			 int64_t now)
 {
+	double offered = cutoff->offered_at[cutoff->level];
+	double most = cutoff->admitted * LOWER_FACTOR;
 	int level = cutoff->level;
 
-	if (level == OVERLOAD_LEVELS)
-		return;
-	if (factor > 1 / STEP_FACTOR)
-		factor = 1 / STEP_FACTOR;
-	if (cutoff->admitted < ADMITTED_FIRST) {
+	cutoff->admitted =
+		offered > 0 ? cutoff->admitted * (1 + spare / offered) : most;
+	if (cutoff->admitted > most)
+		cutoff->admitted = most;
+	if (cutoff->admitted < ADMITTED_FIRST)
 		cutoff->admitted = ADMITTED_FIRST;
-		return;
-	}
-	cutoff->admitted *= factor;
 	if (cutoff->admitted < 1)
 		return;
 	do
@@ -98,22 +143,20 @@
 
 static void update_over(struct overload_cutoff *cutoff, int64_t now)
 {
-	double share;
-
 	cutoff->under_since = -1;
 	if (cutoff->over_since < 0) {
 		cutoff->over_since = now;
-		cutoff->offered = 0;
-		cutoff->started = 0;
 		return;
 	}
 	if (now - cutoff->over_since < RAISE_AFTER_US)
 		return;
-	share = cutoff->offered ? (double)cutoff->started / cutoff->offered : 1;
-	raise_cutoff(cutoff, share < 0.95 ? share : 0.95, now);
-	cutoff->over_since = now + RAISE_AGAIN_US - RAISE_AFTER_US;
-	cutoff->offered = 0;
-	cutoff->started = 0;
+	/* While the queue shrinks, the cutoff is strict enough. */
+	if (cutoff->offered > cutoff->started) {
+		raise_cutoff(cutoff, cutoff->offered - cutoff->started, now);
+		cutoff->over_since = now + RAISE_AGAIN_US - RAISE_AFTER_US;
+	} else {
+		cutoff->over_since = now;
+	}
 }
 
 static void update_under(struct overload_cutoff *cutoff, int64_t now)
@@ -123,15 +166,16 @@
 	cutoff->over_since = -1;
 	if (cutoff->under_since < 0) {
 		cutoff->under_since = now;
-		cutoff->used = 0;
 		return;
 	}
 	if (now - cutoff->under_since < LOWER_AFTER_US)
 		return;
-	use = cutoff->used / (double)(now - cutoff->under_since);
-	lower_cutoff(cutoff, use < 0.95 ? 1 / (use + 0.01) : 1.05, now);
+	use = cutoff->used / (cutoff->time + 1);
+	if (use < USE_TARGET && cutoff->level < OVERLOAD_LEVELS)
+		lower_cutoff(cutoff,
+			     cutoff->offered * (USE_TARGET / (use + 0.01) - 1),
+			     now);
 	cutoff->under_since = now;
-	cutoff->used = 0;
 }
 
 void overload_cutoff_update(struct overload_cutoff *cutoff,
@@ -139,9 +183,7 @@
 {
 	double limit = load->limit;
 
-	cutoff->used +=
-		(double)(now - cutoff->updated_at) * load->in_flight / limit;
-	cutoff->updated_at = now;
+	decay(cutoff, load->in_flight / limit, now);
 	if (load->queued > TARGET_OVER * limit) {
 		update_over(cutoff, now);
 	} else if (load->queued <= TARGET_UNDER * limit) {
@@ -161,6 +203,11 @@
 	return INT64_MAX;
 }
 
+uint8_t overload_cutoff_first_shed(const struct overload_cutoff *cutoff)
+{
+	return cutoff->level + (cutoff->admitted > 0);
+}
+
 int32_t overload_cutoff_steps(const struct overload_cutoff *cutoff)
 {
 	if (cutoff->level == OVERLOAD_LEVELS)
--- a/packages/overload/cutoff.h
+++ b/packages/overload/cutoff.h
@@ -13,10 +13,13 @@
 	/* Start of the time over or under the target; -1 when it is not. */
 	int64_t over_since;
 	int64_t under_since;
-	/* Since over_since: work offered and work started. */
-	uint32_t offered;
-	uint32_t started;
-	/* Since under_since: integral of the use of the limit. */
+	/* Decaying counts of work offered, in all and by level, and started. */
+	double offered;
+	double offered_at[OVERLOAD_LEVELS];
+	double offered_non_idempotent;
+	double started;
+	/* Decaying integrals of the time and of the use of the limit. */
+	double time;
 	double used;
 	int64_t updated_at;
 };
@@ -29,15 +32,16 @@
 };
 
 void overload_cutoff_init(struct overload_cutoff *cutoff, int64_t now);
-/** Idempotent work at @p level was offered. */
-void overload_cutoff_offered(struct overload_cutoff *cutoff, uint8_t level,
-			     int64_t now);
+void overload_cutoff_offered(struct overload_cutoff *cutoff,
+			     const struct overload_work *work, int64_t now);
 void overload_cutoff_started(struct overload_cutoff *cutoff);
 /** Call after each change of @p load and at overload_cutoff_next_at(). */
 void overload_cutoff_update(struct overload_cutoff *cutoff,
 			    const struct overload_load *load, int64_t now);
 /** @return INT64_MAX when no update is needed without an event */
 int64_t overload_cutoff_next_at(const struct overload_cutoff *cutoff);
+/** The first (numerically smallest) level that is shed altogether. */
+uint8_t overload_cutoff_first_shed(const struct overload_cutoff *cutoff);
 int32_t overload_cutoff_steps(const struct overload_cutoff *cutoff);
 
 #endif
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -23,7 +23,7 @@
 	UT_hash_handle hh;
 };
 
-/* Work refused on offer, until the caller takes the action. */
+/* Work to be refused when the caller takes the next action. */
 struct refused {
 	uint64_t id;
 	struct refused *next;
@@ -40,6 +40,8 @@
 	uint32_t in_flight;
 	uint32_t idempotent_in_flight;
 	struct refused *refused;
+	/* Queued work beyond the cutoff: it is started at once or refused. */
+	struct refused *probes;
 	/* Average time in the backend server; 0 while unknown. */
 	double service_us;
 	int64_t now;
@@ -99,10 +101,38 @@
 	return guard;
 }
 
+static void free_refused(struct refused *list)
+{
+	struct refused *next;
+
+	for (; list; list = next) {
+		next = list->next;
+		free(list);
+	}
+}
+
+static void add_refused(struct refused **list, uint64_t id)
+{
+	struct refused *refused = base_alloc(sizeof(*refused));
+
+	refused->id = id;
+	refused->next = *list;
+	*list = refused;
+}
+
+static uint64_t take_refused(struct refused **list)
+{
+	struct refused *refused = *list;
+	uint64_t id = refused->id;
+
+	*list = refused->next;
+	free(refused);
+	return id;
+}
+
 void overload_guard_destroy(struct overload_guard *guard)
 {
 	struct running *run, *next_run;
-	struct refused *refused;
 
 	if (!guard)
 		return;
@@ -110,10 +140,8 @@
 		HASH_DEL(guard->running, run);
 		free(run);
 	}
-	while ((refused = guard->refused)) {
-		guard->refused = refused->next;
-		free(refused);
-	}
+	free_refused(guard->refused);
+	free_refused(guard->probes);
 	overload_queue_destroy(guard->queue);
 	overload_limiter_destroy(guard->limiter);
 	free(guard);
@@ -153,19 +181,17 @@
 void overload_guard_offer(struct overload_guard *guard,
 			  const struct overload_work *work, int64_t now)
 {
-	struct refused *refused;
-
 	now = advance(guard, now);
 	if (guard->draining) {
-		refused = base_alloc(sizeof(*refused));
-		refused->id = work->id;
-		refused->next = guard->refused;
-		guard->refused = refused;
+		add_refused(&guard->refused, work->id);
 		return;
 	}
-	if (work->idempotent)
-		overload_cutoff_offered(&guard->cutoff, work->level, now);
+	overload_cutoff_offered(&guard->cutoff, work, now);
 	overload_queue_push(guard->queue, work);
+	/* Waiting, a probe would occupy slots of all services before this. */
+	if (work->idempotent &&
+	    work->level >= overload_cutoff_first_shed(&guard->cutoff))
+		add_refused(&guard->probes, work->id);
 }
 
 static int64_t expected_service(const struct overload_guard *guard)
@@ -202,16 +228,28 @@
 static bool next_refused(struct overload_guard *guard,
 			 struct overload_action *action)
 {
-	struct refused *refused = guard->refused;
-
-	if (!refused)
+	if (!guard->refused)
 		return false;
-	guard->refused = refused->next;
-	set_drop(guard, refused->id, OVERLOAD_REASON_DRAINING, action);
-	free(refused);
+	set_drop(guard, take_refused(&guard->refused), OVERLOAD_REASON_DRAINING,
+		 action);
 	return true;
 }
 
+static bool next_probe(struct overload_guard *guard,
+		       struct overload_action *action)
+{
+	uint64_t id;
+
+	while (guard->probes) {
+		id = take_refused(&guard->probes);
+		if (!overload_queue_remove(guard->queue, id))
+			continue;
+		set_drop(guard, id, OVERLOAD_REASON_OVERLOADED, action);
+		return true;
+	}
+	return false;
+}
+
 static bool idempotent_present(const struct overload_guard *guard)
 {
 	return guard->idempotent_in_flight ||
@@ -278,7 +316,8 @@
 {
 	advance(guard, now);
 	if (next_refused(guard, action) || next_expired(guard, action) ||
-	    next_start(guard, action) || next_shed(guard, action))
+	    next_start(guard, action) || next_probe(guard, action) ||
+	    next_shed(guard, action))
 		return true;
 	update_cutoff(guard);
 	return false;
@@ -397,7 +436,7 @@
 	int64_t at = overload_cutoff_next_at(&guard->cutoff);
 	int64_t earliest = overload_queue_earliest(guard->queue);
 
-	if (guard->refused)
+	if (guard->refused || guard->probes)
 		return guard->now;
 	if (earliest < INT64_MAX) {
 		earliest -= expected_service(guard);
--- a/packages/overload/pressure.c
+++ b/packages/overload/pressure.c
@@ -7,10 +7,13 @@
 /* Weight of one observation; entries follow a rise faster than a fall. */
 #define GAIN_STRICTER 0.3
 #define GAIN_LOOSER 0.2
-/* Closer to OVERLOAD_CUTOFF_NONE than this, nothing is refused. */
-#define DEAD_BAND 20
-/* Without news the cutoff is forgotten. */
-#define EXPIRY_US (2 * BASE_SECOND_US)
+/* An observation after this long without one replaces what is known. */
+#define NEWS_US (200 * BASE_MS_US)
+/* With less than this share refused, nothing is refused. */
+#define DEAD_BAND 0.02
+/* Without news the cutoff is trusted this long, then lifted gradually. */
+#define TRUST_US (500 * BASE_MS_US)
+#define EXPIRY_US (1500 * BASE_MS_US)
 #define PROBE_SHARE 0.01
 #define RETRY_US (200 * BASE_MS_US)
 /* Demand of an account is averaged over this time. */
@@ -24,7 +27,7 @@
 struct demand {
 	uint32_t account;
 	uint32_t weight;
-	/* Decaying count of the requests at the cutoff level. */
+	/* Decaying count of the requests. */
 	double count;
 	/* Probability with which a request is admitted. */
 	double share;
@@ -32,11 +35,15 @@
 };
 
 struct route {
-	/* Average of the cutoffs observed, in steps. */
-	double cutoff;
+	uint8_t level;
+	/*
+	 * Share admitted at the level: the average of what the cutoffs observed
+	 * mean for it. An average of cutoffs would mix in unused levels.
+	 */
+	double admitted;
+	int32_t last_cutoff;
 	int64_t observed_at;
 	struct demand *demands;
-	uint8_t demand_level;
 	int64_t shared_at;
 };
 
@@ -71,8 +78,10 @@
 
 	pressure->count = routes;
 	pressure->routes = base_alloc_array(routes, sizeof(struct route));
-	for (i = 0; i < routes; i++)
-		pressure->routes[i].cutoff = OVERLOAD_CUTOFF_NONE;
+	for (i = 0; i < routes; i++) {
+		pressure->routes[i].admitted = 1;
+		pressure->routes[i].last_cutoff = OVERLOAD_CUTOFF_NONE;
+	}
 }
 
 struct overload_pressure *overload_pressure_create(uint32_t routes,
@@ -100,33 +109,45 @@
 	init_routes(pressure, routes);
 }
 
-static bool expired(const struct route *route, int64_t now)
+/* The share of work at @p level that a cutoff admits. */
+static double share_of(int32_t cutoff, uint8_t level)
+{
+	int32_t steps = cutoff - level * OVERLOAD_CUTOFF_STEPS;
+
+	if (steps <= 0)
+		return 0;
+	if (steps >= OVERLOAD_CUTOFF_STEPS)
+		return 1;
+	return (double)steps / OVERLOAD_CUTOFF_STEPS;
+}
+
+static double admitted_now(const struct route *route, int64_t now)
 {
-	return now - route->observed_at > EXPIRY_US;
+	int64_t silent = now - route->observed_at;
+
+	if (silent >= EXPIRY_US)
+		return 1;
+	if (silent <= TRUST_US)
+		return route->admitted;
+	return route->admitted + (1 - route->admitted) *
+					 (double)(silent - TRUST_US) /
+					 (EXPIRY_US - TRUST_US);
 }
 
 void overload_pressure_observe(struct overload_pressure *pressure,
 			       uint32_t route, int32_t cutoff, int64_t now)
 {
 	struct route *r = &pressure->routes[route];
+	double share = share_of(cutoff, r->level);
 	double gain;
 
 	assert(route < pressure->count);
-	if (cutoff < 0)
-		cutoff = 0;
-	if (cutoff > OVERLOAD_CUTOFF_NONE)
-		cutoff = OVERLOAD_CUTOFF_NONE;
-	if (expired(r, now))
-		r->cutoff = OVERLOAD_CUTOFF_NONE;
-	/* Unused levels between a cutoff and none are not worth averaging. */
-	if (cutoff == OVERLOAD_CUTOFF_NONE && r->cutoff < OVERLOAD_CUTOFF_NONE)
-		cutoff = ((int32_t)r->cutoff / OVERLOAD_CUTOFF_STEPS + 1) *
-			 OVERLOAD_CUTOFF_STEPS;
-	else if (r->cutoff >= OVERLOAD_CUTOFF_NONE)
-		r->cutoff = (overload_cutoff_level(cutoff) + 1.0) *
-			    OVERLOAD_CUTOFF_STEPS;
-	gain = cutoff < r->cutoff ? GAIN_STRICTER : GAIN_LOOSER;
-	r->cutoff += gain * (cutoff - r->cutoff);
+	r->admitted = admitted_now(r, now);
+	gain = share < r->admitted ? GAIN_STRICTER : GAIN_LOOSER;
+	if (now - r->observed_at > NEWS_US * gain)
+		gain = (double)(now - r->observed_at) / NEWS_US;
+	r->admitted += (gain < 1 ? gain : 1) * (share - r->admitted);
+	r->last_cutoff = cutoff;
 	r->observed_at = now;
 }
 
@@ -134,11 +155,14 @@
 				 uint32_t route, int64_t now)
 {
 	const struct route *r = &pressure->routes[route];
+	double admitted;
 
 	assert(route < pressure->count);
-	if (expired(r, now))
+	admitted = admitted_now(r, now);
+	if (admitted > 1 - DEAD_BAND)
 		return OVERLOAD_CUTOFF_NONE;
-	return (int32_t)r->cutoff;
+	return r->level * OVERLOAD_CUTOFF_STEPS +
+	       (int32_t)(admitted * OVERLOAD_CUTOFF_STEPS);
 }
 
 static struct demand *demand_of(struct route *route,
@@ -146,9 +170,6 @@
 {
 	struct demand *demand;
 
-	if (route->demand_level != request->level)
-		forget_demands(route);
-	route->demand_level = request->level;
 	HASH_FIND(hh, route->demands, &request->account,
 		  sizeof(request->account), demand);
 	if (!demand) {
@@ -162,6 +183,18 @@
 	return demand;
 }
 
+static void forget_idle_demands(struct route *route)
+{
+	struct demand *demand, *next;
+
+	HASH_ITER (hh, route->demands, demand, next) {
+		if (demand->count >= DEMAND_MIN)
+			continue;
+		HASH_DEL(route->demands, demand);
+		free(demand);
+	}
+}
+
 static double decay_demands(struct route *route, int64_t now)
 {
 	double factor = 1 - (double)(now - route->shared_at) / DEMAND_US;
@@ -173,11 +206,8 @@
 	HASH_ITER (hh, route->demands, demand, next) {
 		demand->count *= factor;
 		total += demand->count;
-		if (demand->count < DEMAND_MIN) {
-			HASH_DEL(route->demands, demand);
-			free(demand);
-		}
 	}
+	forget_idle_demands(route);
 	return total;
 }
 
@@ -235,25 +265,23 @@
 			     int64_t now, int64_t *retry_after_us)
 {
 	struct route *route = &pressure->routes[request->route];
-	int32_t cutoff =
-		overload_pressure_cutoff(pressure, request->route, now);
-	uint8_t level = overload_cutoff_level(cutoff);
 	struct demand *demand;
 	double admitted;
 
-	if (!request->idempotent || request->level < level)
-		return true;
-	if (request->level > level)
-		return refuse(pressure, retry_after_us);
-	admitted = (double)(cutoff % OVERLOAD_CUTOFF_STEPS + DEAD_BAND) /
-		   OVERLOAD_CUTOFF_STEPS;
-	if (admitted >= 1)
+	assert(request->route < pressure->count);
+	if (!request->idempotent)
 		return true;
+	if (route->level != request->level) {
+		route->level = request->level;
+		route->admitted = share_of(route->last_cutoff, route->level);
+	}
+	admitted = admitted_now(route, now);
 	if (now - route->shared_at >= SHARES_US)
 		compute_shares(route, admitted, now);
 	demand = demand_of(route, request);
 	demand->count += 1;
-	if (base_rand_unit(&pressure->rnd) < demand->share)
+	if (admitted > 1 - DEAD_BAND ||
+	    base_rand_unit(&pressure->rnd) < demand->share)
 		return true;
 	return refuse(pressure, retry_after_us);
 }
--- a/packages/overload/ramp.c
+++ b/packages/overload/ramp.c
@@ -1,13 +1,17 @@
 /* Cold start ramp. */
 #include "ramp.h"
 
-/* A rise of the latency to this multiple is the sign of a cold server. */
-#define COLD_RISE 3.0
+/*
+ * A rise of the latency beyond this multiple is the sign of a cold server. The
+ * margin above 3 keeps a service that slows to a third from being taken for
+ * one: the ramp would take away most of what it can still do.
+ */
+#define COLD_RISE 3.5
 /* The rise counts as sudden when it takes at most this long. */
 #define SUDDEN_US (2 * BASE_SECOND_US)
 /* Above this multiple the long-term average is held. */
 #define HOLD_RISE 1.5
-#define RECENT_GAIN 0.2
+#define RECENT_GAIN 0.05
 #define USUAL_GAIN 0.01
 #define MIN_SAMPLES 20
 
--- a/packages/overload/tests/test_pressure.c
+++ b/packages/overload/tests/test_pressure.c
@@ -13,18 +13,26 @@
 		overload_pressure_observe(p, 0, cutoff, now);
 }
 
-static double admitted_share(struct overload_pressure *p, uint8_t level,
-			     bool idempotent, int64_t now)
+/* Share of 10,000 requests admitted while answers carry @p cutoff. */
+static double admitted_share(uint8_t level, bool idempotent, int32_t cutoff)
 {
+	struct overload_pressure *p = overload_pressure_create(1, 1);
 	struct overload_request request = { .level = level,
 					    .idempotent = idempotent,
 					    .weight = 1 };
 	int admitted = 0;
+	int64_t now = 0;
 	int i;
 
-	for (i = 0; i < 10000; i++)
-		admitted += overload_pressure_admit(p, &request, now + i * 50,
-						    NULL);
+	for (i = 0; i < 10100; i++) {
+		bool ok = overload_pressure_admit(p, &request, now, NULL);
+
+		/* The first answers tell the entry of the cutoff. */
+		admitted += ok && i >= 100;
+		overload_pressure_observe(p, 0, cutoff, now);
+		now += 500;
+	}
+	overload_pressure_destroy(p);
 	return admitted / 10000.0;
 }
 
@@ -32,27 +40,30 @@
  * and against losing sight of a service because nothing is sent there. */
 Test(pressure, refuses_levels_beyond_the_cutoff_but_for_probes)
 {
-	struct overload_pressure *p = overload_pressure_create(1, 1);
+	int32_t cutoff = 2 * OVERLOAD_CUTOFF_STEPS + 500;
 
-	cr_assert(eq(dbl, admitted_share(p, 3, true, 0), 1));
-	observe_many(p, 2 * OVERLOAD_CUTOFF_STEPS + 500, 0);
-	cr_assert(eq(dbl, admitted_share(p, 1, true, 0), 1));
-	cr_assert(eq(dbl, admitted_share(p, 3, false, 0), 1));
-	cr_assert(ge(dbl, admitted_share(p, 3, true, 0), 0.006));
-	cr_assert(le(dbl, admitted_share(p, 3, true, 0), 0.014));
-	cr_assert(ge(dbl, admitted_share(p, 2, true, 0), 0.45));
-	cr_assert(le(dbl, admitted_share(p, 2, true, 0), 0.6));
-	overload_pressure_destroy(p);
+	cr_assert(eq(dbl, admitted_share(3, true, OVERLOAD_CUTOFF_NONE), 1));
+	cr_assert(eq(dbl, admitted_share(1, true, cutoff), 1));
+	cr_assert(eq(dbl, admitted_share(3, false, cutoff), 1));
+	cr_assert(ge(dbl, admitted_share(3, true, cutoff), 0.006));
+	cr_assert(le(dbl, admitted_share(3, true, cutoff), 0.014));
+	cr_assert(ge(dbl, admitted_share(2, true, cutoff), 0.45));
+	cr_assert(le(dbl, admitted_share(2, true, cutoff), 0.55));
 }
 
-/* Guards against refusing on the word of a service long recovered. */
-Test(pressure, forgets_old_observations)
+/* Guards against refusing on the word of a service long recovered, and against
+ * opening at once to all that was refused. */
+Test(pressure, forgets_old_observations_gradually)
 {
 	struct overload_pressure *p = overload_pressure_create(1, 1);
+	int32_t lifted;
 
 	observe_many(p, 0, 0);
-	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, BASE_SECOND_US), 0));
-	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, 5 * BASE_SECOND_US),
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, 400 * BASE_MS_US), 0));
+	lifted = overload_pressure_cutoff(p, 0, BASE_SECOND_US);
+	cr_assert(gt(i32, lifted, 0));
+	cr_assert(lt(i32, lifted, OVERLOAD_CUTOFF_STEPS));
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, 2 * BASE_SECOND_US),
 		     OVERLOAD_CUTOFF_NONE));
 	overload_pressure_destroy(p);
 }
@@ -105,9 +116,9 @@
 	struct overload_pressure *p = overload_pressure_create(1, 1);
 
 	observe_many(p, 0, 0);
-	admitted_share(p, 0, true, 0);
 	overload_pressure_set_routes(p, 3);
-	cr_assert(eq(dbl, admitted_share(p, 0, true, 0), 1));
+	cr_assert(eq(i32, overload_pressure_cutoff(p, 0, 0),
+		     OVERLOAD_CUTOFF_NONE));
 	cr_assert(eq(i32, overload_pressure_cutoff(p, 2, 0),
 		     OVERLOAD_CUTOFF_NONE));
 	overload_pressure_destroy(p);
