Add holder, entry and baselines of the rate package

The holder keeps one token bucket a share. Expiries are booked in their order, so room that a lapsed grant leaves fills only from that moment on. Reports count from the start of a grant and only grow; a repeated, late or overtaken one therefore changes nothing, and sequence numbers only save tokens. A new share or holder set accrues nothing during the wait: with accrual, a predecessor's grants and the new level together could exceed the share.

The entry spends pieces in order of expiry, asks ahead by recent demand, and splits what is missing over the other holders once two are short. Holders space the asks of entries that they turn away by the time the accrual needs, because overload would multiply the asks otherwise.

Ruled out: asking all holders at once for each request (messages grow with the number of holders), and a lifetime below 10 ms (grants would lapse on the way from another failure domain).

--- /dev/null
+++ b/packages/rate/account.h
@@ -0,0 +1,133 @@
+/*
+ * Entry side of one account: the requests that wait, the tokens at hand and
+ * the holders they come from.
+ */
+#ifndef RATE_ACCOUNT_H
+#define RATE_ACCOUNT_H
+
+#include "rate.h"
+
+#include "base.h"
+
+#include <uthash.h>
+
+/* Requests of one account that may wait at the same time. */
+#define ACCOUNT_WAITERS_MAX 256
+/* Demand is averaged over about this long. */
+#define DEMAND_AVERAGE_US 500e3
+
+/* What is left of one grant. */
+struct piece {
+	uint64_t id;
+	int64_t left_mt;
+	int64_t used_mt;
+	int64_t returned_mt;
+	bool unreported;
+	/* Counted from the sending of the ask. */
+	int64_t expires_at;
+	/* The rest is returned shortly before it would lapse. */
+	int64_t return_at;
+};
+
+/* One holder of the account. */
+struct source {
+	uint64_t id;
+	/* Process that the pieces come from. */
+	uint64_t incarnation;
+	struct piece pieces[RATE_REPORTS_MAX];
+	size_t piece_count;
+	/* The ask in flight; 0 when none. */
+	uint64_t ask_seq;
+	int64_t asked_at;
+	int64_t asked_need_mt;
+	int64_t asked_ahead_mt;
+	/* Earliest times of the next ask. */
+	int64_t need_at;
+	int64_t ahead_at;
+	int64_t silent_until;
+	int64_t ahead_backoff;
+	int64_t silent_backoff;
+};
+
+struct waiter {
+	uint64_t request;
+	int64_t deadline;
+};
+
+/* Actions in order; see actions.c. */
+struct actions {
+	struct rate_action *items;
+	size_t head, count, cap;
+};
+
+void actions_add(struct actions *q, const struct rate_action *action);
+bool actions_take(struct actions *q, struct rate_action *out);
+void actions_release(struct actions *q);
+
+struct account {
+	uint64_t id;
+	struct rate_account spec;
+	uint64_t *holder_ids;
+	/* The fields below are empty while the account is idle. */
+	bool active;
+	struct source *sources;
+	struct waiter *waiters;
+	size_t waiter_head, waiter_count;
+	/* Lifetime of the latest grant. */
+	int64_t lifetime;
+	/* Recent demand in milli-tokens a second, as of demand_at. */
+	double demand;
+	int64_t demand_at;
+	int64_t used_at;
+	/* When account_tick() has something to do. */
+	int64_t due;
+	struct account *prev, *next;
+	UT_hash_handle hh;
+};
+
+/* The entry's part that its accounts need. */
+struct account_env {
+	uint64_t incarnation;
+	uint64_t last_seq;
+	struct actions actions;
+};
+
+/* account.c: requests */
+void account_activate(struct account *a, int64_t now);
+void account_deactivate(struct account *a);
+struct rate_decision account_admit(struct account *a, struct account_env *env,
+				   uint64_t request, int64_t now);
+void account_cancel(struct account *a, uint64_t request);
+void account_refuse_waiters(struct account *a, struct account_env *env,
+			    int64_t now);
+/* Asks, admits and refuses as far as possible, and sets `due`. */
+void account_advance(struct account *a, struct account_env *env, int64_t now);
+bool account_is_idle(const struct account *a, int64_t now);
+
+/* stock.c: tokens at hand */
+int64_t stock_usable(const struct account *a, int64_t valid_until);
+/* Takes one token; the caller has checked that there is one. */
+int64_t stock_take(struct account *a, int64_t now);
+void stock_add(struct source *s, const struct rate_grant *grant, int64_t now);
+void stock_drop_lapsed(struct account *a, int64_t now);
+/* Whether the source has a rest worth returning at `now`. */
+bool stock_return_due(const struct source *s, int64_t now);
+/* Writes the reports on the pieces of a source and forgets finished ones. */
+void stock_report(struct source *s, struct rate_ask *ask, int64_t now);
+
+/* asking.c: which holder is asked for what */
+void asking_return(struct account *a, struct account_env *env, int64_t now);
+void asking_need(struct account *a, struct account_env *env, int64_t now);
+void asking_ahead(struct account *a, struct account_env *env, int64_t now);
+void asking_expire(struct account *a, int64_t now);
+void asking_on_grant(struct account *a, struct source *s,
+		     const struct rate_grant *grant, int64_t now);
+void asking_on_silent(struct source *s, int64_t now);
+/* Earliest time at which a source may be asked for a waiting request. */
+int64_t asking_next(const struct account *a, int64_t now);
+/* Whether an answer that may bring tokens is still expected. */
+bool asking_in_flight(const struct account *a);
+/* When an ask in flight needs attention. */
+int64_t asking_due(const struct account *a, int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/rate/bucket.h
@@ -0,0 +1,50 @@
+/*
+ * Token bucket of one share with its outstanding grants. At all times
+ * level + outstanding <= burst, except that grants made before the burst was
+ * lowered lapse by themselves.
+ */
+#ifndef RATE_BUCKET_H
+#define RATE_BUCKET_H
+
+#include "rate.h"
+
+#include <uthash.h>
+
+struct bucket_grant {
+	uint64_t id;
+	uint64_t entry;
+	/* The number of grants that the entry has. */
+	size_t *live;
+	int64_t amount_mt;
+	int64_t used_mt;
+	int64_t returned_mt;
+	/* By the holder's clock. */
+	int64_t expires_at;
+	struct bucket_grant *prev, *next;
+	UT_hash_handle hh;
+};
+
+struct bucket {
+	struct rate_share share;
+	int64_t level_mt;
+	/* Accrued part of a milli-token, in millionths. */
+	int64_t fraction;
+	int64_t outstanding_mt;
+	/* Accrual is booked up to this time. */
+	int64_t settled_at;
+	struct bucket_grant *by_id;
+	/* In order of expiry. */
+	struct bucket_grant *expiring;
+};
+
+void bucket_init(struct bucket *b, int64_t now);
+void bucket_release(struct bucket *b);
+/* Books accrual and expiry up to `now`; earlier times change nothing. */
+void bucket_settle(struct bucket *b, int64_t now);
+/* The functions below need a settled bucket. */
+void bucket_set_share(struct bucket *b, const struct rate_share *share);
+/* Takes id, entry, live, amount_mt and expires_at of `wanted`. */
+void bucket_grant(struct bucket *b, const struct bucket_grant *wanted);
+void bucket_book(struct bucket *b, uint64_t entry, const struct rate_report *r);
+
+#endif
--- /dev/null
+++ b/packages/rate/share.c
@@ -0,0 +1,48 @@
+/* How rate and burst are split over holders. */
+#include "rate.h"
+
+#include <assert.h>
+
+/* A holder with more tokens than this is split further within a domain. */
+#define TOKENS_PER_HOLDER 4
+#define HOLDERS_PER_DOMAIN_MAX 3
+#define US_PER_SECOND INT64_C(1000000)
+
+uint32_t rate_holder_count(uint32_t domains, int64_t burst)
+{
+	int64_t per_domain;
+
+	assert(domains >= 1);
+	assert(burst >= 0);
+	per_domain = burst / (TOKENS_PER_HOLDER * (int64_t)domains);
+	if (per_domain < 1)
+		per_domain = 1;
+	if (per_domain > HOLDERS_PER_DOMAIN_MAX)
+		per_domain = HOLDERS_PER_DOMAIN_MAX;
+	return domains * (uint32_t)per_domain;
+}
+
+struct rate_share rate_share_of(int64_t rate, int64_t burst, uint32_t holders)
+{
+	assert(rate >= 0 && rate <= RATE_VALUE_MAX);
+	assert(burst >= 0 && burst <= RATE_VALUE_MAX);
+	assert(holders >= 1);
+	return (struct rate_share){
+		.rate_mt = rate * RATE_TOKEN_MT / holders,
+		.burst_mt = burst * RATE_TOKEN_MT / holders,
+	};
+}
+
+int64_t rate_share_lifetime(const struct rate_share *share)
+{
+	int64_t lifetime;
+
+	if (share->rate_mt <= 0)
+		return RATE_LIFETIME_MAX_US;
+	lifetime = share->burst_mt * US_PER_SECOND / (2 * share->rate_mt);
+	if (lifetime < RATE_LIFETIME_MIN_US)
+		return RATE_LIFETIME_MIN_US;
+	if (lifetime > RATE_LIFETIME_MAX_US)
+		return RATE_LIFETIME_MAX_US;
+	return lifetime;
+}
--- /dev/null
+++ b/packages/rate/tests/test_holder.c
@@ -0,0 +1,206 @@
+/* Tests of the holder side and of the shares. */
+#include "base.h"
+#include "rate.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#define ACCOUNT 7
+#define MS BASE_MS_US
+
+static const struct rate_epoch first_epoch = { .version = 1 };
+/* 100 tokens a second, 20 tokens. */
+static const struct rate_share share = { 100000, 20000 };
+
+static struct rate_holder *ready_holder(int64_t now)
+{
+	struct rate_holder *h = rate_holder_create(1, 0);
+
+	rate_holder_set_share(h, ACCOUNT, &share, &first_epoch, 0);
+	rate_holder_state(h, ACCOUNT, now,
+			  &(struct rate_holder_state){ .level_mt = 0 });
+	return h;
+}
+
+static struct rate_grant ask(struct rate_holder *h, uint64_t seq, int64_t need,
+			     int64_t now)
+{
+	struct rate_ask a = {
+		.account = ACCOUNT, .entry = 5, .seq = seq, .need_mt = need
+	};
+	struct rate_grant g;
+
+	rate_holder_ask(h, &a, now, &g);
+	return g;
+}
+
+static struct rate_holder_state state(struct rate_holder *h, int64_t now)
+{
+	struct rate_holder_state s;
+
+	cr_assert(rate_holder_state(h, ACCOUNT, now, &s));
+	return s;
+}
+
+/* Guards against shares whose sum exceeds the whole. */
+Test(share, sums_stay_within_the_whole)
+{
+	int64_t burst;
+
+	cr_assert(eq(u32, rate_holder_count(3, 0), 3));
+	cr_assert(eq(u32, rate_holder_count(3, 23), 3));
+	cr_assert(eq(u32, rate_holder_count(3, 24), 6));
+	cr_assert(eq(u32, rate_holder_count(9, 1000), 27));
+	for (burst = 0; burst < 500; burst += 7) {
+		uint32_t n = rate_holder_count(9, burst);
+		struct rate_share s = rate_share_of(burst * 3, burst, n);
+
+		cr_assert(le(i64, s.burst_mt * n, burst * RATE_TOKEN_MT));
+		cr_assert(le(i64, s.rate_mt * n, burst * 3 * RATE_TOKEN_MT));
+	}
+}
+
+/* Guards against a fresh process granting beside grants of its predecessor. */
+Test(holder, grants_nothing_for_one_lifetime_and_starts_empty)
+{
+	struct rate_holder *h = ready_holder(0);
+	struct rate_grant g = ask(h, 1, 1000, RATE_LIFETIME_MAX_US);
+
+	cr_assert(eq(int, (int)g.status, RATE_GRANT_STARTING));
+	cr_assert(eq(i64, g.amount_mt, 0));
+	g = ask(h, 2, 1000, RATE_LIFETIME_MAX_US + 11 * MS);
+	cr_assert(eq(int, (int)g.status, RATE_GRANT_OK));
+	cr_assert(le(i64, g.amount_mt, 1100));
+	rate_holder_destroy(h);
+}
+
+/* Guards against tokens from repeated, overtaken or late asks and returns. */
+Test(holder, repeated_and_late_messages_create_no_tokens)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	struct rate_grant g = ask(h, 1, 5000, now);
+	struct rate_ask back = {
+		.account = ACCOUNT,
+		.entry = 5,
+		.seq = 2,
+		.holder = g.holder,
+		.report_count = 1,
+		.reports = { { g.id, 1000, 3000 } },
+	};
+	struct rate_grant none;
+
+	cr_assert(eq(i64, g.amount_mt, 5000));
+	cr_assert(eq(i64, ask(h, 1, 5000, now).amount_mt, 0));
+	cr_assert(not(rate_holder_ask(h, &back, now, &none)));
+	cr_assert(not(rate_holder_ask(h, &back, now, &none)));
+	cr_assert(eq(i64, state(h, now).level_mt, 18000));
+	cr_assert(eq(i64, state(h, now).outstanding_mt, 1000));
+	back.reports[0].returned_mt = 0;
+	rate_holder_ask(h, &back, now, &none);
+	cr_assert(eq(i64, state(h, now).outstanding_mt, 1000));
+	back.reports[0].returned_mt = 5000;
+	rate_holder_ask(h, &back, now, &none);
+	cr_assert(eq(i64, state(h, now).level_mt, 18000));
+	now += BASE_SECOND_US;
+	back.reports[0].returned_mt = 4000;
+	rate_holder_ask(h, &back, now, &none);
+	cr_assert(eq(i64, state(h, now).level_mt, 20000));
+	rate_holder_destroy(h);
+}
+
+/* Guards against reports on grants of the predecessor process. */
+Test(holder, reports_for_another_process_are_ignored)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	struct rate_grant g = ask(h, 1, 5000, now);
+	struct rate_ask back = {
+		.account = ACCOUNT,
+		.entry = 5,
+		.seq = 2,
+		.holder = g.holder + 1,
+		.report_count = 1,
+		.reports = { { g.id, 0, 5000 } },
+	};
+
+	rate_holder_ask(h, &back, now, &g);
+	cr_assert(eq(i64, state(h, now).level_mt, 15000));
+	rate_holder_destroy(h);
+}
+
+/* Guards against tokens that accrue while all of the burst is out. */
+Test(holder, accrual_stops_while_level_and_outstanding_reach_the_burst)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	int64_t lifetime = rate_share_lifetime(&share);
+
+	cr_assert(eq(i64, lifetime, 100 * MS));
+	cr_assert(eq(i64, ask(h, 1, 20000, now).amount_mt, 20000));
+	cr_assert(eq(i64, state(h, now + lifetime).level_mt, 0));
+	cr_assert(eq(i64, state(h, now + lifetime).outstanding_mt, 20000));
+	/* 0.2% later the grant lapses; accrual starts from that moment. */
+	cr_assert(le(i64, state(h, now + lifetime + 10 * MS).level_mt, 1000));
+	cr_assert(gt(i64, state(h, now + lifetime + 10 * MS).level_mt, 900));
+	rate_holder_destroy(h);
+}
+
+/* Guards against a changed rate that creates tokens or applies late. */
+Test(holder, lower_shares_apply_at_once_and_higher_ones_create_nothing)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	struct rate_share low = { 50000, 4000 };
+
+	rate_holder_set_share(h, ACCOUNT, &low, &first_epoch, now);
+	cr_assert(eq(i64, state(h, now).level_mt, 4000));
+	rate_holder_set_share(h, ACCOUNT, &share, &first_epoch, now);
+	cr_assert(eq(i64, state(h, now).level_mt, 4000));
+	cr_assert(eq(i64, state(h, now + 10 * MS).level_mt, 5000));
+	rate_holder_destroy(h);
+}
+
+/* Guards against old and new holders granting the same tokens. */
+Test(holder, a_new_holder_set_waits_for_all_confirmations)
+{
+	static const uint64_t others[] = { 11, 12 };
+	struct rate_epoch epoch = { 2, others, 2 };
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	struct rate_share big = { 200000, 40000 };
+	int64_t now = 2 * BASE_SECOND_US;
+
+	rate_holder_set_share(h, ACCOUNT, &big, &epoch, now);
+	cr_assert(eq(i64, state(h, now).share.burst_mt, 20000));
+	rate_holder_confirm(h, 11, 2, now);
+	rate_holder_confirm(h, 12, 1, now);
+	now += 10 * BASE_SECOND_US;
+	cr_assert(eq(i64, state(h, now).share.burst_mt, 20000));
+	cr_assert(eq(sz, state(h, now).unconfirmed, 1));
+	rate_holder_confirm(h, 12, 3, now);
+	cr_assert(eq(i64, state(h, now + 250 * MS).share.burst_mt, 20000));
+	cr_assert(eq(i64, state(h, now + 251 * MS).share.burst_mt, 40000));
+	rate_holder_destroy(h);
+}
+
+/* Guards against memory that grows with entries that come and go. */
+Test(holder, forgets_entries_and_lapsed_grants)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	uint64_t i;
+
+	for (i = 0; i < 10000; i++) {
+		struct rate_ask a = { .account = ACCOUNT,
+				      .entry = 100 + i,
+				      .seq = 1,
+				      .need_mt = 200 };
+		struct rate_grant g;
+
+		now += 2 * MS;
+		rate_holder_ask(h, &a, now, &g);
+	}
+	cr_assert(le(sz, state(h, now).entries, 260));
+	cr_assert(le(sz, state(h, now).grants, 60));
+	rate_holder_destroy(h);
+}
