Check the rate bound under an adversarial model

The bound must hold in every window whatever messages, processes, clocks and configuration versions do.

Requests are now sent before the next action is taken; the header says so. - A daemon that skips a version keeps its old share although holders of the skipped version take its later version as a confirmation. The epoch now says whether the daemon acted on every version in between.

Ruled out: a second call that commits each admission, because the order of two steps does the same.

--- a/packages/rate/holder.c
+++ b/packages/rate/holder.c
@@ -22,6 +22,8 @@
 #define EXPIRY_MARGIN_US 1
 #define EXPIRY_MARGIN_DIVISOR 512
 
+static const struct rate_share no_share = { 0, 0 };
+
 /* An entry process that asked for tokens of an account. */
 struct asker {
 	uint64_t entry;
@@ -152,6 +154,15 @@
 		await(h, epoch->confirmers[i]);
 }
 
+/* Until the change is confirmed, no more than before. */
+static struct rate_share allowed_share(const struct held *h,
+				       const struct rate_share *share)
+{
+	if (!h->pending)
+		return *share;
+	return lower_of(&h->bucket.share, share);
+}
+
 static struct held *add(struct rate_holder *holder, uint64_t account,
 			int64_t now)
 {
@@ -179,10 +190,13 @@
 		start_epoch(h, epoch, now);
 	}
 	settle(h, now);
-	if (epoch->version > h->epoch)
+	if (epoch->version > h->epoch) {
 		start_epoch(h, epoch, now);
+		if (!epoch->continuous)
+			bucket_set_share(&h->bucket, &no_share);
+	}
 	h->target = *share;
-	allowed = h->pending ? lower_of(&h->bucket.share, share) : *share;
+	allowed = allowed_share(h, share);
 	bucket_set_share(&h->bucket, &allowed);
 }
 
--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -154,16 +154,23 @@
 	 */
 	const uint64_t *confirmers;
 	size_t confirmer_count;
+	/**
+	 * This daemon acted on every version since the one of its present
+	 * share. If not, a skipped version may have named other holders, which
+	 * take its confirmation of a later version as the end of that share;
+	 * the share then ends at once when the epoch changes.
+	 */
+	bool continuous;
 };
 
 /**
  * Sets the share of an account.
  *
  * A new share, or one of a new epoch, hands out nothing beyond what the old
- * share allowed until all confirmers have confirmed and one maximum lifetime
- * has passed after that. A lower rate or burst applies at once, a higher one
- * of the same epoch too, without creating tokens. An older epoch than the
- * present one is ignored.
+ * share allowed (if continuous) until all confirmers have confirmed and one
+ * maximum lifetime has passed after that. A lower rate or burst applies at
+ * once, a higher one of the same epoch too, without creating tokens. An older
+ * epoch than the present one is ignored.
  */
 void rate_holder_set_share(struct rate_holder *holder, uint64_t account,
 			   const struct rate_share *share,
@@ -231,6 +238,10 @@
  * Tells whether an admitted request may still be sent. Call it with a fresh
  * clock reading as the last step before sending: a process that was paused
  * since the decision must ask for admission again.
+ *
+ * Send or drop an admitted request before taking the next action, because an
+ * action may report its token as used. A request that is held in between must
+ * ask for admission again.
  */
 bool rate_decision_valid(const struct rate_decision *decision, int64_t now);
 
@@ -308,8 +319,8 @@
 void rate_entry_remove_account(struct rate_entry *entry, uint64_t account);
 
 /**
- * Decides about one request. After this and the functions below, drain
- * rate_entry_next_action().
+ * Decides about one request. After this and the functions below, and after the
+ * request was sent, drain rate_entry_next_action().
  * @param request  chosen by the caller, unique among the waiting requests
  */
 struct rate_decision rate_entry_admit(struct rate_entry *entry,
--- a/packages/rate/tests/test_holder.c
+++ b/packages/rate/tests/test_holder.c
@@ -165,7 +165,7 @@
 Test(holder, a_new_holder_set_waits_for_all_confirmations)
 {
 	static const uint64_t others[] = { 11, 12 };
-	struct rate_epoch epoch = { 2, others, 2 };
+	struct rate_epoch epoch = { 2, others, 2, true };
 	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
 	struct rate_share big = { 200000, 40000 };
 	int64_t now = 2 * BASE_SECOND_US;
@@ -183,6 +183,20 @@
 	rate_holder_destroy(h);
 }
 
+/* Guards against a share that goes on although others were told it ended. */
+Test(holder, a_share_ends_when_versions_were_skipped)
+{
+	struct rate_epoch epoch = { .version = 3 };
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+
+	rate_holder_set_share(h, ACCOUNT, &share, &epoch, now);
+	cr_assert(eq(i64, state(h, now).level_mt, 0));
+	cr_assert(eq(i64, state(h, now + 250 * MS).level_mt, 0));
+	cr_assert(gt(i64, state(h, now + 300 * MS).level_mt, 0));
+	rate_holder_destroy(h);
+}
+
 /* Guards against memory that grows with entries that come and go. */
 Test(holder, forgets_entries_and_lapsed_grants)
 {
