Add the routing package: server selection and health view

Weighed: comparing a fresh report of one server with none of the other makes the unknown one look idle, so a pair is compared by own in-flight counts unless both reports are fresh. Headroom counts the reported load plus the change of the own in-flight count since the report; adding the whole own count would count it twice and spill at half the capacity. A refusal for overload is an answer, because taking an overloaded server out moves its load to the others. A heartbeat does not end a "not run" failure: the guard is alive but its backend server may not be, and each heartbeat would make it attractive again. Ruled out: trials at draining servers (new work at a leaving server); they are listed for probes instead.

Change: table of servers with events, health with growing jittered back-off, two policies behind a vtable.

--- /dev/null
+++ b/packages/routing/health.c
@@ -0,0 +1,164 @@
+/* When a server is out, and when it is tried again. */
+#include "internal.h"
+
+#include <assert.h>
+
+/* Doublings after which the back-off has reached its maximum. */
+#define BACKOFF_DOUBLINGS_MAX 7
+
+void routing_health_init(struct routing_state *state)
+{
+	state->interval = ROUTING_HEARTBEAT_US;
+}
+
+/*
+ * Half to one and a half of the doubled minimum. Without jitter the entries
+ * that saw the same failure would try the server at the same moment.
+ */
+static int64_t backoff(const struct routing_state *state, struct base_rand *rnd)
+{
+	uint32_t doublings = state->failures ? state->failures - 1 : 0;
+	int64_t delay;
+
+	if (doublings > BACKOFF_DOUBLINGS_MAX)
+		doublings = BACKOFF_DOUBLINGS_MAX;
+	delay = ROUTING_BACKOFF_MIN_US << doublings;
+	if (delay > ROUTING_BACKOFF_MAX_US)
+		delay = ROUTING_BACKOFF_MAX_US;
+	return (int64_t)((double)delay * (0.5 + base_rand_unit(rnd)));
+}
+
+void routing_health_fail(struct routing_state *state, enum routing_out failure,
+			 struct base_rand *rnd, int64_t now)
+{
+	bool first = state->failure == ROUTING_OUT_NOT;
+
+	assert(failure == ROUTING_OUT_LINK || failure == ROUTING_OUT_BACKEND ||
+	       failure == ROUTING_OUT_SILENT);
+	state->failure = failure;
+	/* Many requests lost at once are one failure. */
+	if (!first && !state->in_trial)
+		return;
+	state->in_trial = false;
+	state->failures++;
+	state->retry_at = now + backoff(state, rnd);
+}
+
+void routing_health_tried(struct routing_state *state, struct base_rand *rnd,
+			  int64_t now)
+{
+	state->in_trial = true;
+	/* The next try comes without a result of this one, too. */
+	state->failures++;
+	state->retry_at = now + backoff(state, rnd);
+	state->failures--;
+}
+
+static bool is_silent(const struct routing_state *state, int64_t now)
+{
+	if (!state->link_used || now - state->sent_at > ROUTING_LINK_IDLE_US)
+		return false;
+	return now - state->heard_at >
+	       ROUTING_MISSED_HEARTBEATS * state->interval;
+}
+
+void routing_health_refresh(struct routing_state *state, struct base_rand *rnd,
+			    int64_t now)
+{
+	if (state->failure == ROUTING_OUT_NOT && is_silent(state, now))
+		routing_health_fail(state, ROUTING_OUT_SILENT, rnd, now);
+}
+
+bool routing_health_fresh(const struct routing_state *state, int64_t now)
+{
+	int64_t fresh = ROUTING_REPORT_FRESH_US;
+
+	/* A peer with many links reports less often. */
+	if (fresh < 2 * state->interval)
+		fresh = 2 * state->interval;
+	return state->has_report && now - state->report_at <= fresh;
+}
+
+enum routing_out routing_health_out(const struct routing_state *state,
+				    int64_t now)
+{
+	if (state->conf.leaving)
+		return ROUTING_OUT_LEAVING;
+	if (state->conf.domain_out)
+		return ROUTING_OUT_DOMAIN;
+	if (state->platform == ROUTING_PLATFORM_LEAVING)
+		return ROUTING_OUT_PLATFORM;
+	if (state->draining)
+		return ROUTING_OUT_DRAINING;
+	if (state->failure != ROUTING_OUT_NOT)
+		return state->failure;
+	if (is_silent(state, now))
+		return ROUTING_OUT_SILENT;
+	if (!routing_health_fresh(state, now))
+		return ROUTING_OUT_NOT;
+	if (state->report.cold_full)
+		return ROUTING_OUT_COLD;
+	if (!state->report.limit)
+		return ROUTING_OUT_NO_CAPACITY;
+	return ROUTING_OUT_NOT;
+}
+
+bool routing_health_trial_due(const struct routing_state *state, int64_t now)
+{
+	switch (routing_health_out(state, now)) {
+	case ROUTING_OUT_LINK:
+	case ROUTING_OUT_BACKEND:
+	case ROUTING_OUT_SILENT:
+		return now >= state->retry_at;
+	default:
+		return false;
+	}
+}
+
+void routing_health_drain(struct routing_state *state, struct base_rand *rnd,
+			  int64_t now)
+{
+	if (!state->draining)
+		state->retry_at = now + backoff(state, rnd);
+	state->draining = true;
+}
+
+void routing_health_report(struct routing_state *state,
+			   const struct routing_report *report,
+			   struct base_rand *rnd, int64_t now)
+{
+	if (report->draining)
+		routing_health_drain(state, rnd, now);
+	state->draining = report->draining;
+	state->report = *report;
+	state->has_report = true;
+	state->report_at = now;
+	state->in_flight_at_report = state->in_flight;
+}
+
+const char *routing_health_out_str(enum routing_out out)
+{
+	switch (out) {
+	case ROUTING_OUT_NOT:
+		return "";
+	case ROUTING_OUT_LEAVING:
+		return "leaving";
+	case ROUTING_OUT_DOMAIN:
+		return "domain_out";
+	case ROUTING_OUT_PLATFORM:
+		return "platform_leaving";
+	case ROUTING_OUT_DRAINING:
+		return "draining";
+	case ROUTING_OUT_LINK:
+		return "link_failed";
+	case ROUTING_OUT_BACKEND:
+		return "backend_failed";
+	case ROUTING_OUT_SILENT:
+		return "silent";
+	case ROUTING_OUT_COLD:
+		return "cold_full";
+	case ROUTING_OUT_NO_CAPACITY:
+		return "no_capacity";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/packages/routing/internal.h
@@ -0,0 +1,104 @@
+/* State shared by the files of this package. */
+#ifndef ROUTING_INTERNAL_H
+#define ROUTING_INTERNAL_H
+
+#include "routing.h"
+
+#include <uthash.h>
+
+/* Why a server gets no ordinary work. */
+enum routing_out {
+	ROUTING_OUT_NOT,
+	/* Only the configuration ends these two. */
+	ROUTING_OUT_LEAVING,
+	ROUTING_OUT_DOMAIN,
+	/* Only the platform's list ends this one. */
+	ROUTING_OUT_PLATFORM,
+	ROUTING_OUT_DRAINING,
+	/* These are tried again after a back-off. */
+	ROUTING_OUT_LINK,
+	ROUTING_OUT_BACKEND,
+	ROUTING_OUT_SILENT,
+	/* These end with the next report, or when the report is stale. */
+	ROUTING_OUT_COLD,
+	ROUTING_OUT_NO_CAPACITY,
+};
+
+/* All that an entry knows of one server. */
+struct routing_state {
+	struct routing_server conf;
+	enum routing_platform platform;
+	/* Requests sent by this entry that have not ended. */
+	uint32_t in_flight;
+
+	struct routing_report report;
+	bool has_report;
+	int64_t report_at;
+	/* in_flight when the report came; it is part of the reported load. */
+	uint32_t in_flight_at_report;
+
+	bool draining;
+	/* ROUTING_OUT_NOT, _LINK, _BACKEND or _SILENT. */
+	enum routing_out failure;
+	/* Failures since the last answer; sets the back-off. */
+	uint32_t failures;
+	/* Earliest next trial or probe while failed or draining. */
+	int64_t retry_at;
+	bool in_trial;
+
+	/* Heartbeats are due while the link is in use. */
+	bool link_used;
+	int64_t sent_at;
+	int64_t heard_at;
+	int64_t interval;
+
+	/* Mark of routing_configure(). */
+	bool kept;
+	UT_hash_handle hh;
+};
+
+struct routing_service {
+	uint32_t id;
+	struct routing_state **servers;
+	size_t count;
+	/* Room for `count` candidates during a pick. */
+	struct routing_state **scratch;
+	size_t round_robin;
+	UT_hash_handle hh;
+};
+
+struct routing_table {
+	const struct routing_policy *policy;
+	struct base_rand rnd;
+	struct routing_state *states;
+	struct routing_service *services;
+};
+
+/* health.c */
+
+void routing_health_init(struct routing_state *state);
+/* Turns silence into a failure with its back-off. */
+void routing_health_refresh(struct routing_state *state, struct base_rand *rnd,
+			    int64_t now);
+enum routing_out routing_health_out(const struct routing_state *state,
+				    int64_t now);
+void routing_health_fail(struct routing_state *state, enum routing_out failure,
+			 struct base_rand *rnd, int64_t now);
+/* A trial request or a probe leaves for the server. */
+void routing_health_tried(struct routing_state *state, struct base_rand *rnd,
+			  int64_t now);
+bool routing_health_trial_due(const struct routing_state *state, int64_t now);
+bool routing_health_fresh(const struct routing_state *state, int64_t now);
+void routing_health_drain(struct routing_state *state, struct base_rand *rnd,
+			  int64_t now);
+void routing_health_report(struct routing_state *state,
+			   const struct routing_report *report,
+			   struct base_rand *rnd, int64_t now);
+const char *routing_health_out_str(enum routing_out out);
+
+/* table.c */
+
+struct routing_service *routing_service_find(struct routing_table *table,
+					     uint32_t service);
+
+#endif
--- /dev/null
+++ b/packages/routing/policy.c
@@ -0,0 +1,267 @@
+/* The two policies: two random choices, and round robin as the baseline. */
+#include "internal.h"
+
+#include <assert.h>
+
+/* Distance of a server from the entry. */
+enum tier {
+	TIER_DOMAIN,
+	TIER_REGION,
+	TIER_ANY,
+	TIER_COUNT,
+};
+
+static bool is_excluded(const struct routing_query *query, uint32_t server)
+{
+	size_t i;
+
+	for (i = 0; i < query->excluded_len; i++) {
+		if (query->excluded[i] == server)
+			return true;
+	}
+	return false;
+}
+
+static enum tier tier_of(const struct routing_query *query,
+			 const struct routing_state *s)
+{
+	if (s->conf.domain == query->own_domain)
+		return TIER_DOMAIN;
+	if (s->conf.region == query->own_region)
+		return TIER_REGION;
+	return TIER_ANY;
+}
+
+static uint32_t limit_of(const struct routing_state *s)
+{
+	if (s->has_report && s->report.limit)
+		return s->report.limit;
+	return s->conf.slots ? s->conf.slots : 1;
+}
+
+/*
+ * Requests at the server. The report includes what this entry had in flight
+ * then, so only the change since is added.
+ */
+static int64_t occupied(const struct routing_state *s, int64_t now)
+{
+	int64_t change;
+
+	if (!routing_health_fresh(s, now))
+		return s->in_flight;
+	change = (int64_t)s->in_flight - s->in_flight_at_report;
+	return s->report.load + change;
+}
+
+static bool has_headroom(const struct routing_state *s, int64_t now)
+{
+	return occupied(s, now) < limit_of(s);
+}
+
+static double score(const struct routing_state *s, bool with_reports)
+{
+	double load = s->in_flight;
+
+	if (with_reports)
+		load += s->report.load;
+	return load / limit_of(s);
+}
+
+/* A server with a stale report would look idle beside one with a fresh one. */
+static struct routing_state *better(struct routing_state *a,
+				    struct routing_state *b, int64_t now)
+{
+	bool with_reports =
+		routing_health_fresh(a, now) && routing_health_fresh(b, now);
+
+	return score(a, with_reports) <= score(b, with_reports) ? a : b;
+}
+
+static struct routing_state *two_choices(struct routing_table *table,
+					 struct routing_state **pool, size_t n,
+					 int64_t now)
+{
+	uint32_t first, second;
+
+	assert(n > 0);
+	if (n == 1)
+		return pool[0];
+	first = base_rand_below(&table->rnd, (uint32_t)n);
+	second = base_rand_below(&table->rnd, (uint32_t)n - 1);
+	if (second >= first)
+		second++;
+	return better(pool[first], pool[second], now);
+}
+
+/* The servers of a service as seen by one pick. */
+struct survey {
+	/* Usable servers; points into the service's scratch room. */
+	struct routing_state **usable;
+	size_t usable_len;
+	/* The failed server with the oldest due trial, by tier. */
+	struct routing_state *trial[TIER_COUNT];
+	size_t excluded;
+	size_t failed;
+	size_t cold;
+};
+
+static void note_trial(struct survey *sv, enum tier tier,
+		       struct routing_state *s)
+{
+	struct routing_state *old = sv->trial[tier];
+
+	if (!old || s->retry_at < old->retry_at)
+		sv->trial[tier] = s;
+}
+
+static void survey(struct routing_table *table, struct routing_service *svc,
+		   const struct routing_query *query, int64_t now,
+		   struct survey *sv)
+{
+	struct routing_state *s;
+	size_t i;
+
+	sv->usable = svc->scratch;
+	for (i = 0; i < svc->count; i++) {
+		s = svc->servers[i];
+		if (is_excluded(query, s->conf.id)) {
+			sv->excluded++;
+			continue;
+		}
+		routing_health_refresh(s, &table->rnd, now);
+		switch (routing_health_out(s, now)) {
+		case ROUTING_OUT_NOT:
+			sv->usable[sv->usable_len++] = s;
+			break;
+		case ROUTING_OUT_LINK:
+		case ROUTING_OUT_BACKEND:
+		case ROUTING_OUT_SILENT:
+			sv->failed++;
+			if (routing_health_trial_due(s, now))
+				note_trial(sv, tier_of(query, s), s);
+			break;
+		case ROUTING_OUT_COLD:
+		case ROUTING_OUT_NO_CAPACITY:
+			sv->cold++;
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+/* Moves servers of the tier with headroom to the front; returns how many. */
+static size_t gather_headroom(struct survey *sv,
+			      const struct routing_query *query, enum tier tier,
+			      int64_t now)
+{
+	struct routing_state *s;
+	size_t i, n = 0;
+
+	for (i = 0; i < sv->usable_len; i++) {
+		s = sv->usable[i];
+		if (tier_of(query, s) != tier || !has_headroom(s, now))
+			continue;
+		sv->usable[i] = sv->usable[n];
+		sv->usable[n++] = s;
+	}
+	return n;
+}
+
+static struct routing_state *try_failed(struct routing_table *table,
+					struct routing_state *s, int64_t now)
+{
+	routing_health_tried(s, &table->rnd, now);
+	return s;
+}
+
+static struct routing_state *choose(struct routing_table *table,
+				    const struct routing_query *query,
+				    struct survey *sv, int64_t now)
+{
+	enum tier tier;
+	size_t n;
+
+	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
+		if (sv->trial[tier] && !query->avoid_trial)
+			return try_failed(table, sv->trial[tier], now);
+		n = gather_headroom(sv, query, tier, now);
+		if (n)
+			return two_choices(table, sv->usable, n, now);
+	}
+	/* No headroom anywhere: spread the excess, the guards refuse it. */
+	if (sv->usable_len)
+		return two_choices(table, sv->usable, sv->usable_len, now);
+	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
+		if (sv->trial[tier])
+			return try_failed(table, sv->trial[tier], now);
+	}
+	return NULL;
+}
+
+static enum routing_reason why_none(const struct survey *sv)
+{
+	if (sv->failed)
+		return ROUTING_ALL_FAILED;
+	if (sv->cold)
+		return ROUTING_ALL_COLD;
+	if (sv->excluded)
+		return ROUTING_ALL_EXCLUDED;
+	return ROUTING_ALL_LEAVING;
+}
+
+static enum routing_reason pick_two_choices(struct routing_table *table,
+					    const struct routing_query *query,
+					    int64_t now, uint32_t *server)
+{
+	struct routing_service *svc =
+		routing_service_find(table, query->service);
+	struct survey sv = { 0 };
+	struct routing_state *chosen;
+
+	if (!svc)
+		return ROUTING_NO_SERVERS;
+	survey(table, svc, query, now, &sv);
+	chosen = choose(table, query, &sv, now);
+	if (!chosen)
+		return why_none(&sv);
+	*server = chosen->conf.id;
+	return ROUTING_PICKED;
+}
+
+static enum routing_reason pick_round_robin(struct routing_table *table,
+					    const struct routing_query *query,
+					    int64_t now, uint32_t *server)
+{
+	struct routing_service *svc =
+		routing_service_find(table, query->service);
+	enum routing_reason reason = ROUTING_ALL_LEAVING;
+	struct routing_state *s;
+	size_t i;
+
+	(void)now;
+	if (!svc)
+		return ROUTING_NO_SERVERS;
+	for (i = 0; i < svc->count; i++) {
+		s = svc->servers[svc->round_robin++ % svc->count];
+		if (s->conf.leaving || s->conf.domain_out)
+			continue;
+		if (is_excluded(query, s->conf.id)) {
+			reason = ROUTING_ALL_EXCLUDED;
+			continue;
+		}
+		*server = s->conf.id;
+		return ROUTING_PICKED;
+	}
+	return reason;
+}
+
+const struct routing_policy routing_policy_two_choices = {
+	.name = "two_choices",
+	.pick = pick_two_choices,
+};
+
+const struct routing_policy routing_policy_round_robin = {
+	.name = "round_robin",
+	.pick = pick_round_robin,
+};
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -20,7 +20,7 @@
 #define ROUTING_HEARTBEAT_US (500 * BASE_MS_US)
 /** A peer sends heartbeats this long after the last request on the link. */
 #define ROUTING_LINK_IDLE_US (30 * BASE_SECOND_US)
-/** Reported load older than this is not compared. */
+/** Reported load older than this, or than two intervals, is not compared. */
 #define ROUTING_REPORT_FRESH_US (2 * BASE_SECOND_US)
 /** Wait before the first trial of a failed server; doubles per failure. */
 #define ROUTING_BACKOFF_MIN_US (100 * BASE_MS_US)
--- /dev/null
+++ b/packages/routing/table.c
@@ -0,0 +1,292 @@
+/* The table of servers and the events that change it. */
+#include "internal.h"
+
+#include <assert.h>
+
+struct routing_table *routing_table_create(uint64_t seed,
+					   const struct routing_policy *policy)
+{
+	struct routing_table *table = base_alloc(sizeof(*table));
+
+	table->policy = policy ? policy : &routing_policy_two_choices;
+	base_rand_seed(&table->rnd, seed);
+	return table;
+}
+
+static void clear_services(struct routing_table *table)
+{
+	struct routing_service *svc, *next;
+
+	HASH_ITER (hh, table->services, svc, next) {
+		HASH_DEL(table->services, svc);
+		free(svc->servers);
+		free(svc->scratch);
+		free(svc);
+	}
+}
+
+void routing_table_destroy(struct routing_table *table)
+{
+	struct routing_state *s, *next;
+
+	if (!table)
+		return;
+	clear_services(table);
+	HASH_ITER (hh, table->states, s, next) {
+		HASH_DEL(table->states, s);
+		free(s);
+	}
+	free(table);
+}
+
+static struct routing_state *find(const struct routing_table *table,
+				  uint32_t server)
+{
+	struct routing_state *s;
+
+	HASH_FIND(hh, table->states, &server, sizeof(server), s);
+	return s;
+}
+
+struct routing_service *routing_service_find(struct routing_table *table,
+					     uint32_t service)
+{
+	struct routing_service *svc;
+
+	HASH_FIND(hh, table->services, &service, sizeof(service), svc);
+	return svc;
+}
+
+static void keep(struct routing_table *table, const struct routing_server *conf)
+{
+	struct routing_state *s = find(table, conf->id);
+
+	if (!s) {
+		s = base_alloc(sizeof(*s));
+		s->conf.id = conf->id;
+		routing_health_init(s);
+		HASH_ADD(hh, table->states, conf.id, sizeof(s->conf.id), s);
+	}
+	assert(!s->kept);
+	s->conf = *conf;
+	s->kept = true;
+}
+
+static void drop_others(struct routing_table *table)
+{
+	struct routing_state *s, *next;
+
+	HASH_ITER (hh, table->states, s, next) {
+		if (!s->kept) {
+			HASH_DEL(table->states, s);
+			free(s);
+		} else {
+			s->kept = false;
+		}
+	}
+}
+
+static void add_to_service(struct routing_table *table, struct routing_state *s)
+{
+	uint32_t id = s->conf.service;
+	struct routing_service *svc = routing_service_find(table, id);
+	size_t bytes;
+
+	if (!svc) {
+		svc = base_alloc(sizeof(*svc));
+		svc->id = id;
+		HASH_ADD(hh, table->services, id, sizeof(svc->id), svc);
+	}
+	bytes = (svc->count + 1) * sizeof(*svc->servers);
+	svc->servers = base_realloc(svc->servers, bytes);
+	svc->scratch = base_realloc(svc->scratch, bytes);
+	svc->servers[svc->count++] = s;
+}
+
+void routing_configure(struct routing_table *table,
+		       const struct routing_server *servers, size_t count)
+{
+	struct routing_state *s, *next;
+	size_t i;
+
+	clear_services(table);
+	for (i = 0; i < count; i++)
+		keep(table, &servers[i]);
+	drop_others(table);
+	HASH_ITER (hh, table->states, s, next)
+		add_to_service(table, s);
+}
+
+void routing_sent(struct routing_table *table, uint32_t server, int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (!s)
+		return;
+	s->in_flight++;
+	/* The peer was not due to send anything while the link was idle. */
+	if (!s->link_used || now - s->sent_at > ROUTING_LINK_IDLE_US)
+		s->heard_at = now;
+	s->link_used = true;
+	s->sent_at = now;
+}
+
+static void end_request(struct routing_state *s)
+{
+	/* A server may have left the configuration and come back meanwhile. */
+	if (s->in_flight)
+		s->in_flight--;
+}
+
+void routing_answered(struct routing_table *table, uint32_t server,
+		      const struct routing_report *report, int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (!s)
+		return;
+	end_request(s);
+	s->heard_at = now;
+	s->failure = ROUTING_OUT_NOT;
+	s->failures = 0;
+	s->in_trial = false;
+	if (report)
+		routing_health_report(s, report, &table->rnd, now);
+}
+
+void routing_failed(struct routing_table *table, uint32_t server,
+		    enum routing_failure failure, int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (!s)
+		return;
+	end_request(s);
+	if (failure == ROUTING_NOT_RUN) {
+		s->heard_at = now;
+		routing_health_fail(s, ROUTING_OUT_BACKEND, &table->rnd, now);
+		return;
+	}
+	routing_health_fail(s, ROUTING_OUT_LINK, &table->rnd, now);
+}
+
+void routing_abandoned(struct routing_table *table, uint32_t server)
+{
+	struct routing_state *s = find(table, server);
+
+	if (s)
+		end_request(s);
+}
+
+void routing_heartbeat(struct routing_table *table, uint32_t server,
+		       const struct routing_report *report, int64_t interval,
+		       int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (!s)
+		return;
+	s->heard_at = now;
+	s->interval = interval > 0 ? interval : ROUTING_HEARTBEAT_US;
+	if (s->failure != ROUTING_OUT_BACKEND) {
+		s->failure = ROUTING_OUT_NOT;
+		s->in_trial = false;
+	}
+	routing_health_report(s, report, &table->rnd, now);
+}
+
+void routing_drain_notice(struct routing_table *table, uint32_t server,
+			  int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (s)
+		routing_health_drain(s, &table->rnd, now);
+}
+
+void routing_platform(struct routing_table *table, uint32_t server,
+		      enum routing_platform state)
+{
+	struct routing_state *s = find(table, server);
+
+	if (s)
+		s->platform = state;
+}
+
+void routing_woke(struct routing_table *table, int64_t now)
+{
+	struct routing_state *s, *next;
+
+	HASH_ITER (hh, table->states, s, next)
+		s->heard_at = now;
+}
+
+enum routing_reason routing_pick(struct routing_table *table,
+				 const struct routing_query *query, int64_t now,
+				 uint32_t *server)
+{
+	return table->policy->pick(table, query, now, server);
+}
+
+static bool probe_due(const struct routing_state *s, int64_t now)
+{
+	if (now < s->retry_at)
+		return false;
+	return routing_health_out(s, now) == ROUTING_OUT_DRAINING ||
+	       routing_health_trial_due(s, now);
+}
+
+size_t routing_due_probes(struct routing_table *table, int64_t now,
+			  uint32_t *ids, size_t max)
+{
+	struct routing_state *s, *next;
+	size_t n = 0;
+
+	HASH_ITER (hh, table->states, s, next) {
+		if (n == max)
+			break;
+		routing_health_refresh(s, &table->rnd, now);
+		if (!probe_due(s, now))
+			continue;
+		routing_health_tried(s, &table->rnd, now);
+		s->failures++;
+		ids[n++] = s->conf.id;
+	}
+	return n;
+}
+
+bool routing_server_view(const struct routing_table *table, uint32_t server,
+			 int64_t now, struct routing_view *view)
+{
+	const struct routing_state *s = find(table, server);
+	enum routing_out out;
+
+	if (!s)
+		return false;
+	out = routing_health_out(s, now);
+	view->in_flight = s->in_flight;
+	view->load = s->report.load;
+	view->limit = s->has_report ? s->report.limit : s->conf.slots;
+	view->usable = out == ROUTING_OUT_NOT;
+	view->why = routing_health_out_str(out);
+	return true;
+}
+
+const char *routing_reason_str(enum routing_reason reason)
+{
+	switch (reason) {
+	case ROUTING_PICKED:
+		return "picked";
+	case ROUTING_NO_SERVERS:
+		return "no_servers";
+	case ROUTING_ALL_LEAVING:
+		return "all_leaving";
+	case ROUTING_ALL_FAILED:
+		return "all_failed";
+	case ROUTING_ALL_COLD:
+		return "all_cold";
+	case ROUTING_ALL_EXCLUDED:
+		return "all_excluded";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/packages/routing/tests/test_routing.c
@@ -0,0 +1,333 @@
+/* Tests of the routing package, under virtual time with fixed seeds. */
+#include "routing.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <string.h>
+
+#define SERVERS 6
+#define SLOTS 10
+
+/* Two servers in each of three domains; domains 0 and 1 share a region. */
+static struct routing_server conf[SERVERS];
+
+static struct routing_table *setup_policy(uint64_t seed,
+					  const struct routing_policy *policy)
+{
+	struct routing_table *t = routing_table_create(seed, policy);
+	uint32_t i;
+
+	memset(conf, 0, sizeof(conf));
+	for (i = 0; i < SERVERS; i++) {
+		conf[i].id = i;
+		conf[i].domain = i / 2;
+		conf[i].region = i / 4;
+		conf[i].slots = SLOTS;
+	}
+	routing_configure(t, conf, SERVERS);
+	return t;
+}
+
+static struct routing_table *setup(uint64_t seed)
+{
+	return setup_policy(seed, NULL);
+}
+
+static uint32_t pick(struct routing_table *t, int64_t now)
+{
+	struct routing_query q = { 0 };
+	uint32_t server = UINT32_MAX;
+
+	routing_pick(t, &q, now, &server);
+	return server;
+}
+
+static bool is_usable(struct routing_table *t, uint32_t server, int64_t now)
+{
+	struct routing_view view;
+
+	return routing_server_view(t, server, now, &view) && view.usable;
+}
+
+static const struct routing_report idle = { .limit = SLOTS };
+
+/* Guards against work that crosses domains while the own one has room. */
+Test(tiers, own_domain_then_region_then_anywhere)
+{
+	static const uint32_t want[] = { 0, 1, 2 };
+	struct routing_table *t = setup(1);
+	uint32_t s;
+	int i;
+
+	for (i = 0; i < SERVERS * SLOTS; i++) {
+		s = pick(t, 0);
+		cr_assert(eq(u32, s / 2, want[i / (2 * SLOTS)]));
+		routing_sent(t, s, 0);
+	}
+	/* With no headroom anywhere the guards decide. */
+	cr_assert(lt(u32, pick(t, 0), SERVERS));
+	routing_table_destroy(t);
+}
+
+enum source { CONF, DOMAIN, PLATFORM, DRAIN, SEND, BACKEND, LINK };
+
+static void take_out(struct routing_table *t, enum source source)
+{
+	conf[0].leaving = source == CONF;
+	conf[0].domain_out = source == DOMAIN;
+	routing_configure(t, conf, SERVERS);
+	if (source == PLATFORM)
+		routing_platform(t, 0, ROUTING_PLATFORM_LEAVING);
+	if (source == DRAIN)
+		routing_drain_notice(t, 0, 0);
+	if (source == SEND)
+		routing_failed(t, 0, ROUTING_SEND_FAILED, 0);
+	if (source == BACKEND)
+		routing_failed(t, 0, ROUTING_NOT_RUN, 0);
+	if (source == LINK)
+		routing_failed(t, 0, ROUTING_LOST, 0);
+}
+
+/*
+ * Guards against new work at a leaving server because one lagging source still
+ * calls it live, and against a server that never returns.
+ */
+Test(sources, one_takes_out_and_only_the_right_ones_bring_back)
+{
+	static const struct {
+		bool after_heartbeat, after_answer;
+	} want[] = {
+		[CONF] = { false, false },     [DOMAIN] = { false, false },
+		[PLATFORM] = { false, false }, [DRAIN] = { true, true },
+		[SEND] = { true, true },       [BACKEND] = { false, true },
+		[LINK] = { true, true },
+	};
+	struct routing_table *t;
+	enum source s;
+
+	for (s = CONF; s <= LINK; s++) {
+		t = setup(s);
+		cr_assert(is_usable(t, 0, 0));
+		take_out(t, s);
+		cr_assert(not(is_usable(t, 0, 0)));
+		if (s != PLATFORM)
+			routing_platform(t, 0, ROUTING_PLATFORM_LIVE);
+		cr_assert(not(is_usable(t, 0, 0)));
+		routing_heartbeat(t, 0, &idle, 0, 1);
+		cr_assert(eq(int, is_usable(t, 0, 1), want[s].after_heartbeat));
+		routing_answered(t, 0, &idle, 2);
+		cr_assert(eq(int, is_usable(t, 0, 2), want[s].after_answer));
+		routing_table_destroy(t);
+	}
+}
+
+/* Guards against dropping live servers that the lagging list lacks. */
+Test(sources, missing_from_the_list_is_no_reason)
+{
+	struct routing_table *t = setup(1);
+
+	routing_platform(t, 0, ROUTING_PLATFORM_LEAVING);
+	routing_platform(t, 0, ROUTING_PLATFORM_UNKNOWN);
+	cr_assert(is_usable(t, 0, 0));
+	routing_table_destroy(t);
+}
+
+/* Guards against work sent into a partition, and against false silence. */
+Test(silence, counts_only_while_heartbeats_are_due)
+{
+	struct routing_table *t = setup(1);
+	int64_t limit = ROUTING_MISSED_HEARTBEATS * ROUTING_HEARTBEAT_US;
+	int64_t t1 = 100 * BASE_SECOND_US;
+
+	cr_assert(is_usable(t, 0, t1));
+	routing_sent(t, 0, t1);
+	cr_assert(is_usable(t, 0, t1 + limit));
+	cr_assert(not(is_usable(t, 0, t1 + limit + 1)));
+	/* A pause of this process is not the peer's silence. */
+	routing_woke(t, t1 + limit + 1);
+	cr_assert(is_usable(t, 0, t1 + limit + 1));
+	/* A peer with many links announces a longer interval. */
+	routing_heartbeat(t, 0, &idle, 2 * ROUTING_HEARTBEAT_US, t1 + limit);
+	cr_assert(is_usable(t, 0, t1 + 3 * limit));
+	cr_assert(not(is_usable(t, 0, t1 + 3 * limit + 1)));
+	routing_table_destroy(t);
+}
+
+/* Guards against a dead server that costs more than rare single requests. */
+Test(trial, one_request_per_growing_back_off)
+{
+	struct routing_table *t = setup(3);
+	int64_t now, last = 0, gap = 0;
+	int trials = 0;
+	uint32_t s;
+
+	routing_failed(t, 0, ROUTING_SEND_FAILED, 0);
+	for (now = 0; now < 60 * BASE_SECOND_US; now += BASE_MS_US) {
+		s = pick(t, now);
+		if (s != 0)
+			continue;
+		routing_sent(t, s, now);
+		if (trials % 2)
+			routing_failed(t, s, ROUTING_SEND_FAILED, now);
+		cr_assert(ne(u32, pick(t, now), 0));
+		gap = now - last;
+		last = now;
+		trials++;
+	}
+	cr_assert(ge(int, trials, 8));
+	cr_assert(le(int, trials, 24));
+	cr_assert(ge(i64, gap, ROUTING_BACKOFF_MAX_US / 2));
+	routing_answered(t, 0, &idle, now);
+	cr_assert(is_usable(t, 0, now));
+	routing_table_destroy(t);
+}
+
+/* Guards against a trial of a non-idempotent request while others can run. */
+Test(trial, avoided_unless_nothing_else_is_left)
+{
+	struct routing_table *t = setup(1);
+	struct routing_query q = { .avoid_trial = true };
+	uint32_t s, ids[SERVERS];
+	int i;
+
+	routing_failed(t, 0, ROUTING_LOST, 0);
+	for (i = 0; i < 100; i++) {
+		routing_pick(t, &q, BASE_SECOND_US, &s);
+		cr_assert(eq(u32, s, 1));
+	}
+	cr_assert(
+		eq(sz, routing_due_probes(t, BASE_SECOND_US, ids, SERVERS), 1));
+	cr_assert(
+		eq(sz, routing_due_probes(t, BASE_SECOND_US, ids, SERVERS), 0));
+	for (i = 1; i < SERVERS; i++)
+		routing_failed(t, (uint32_t)i, ROUTING_LOST, 0);
+	cr_assert(eq(int, routing_pick(t, &q, 0, &s), ROUTING_ALL_FAILED));
+	cr_assert(eq(int, routing_pick(t, &q, BASE_SECOND_US, &s),
+		     ROUTING_PICKED));
+	routing_table_destroy(t);
+}
+
+/* Guards against refusals that name a wrong reason. */
+Test(reason, says_why_there_is_none)
+{
+	static const uint32_t all[] = { 0, 1, 2, 3, 4, 5 };
+	static const struct routing_report cold = { .limit = 1,
+						    .cold_full = true };
+	struct routing_table *t = setup(1);
+	struct routing_query q = { .service = 9 };
+	uint32_t s;
+
+	cr_assert(eq(int, routing_pick(t, &q, 0, &s), ROUTING_NO_SERVERS));
+	q.service = 0;
+	for (s = 0; s < SERVERS; s++)
+		routing_heartbeat(t, s, &cold, 0, 0);
+	cr_assert(eq(int, routing_pick(t, &q, 0, &s), ROUTING_ALL_COLD));
+	q.excluded = all;
+	q.excluded_len = SERVERS;
+	cr_assert(eq(int, routing_pick(t, &q, 0, &s), ROUTING_ALL_EXCLUDED));
+	q.excluded_len = 0;
+	for (s = 0; s < SERVERS; s++)
+		routing_drain_notice(t, s, 0);
+	cr_assert(eq(int, routing_pick(t, &q, 0, &s), ROUTING_ALL_LEAVING));
+	routing_table_destroy(t);
+}
+
+/*
+ * One entry, two servers with ten slots that take 10 and 30 ms; the load of
+ * the slow one is reported as 0 or not at all. Returns its worst backlog.
+ */
+static uint32_t slow_backlog(const struct routing_policy *policy, bool report,
+			     uint64_t seed)
+{
+	struct routing_table *t = setup_policy(seed, policy);
+	uint32_t s, queued[2] = { 0 }, worst = 0;
+	int64_t ms;
+
+	routing_configure(t, conf, 2);
+	for (ms = 0; ms < 5000; ms++) {
+		s = pick(t, ms * BASE_MS_US);
+		routing_sent(t, s, ms * BASE_MS_US);
+		queued[s]++;
+		worst = queued[1] > worst ? queued[1] : worst;
+		for (s = 0; s < 2; s++) {
+			if (!queued[s] || ms % (s ? 3 : 1))
+				continue;
+			queued[s]--;
+			routing_answered(t, s, report ? &idle : NULL,
+					 ms * BASE_MS_US);
+		}
+	}
+	routing_table_destroy(t);
+	return worst;
+}
+
+/*
+ * Guards against a slow server that attracts work by missing or false reports:
+ * own in-flight counts must bound it. Round robin shows that the test can fail.
+ */
+Test(load, own_counts_bound_a_misleading_server)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 20; seed++) {
+		cr_assert(le(u32, slow_backlog(NULL, true, seed), 8));
+		cr_assert(le(u32, slow_backlog(NULL, false, seed), 8));
+	}
+	cr_assert(ge(u32, slow_backlog(&routing_policy_round_robin, true, 1),
+		     500));
+}
+
+/* One random event at a server. */
+static void random_event(struct routing_table *t, struct base_rand *rnd,
+			 uint32_t s, bool *draining, int64_t now)
+{
+	struct routing_report r = idle;
+
+	switch (base_rand_below(rnd, 6)) {
+	case 0:
+		conf[s].leaving = !conf[s].leaving;
+		routing_configure(t, conf, SERVERS);
+		break;
+	case 1:
+		routing_drain_notice(t, s, now);
+		*draining = true;
+		break;
+	case 2:
+		routing_failed(t, s, ROUTING_LOST, now);
+		break;
+	default:
+		r.load = base_rand_below(rnd, 2 * SLOTS);
+		r.draining = *draining && base_rand_below(rnd, 2);
+		*draining = r.draining;
+		routing_heartbeat(t, s, &r, 0, now);
+		break;
+	}
+}
+
+/* Guards against any order of events that lets work reach a leaving server. */
+Test(random, never_picks_leaving_or_draining)
+{
+	bool draining[SERVERS];
+	struct routing_table *t;
+	struct base_rand rnd;
+	uint64_t seed;
+	uint32_t s, got;
+	int step;
+
+	for (seed = 1; seed <= 50; seed++) {
+		t = setup(seed);
+		base_rand_seed(&rnd, seed);
+		memset(draining, 0, sizeof(draining));
+		for (step = 0; step < 1000; step++) {
+			s = base_rand_below(&rnd, SERVERS);
+			random_event(t, &rnd, s, &draining[s],
+				     step * 50 * BASE_MS_US);
+			got = pick(t, step * 50 * BASE_MS_US);
+			if (got == UINT32_MAX)
+				continue;
+			cr_assert(not(conf[got].leaving));
+			cr_assert(not(draining[got]));
+		}
+		routing_table_destroy(t);
+	}
+}
