--- /dev/null
+++ b/packages/retry/budget.c
@@ -0,0 +1,113 @@
+/* The retry budget and the decision after a failed try. */
+#include "retry.h"
+
+#include <math.h>
+
+/* Debt is not forgotten with time; it is worked off by successes. */
+static void decay(struct retry_budget *budget, int64_t now)
+{
+	double age = (double)(now - budget->updated_at);
+
+	if (budget->tokens > 0 && age > 0)
+		budget->tokens *= exp(-age / RETRY_BUDGET_WINDOW_US);
+	budget->updated_at = now;
+}
+
+void retry_budget_record_success(struct retry_budget *budget, int64_t now)
+{
+	decay(budget, now);
+	budget->tokens += RETRY_BUDGET_SHARE;
+	if (budget->tokens > RETRY_BUDGET_CAP)
+		budget->tokens = RETRY_BUDGET_CAP;
+}
+
+bool retry_budget_try_spend(struct retry_budget *budget, int64_t now)
+{
+	decay(budget, now);
+	if (budget->tokens < 1)
+		return false;
+	budget->tokens -= 1;
+	return true;
+}
+
+void retry_budget_charge(struct retry_budget *budget, int64_t now)
+{
+	decay(budget, now);
+	budget->tokens -= 1;
+}
+
+uint32_t retry_first_attempt(struct retry_budget *budget, int64_t now)
+{
+	decay(budget, now);
+	return budget->tokens < 1 ? 1 : 0;
+}
+
+static struct retry_decision give_up(enum retry_reason reason, uint32_t attempt)
+{
+	struct retry_decision d = { .action = RETRY_ACTION_GIVE_UP,
+				    .reason = reason,
+				    .attempt = attempt,
+				    .retried = true };
+
+	return d;
+}
+
+static struct retry_decision decide_not_run(const struct retry_try *failed)
+{
+	struct retry_decision d = { .action = RETRY_ACTION_REROUTE };
+	uint32_t max = RETRY_REROUTES_MAX;
+
+	if (failed->outcome == RETRY_OUTCOME_OVERLOADED)
+		max = RETRY_REROUTES_OVERLOAD_MAX;
+	if (failed->reroutes >= max)
+		return give_up(RETRY_REASON_REROUTES, failed->attempt);
+	d.attempt = failed->attempt;
+	d.retried = failed->attempt > 0 || failed->answer_retried;
+	return d;
+}
+
+struct retry_decision retry_decide(const struct retry_try *failed,
+				   struct retry_budget *budget, int64_t now)
+{
+	struct retry_decision d = { .action = RETRY_ACTION_RETRY,
+				    .attempt = failed->attempt + 1,
+				    .retried = true };
+
+	if (failed->outcome == RETRY_OUTCOME_DEADLINE ||
+	    now >= failed->deadline)
+		return give_up(RETRY_REASON_DEADLINE, failed->attempt);
+	if (failed->outcome == RETRY_OUTCOME_NOT_RUN ||
+	    failed->outcome == RETRY_OUTCOME_OVERLOADED)
+		return decide_not_run(failed);
+	if (!failed->idempotent)
+		return give_up(RETRY_REASON_NOT_IDEMPOTENT, failed->attempt);
+	if (failed->attempt > 0 || failed->answer_retried)
+		return give_up(RETRY_REASON_CHAIN, failed->attempt);
+	if (!retry_budget_try_spend(budget, now))
+		return give_up(RETRY_REASON_BUDGET, failed->attempt);
+	return d;
+}
+
+int64_t retry_after_ms(struct base_rand *rnd, int64_t base_ms)
+{
+	return base_ms + (int64_t)(base_rand_unit(rnd) * (double)base_ms);
+}
+
+const char *retry_reason_str(enum retry_reason reason)
+{
+	switch (reason) {
+	case RETRY_REASON_NONE:
+		return "none";
+	case RETRY_REASON_NOT_IDEMPOTENT:
+		return "not_idempotent";
+	case RETRY_REASON_CHAIN:
+		return "chain_retried";
+	case RETRY_REASON_BUDGET:
+		return "budget_spent";
+	case RETRY_REASON_DEADLINE:
+		return "deadline";
+	case RETRY_REASON_REROUTES:
+		return "reroutes_spent";
+	}
+	return "unknown";
+}
--- a/packages/retry/retry.h
+++ b/packages/retry/retry.h
@@ -18,13 +18,16 @@
 /** Unspent retries that a budget holds at most. */
 #define RETRY_BUDGET_CAP 10.0
 /** Unspent retries shrink to 1/e in this time. */
-#define RETRY_BUDGET_WINDOW_US (10 * BASE_SECOND_US)
+#define RETRY_BUDGET_WINDOW_US (30 * BASE_SECOND_US)
 /** Servers tried after the first when the request has not run. */
 #define RETRY_REROUTES_MAX 2
 /** The same after a refusal for overload. */
 #define RETRY_REROUTES_OVERLOAD_MAX 1
 
-/** Retries earned by recent successes. Starts empty; zero it to create. */
+/**
+ * Retries earned by recent successes. Zero it to create: it starts empty. One
+ * for each daemon.
+ */
 struct retry_budget {
 	double tokens;
 	int64_t updated_at;
@@ -34,6 +37,19 @@
 void retry_budget_record_success(struct retry_budget *budget, int64_t now);
 /** Takes one retry out of the budget. @return false when there is none */
 bool retry_budget_try_spend(struct retry_budget *budget, int64_t now);
+/**
+ * A daemon nearer to the failing hop retried within a chain that started here:
+ * the answer of a request without a call token says "retried", and this daemon
+ * has not retried it. The budget may become negative.
+ */
+void retry_budget_charge(struct retry_budget *budget, int64_t now);
+/**
+ * `attempt` for the context of a request that starts a chain here: 0, or 1
+ * when the budget is spent, so that no hop retries it. Each hop has a budget
+ * of its own; without this rule failures at many hops would add up to one
+ * budget per hop.
+ */
+uint32_t retry_first_attempt(struct retry_budget *budget, int64_t now);
 
 /** How a request that was sent to a guard ended. */
 enum retry_outcome {
@@ -230,11 +246,15 @@
  * A roster or the set of failure domains that are in changed, or the version
  * was confirmed after a pause (the same version again). No claim is accepted
  * before the first call.
+ * @param skipped  versions between the former and this one were not active
+ *                 here, so keys may have moved away and back unseen; every key
+ *                 counts as moved
  * @param domains  those that are not out, the own one included
  */
 void retry_ledger_roster_activated(struct retry_ledger *ledger,
-				   uint64_t version, const uint32_t *domains,
-				   size_t count, int64_t wall_ms, int64_t now);
+				   uint64_t version, bool skipped,
+				   const uint32_t *domains, size_t count,
+				   int64_t wall_ms, int64_t now);
 /** @param version  the oldest that any daemon of the domain has active */
 void retry_ledger_domain_reported(struct retry_ledger *ledger, uint32_t domain,
 				  uint64_t version, int64_t wall_ms,
@@ -258,6 +278,8 @@
 #define RETRY_CLEARED_TTL_US (60 * BASE_SECOND_US)
 /** Longest run of a suspect with permission. */
 #define RETRY_PERMIT_US (5 * BASE_SECOND_US)
+/** Longest wait before a guard asks again. */
+#define RETRY_PERMIT_POLL_US (50 * BASE_MS_US)
 
 enum retry_suspicion {
 	/** Not known; runs like any other. */
@@ -320,11 +342,15 @@
 /** News from a peer. @return whether it changed anything here */
 bool retry_suspects_learn(struct retry_suspects *suspects,
 			  const struct retry_suspect_news *news, int64_t now);
-/** Asked for each request before it runs. */
+/**
+ * Asked for each request before it runs.
+ * @param[out] known  what is known of the request, for an ask; may be NULL
+ */
 enum retry_suspicion retry_suspects_check(struct retry_suspects *suspects,
 					  uint32_t service,
 					  const struct base_digest *fingerprint,
-					  int64_t now);
+					  int64_t now,
+					  struct retry_suspect_news *known);
 /** Reports all that is known, for a peer that has just started. */
 void retry_suspects_each(const struct retry_suspects *suspects,
 			 uint32_t service, int64_t now, retry_suspect_cb cb,
@@ -349,14 +375,17 @@
 	uint64_t id;
 	/** For GRANTED: time it is good for; the guard counts from its ask. */
 	int64_t lifetime_us;
-	/** For BUSY: when to ask again at the latest. */
+	/** For BUSY: time until the next ask. */
 	int64_t wait_us;
 };
 
-/** Content of the message `suspect_ask`. */
+/**
+ * Content of the message `suspect_ask`. A guard has one ask a service
+ * outstanding and holds its other suspects, which bounds these messages.
+ */
 struct retry_permit_ask {
-	uint32_t service;
-	struct base_digest fingerprint;
+	/** As the guard knows it; the arbiter may not have heard yet. */
+	struct retry_suspect_news suspect;
 	/** Time that the request has left. */
 	int64_t remaining_us;
 };
