Add first versions of the idempotency ledger and the suspects

A moved key must have been created after the last failure domain reported the new version plus the clock margin; the activation alone is not enough, because a cut off entry can claim at the former owner until its domain has switched. Claim ids are hashes with a seed of the start, so a late release cannot hit a claim of the next start.

Conclusion: usable for integration, not yet verified.

--- /dev/null
+++ b/packages/retry/arbiter.c
@@ -0,0 +1,153 @@
+/* Permits for suspects: at most one runs at a time on a service. */
+#include "retry.h"
+
+#include <uthash.h>
+
+struct arbiter_service {
+	uint32_t service;
+	/* The permit in use; none when its end has passed. */
+	uint64_t permit_id;
+	struct base_digest fingerprint;
+	int64_t ends_at;
+	UT_hash_handle hh;
+};
+
+struct retry_arbiter {
+	struct retry_suspects *suspects;
+	uint64_t next_id;
+	struct arbiter_service *services;
+};
+
+struct retry_arbiter *retry_arbiter_create(struct retry_suspects *suspects,
+					   uint64_t start)
+{
+	struct retry_arbiter *a = base_alloc(sizeof(*a));
+
+	a->suspects = suspects;
+	/* Starts a millisecond apart differ; 2^20 permits fit between them. */
+	a->next_id = (start << 20) + 1;
+	return a;
+}
+
+void retry_arbiter_destroy(struct retry_arbiter *arbiter)
+{
+	struct arbiter_service *svc, *next;
+
+	if (!arbiter)
+		return;
+	HASH_ITER (hh, arbiter->services, svc, next) {
+		HASH_DEL(arbiter->services, svc);
+		free(svc);
+	}
+	free(arbiter);
+}
+
+static struct arbiter_service *find(const struct retry_arbiter *arbiter,
+				    uint32_t service)
+{
+	struct arbiter_service *svc;
+
+	HASH_FIND(hh, arbiter->services, &service, sizeof(service), svc);
+	return svc;
+}
+
+static struct arbiter_service *find_or_add(struct retry_arbiter *arbiter,
+					   uint32_t service, int64_t now)
+{
+	struct arbiter_service *svc = find(arbiter, service);
+
+	if (svc)
+		return svc;
+	svc = base_alloc(sizeof(*svc));
+	svc->service = service;
+	svc->ends_at = now;
+	HASH_ADD(hh, arbiter->services, service, sizeof(svc->service), svc);
+	return svc;
+}
+
+void retry_arbiter_took_over(struct retry_arbiter *arbiter, uint32_t service,
+			     int64_t now)
+{
+	struct arbiter_service *svc = find_or_add(arbiter, service, now);
+
+	/* Stands for a permit of the predecessor that nobody can name. */
+	svc->permit_id = 0;
+	svc->ends_at = now + RETRY_PERMIT_US;
+}
+
+static struct retry_permit busy(const struct arbiter_service *svc, int64_t now)
+{
+	struct retry_permit permit = { .status = RETRY_PERMIT_BUSY,
+				       .wait_us = svc->ends_at - now };
+
+	if (permit.wait_us > RETRY_PERMIT_POLL_US)
+		permit.wait_us = RETRY_PERMIT_POLL_US;
+	return permit;
+}
+
+static struct retry_permit grant(struct retry_arbiter *arbiter,
+				 struct arbiter_service *svc,
+				 const struct retry_permit_ask *ask,
+				 int64_t now)
+{
+	struct retry_permit permit = { .status = RETRY_PERMIT_GRANTED,
+				       .lifetime_us = RETRY_PERMIT_US };
+
+	if (permit.lifetime_us > ask->remaining_us)
+		permit.lifetime_us = ask->remaining_us;
+	permit.id = arbiter->next_id++;
+	svc->permit_id = permit.id;
+	svc->fingerprint = ask->suspect.fingerprint;
+	svc->ends_at = now + permit.lifetime_us;
+	return permit;
+}
+
+struct retry_permit retry_arbiter_ask(struct retry_arbiter *arbiter,
+				      const struct retry_permit_ask *ask,
+				      int64_t now)
+{
+	const struct retry_suspect_news *suspect = &ask->suspect;
+	struct retry_permit permit = { .status = RETRY_PERMIT_NOT_NEEDED };
+	struct arbiter_service *svc;
+	enum retry_suspicion state;
+
+	retry_suspects_learn(arbiter->suspects, suspect, now);
+	state = retry_suspects_check(arbiter->suspects, suspect->service,
+				     &suspect->fingerprint, now, NULL);
+	if (state == RETRY_SUSPICION_CONVICTED)
+		permit.status = RETRY_PERMIT_REFUSED;
+	if (state != RETRY_SUSPICION_SUSPECT)
+		return permit;
+	svc = find_or_add(arbiter, suspect->service, now);
+	if (now < svc->ends_at)
+		return busy(svc, now);
+	return grant(arbiter, svc, ask, now);
+}
+
+static void convict(struct retry_arbiter *arbiter,
+		    const struct arbiter_service *svc, int64_t now,
+		    retry_suspect_cb cb, void *ctx)
+{
+	struct retry_death death = { .service = svc->service,
+				     .permitted = &svc->fingerprint,
+				     .permitted_len = 1 };
+
+	retry_suspects_server_died(arbiter->suspects, &death, now, cb, ctx);
+}
+
+void retry_arbiter_ended(struct retry_arbiter *arbiter, uint32_t service,
+			 uint64_t permit_id, enum retry_permit_end end,
+			 int64_t now, retry_suspect_cb cb, void *ctx)
+{
+	struct arbiter_service *svc = find(arbiter, service);
+
+	if (!svc || !permit_id || svc->permit_id != permit_id)
+		return;
+	if (end == RETRY_PERMIT_DIED)
+		convict(arbiter, svc, now, cb, ctx);
+	if (end == RETRY_PERMIT_SUCCEEDED)
+		retry_suspects_succeeded(arbiter->suspects, service,
+					 &svc->fingerprint, now, cb, ctx);
+	svc->permit_id = 0;
+	svc->ends_at = now;
+}
--- /dev/null
+++ b/packages/retry/ledger.c
@@ -0,0 +1,320 @@
+/* The ledger of idempotency keys at their owner. */
+#include "ready.h"
+
+#include <assert.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+const struct retry_ledger_limits retry_ledger_default_limits = {
+	.keys = 65536,
+	.retention_us = 600 * BASE_SECOND_US,
+	.answer_bytes = 16 * 1024,
+	.answers_bytes = 32 * 1024 * 1024,
+	.margin_ms = 5000,
+};
+
+/* Hashed as bytes; it has no padding. */
+struct entry_id {
+	struct retry_key key;
+	struct base_digest account;
+};
+
+struct entry {
+	struct entry_id id;
+	struct base_digest fingerprint;
+	uint64_t claim_id;
+	int64_t claimed_at;
+	bool done;
+	/* NULL unless the answer is kept. */
+	char *answer;
+	size_t answer_len;
+	/* All entries in the order of their claims. */
+	struct entry *prev, *next;
+	/* Entries with an answer in the order of completion. */
+	struct entry *prev_answer, *next_answer;
+	UT_hash_handle hh_id;
+	UT_hash_handle hh_claim;
+};
+
+struct retry_ledger {
+	struct retry_ledger_limits limits;
+	struct ready ready;
+	/* Makes claim ids of two starts differ. */
+	uint64_t claim_seed;
+	/* Keys created up to here may be among the expired ones. */
+	int64_t expired_ms;
+	size_t answers_bytes;
+	struct entry *by_id;
+	struct entry *by_claim;
+	struct entry *claims;
+	struct entry *answers;
+};
+
+struct retry_ledger *
+retry_ledger_create(const struct retry_ledger_limits *limits, int64_t wall_ms,
+		    int64_t now)
+{
+	struct retry_ledger *l = base_alloc(sizeof(*l));
+
+	l->limits = limits ? *limits : retry_ledger_default_limits;
+	l->claim_seed = (uint64_t)wall_ms * 1000003 ^ (uint64_t)now;
+	l->expired_ms = INT64_MIN;
+	ready_init(&l->ready, l->limits.margin_ms, wall_ms);
+	return l;
+}
+
+static void drop_answer(struct retry_ledger *l, struct entry *e)
+{
+	if (!e->answer)
+		return;
+	DL_DELETE2(l->answers, e, prev_answer, next_answer);
+	l->answers_bytes -= e->answer_len;
+	free(e->answer);
+	e->answer = NULL;
+	e->answer_len = 0;
+}
+
+static void remove_entry(struct retry_ledger *l, struct entry *e)
+{
+	/* An entry is in all three. */
+	assert(l->claims && l->by_id && l->by_claim);
+	drop_answer(l, e);
+	DL_DELETE(l->claims, e);
+	HASH_DELETE(hh_id, l->by_id, e);
+	HASH_DELETE(hh_claim, l->by_claim, e);
+	free(e);
+}
+
+void retry_ledger_destroy(struct retry_ledger *ledger)
+{
+	if (!ledger)
+		return;
+	while (ledger->claims)
+		remove_entry(ledger, ledger->claims);
+	ready_release(&ledger->ready);
+	free(ledger);
+}
+
+static void expire(struct retry_ledger *l, int64_t now)
+{
+	struct entry *e;
+	int64_t created_ms;
+
+	while (l->claims &&
+	       now - l->claims->claimed_at >= l->limits.retention_us) {
+		e = l->claims;
+		/*
+		 * Wall clocks may step, so the age of a key alone does not
+		 * keep an expired one from being taken for a new one.
+		 */
+		created_ms = retry_key_created_ms(&e->id.key);
+		if (l->expired_ms < created_ms)
+			l->expired_ms = created_ms;
+		remove_entry(l, e);
+	}
+}
+
+static struct entry_id id_of(const struct retry_claim *claim)
+{
+	struct entry_id id = { .key = claim->key,
+			       .account = base_digest_of(claim->account) };
+
+	return id;
+}
+
+static struct retry_claim_answer answer_known(const struct entry *e,
+					      const struct retry_claim *claim)
+{
+	struct retry_claim_answer a = { .status = RETRY_CLAIM_RUNNING };
+
+	if (!base_digest_equal(&e->fingerprint, &claim->fingerprint)) {
+		a.status = RETRY_CLAIM_MISMATCH;
+		return a;
+	}
+	if (!e->done)
+		return a;
+	a.status = RETRY_CLAIM_DONE;
+	a.answer_kept = e->answer;
+	a.answer = (struct base_str){ e->answer, e->answer_len };
+	return a;
+}
+
+static enum retry_claim_status check_new(struct retry_ledger *l,
+					 const struct retry_claim *claim,
+					 int64_t wall_ms, int64_t now)
+{
+	int64_t created_ms = retry_key_created_ms(&claim->key);
+	int64_t retention_ms = l->limits.retention_us / BASE_MS_US;
+	enum retry_claim_status status;
+
+	if (now >= claim->deadline)
+		return RETRY_CLAIM_LATE;
+	if (created_ms > wall_ms + l->limits.margin_ms)
+		return RETRY_CLAIM_TOO_NEW;
+	if (created_ms < wall_ms - retention_ms || created_ms <= l->expired_ms)
+		return RETRY_CLAIM_TOO_OLD;
+	status = ready_check(&l->ready, claim->moved, created_ms, now);
+	if (status == RETRY_CLAIM_NEW &&
+	    HASH_CNT(hh_id, l->by_id) >= l->limits.keys)
+		return RETRY_CLAIM_FULL;
+	return status;
+}
+
+/*
+ * Claim ids are hashes, not a sequence: a complete or release meant for a
+ * former start of this owner must not hit a claim of this one.
+ */
+static uint64_t next_claim_id(struct retry_ledger *l, const struct entry_id *id)
+{
+	struct base_str bytes = { (const char *)id, sizeof(*id) };
+	struct entry *taken;
+	uint64_t claim_id;
+
+	do {
+		claim_id = base_hash64(bytes, l->claim_seed++);
+		HASH_FIND(hh_claim, l->by_claim, &claim_id, sizeof(claim_id),
+			  taken);
+	} while (taken);
+	return claim_id;
+}
+
+static struct entry *add_entry(struct retry_ledger *l,
+			       const struct entry_id *id,
+			       const struct retry_claim *claim, int64_t now)
+{
+	struct entry *e = base_alloc(sizeof(*e));
+
+	e->id = *id;
+	e->fingerprint = claim->fingerprint;
+	e->claimed_at = now;
+	e->claim_id = next_claim_id(l, id);
+	HASH_ADD(hh_id, l->by_id, id, sizeof(e->id), e);
+	HASH_ADD(hh_claim, l->by_claim, claim_id, sizeof(e->claim_id), e);
+	DL_APPEND(l->claims, e);
+	return e;
+}
+
+struct retry_claim_answer retry_ledger_claim(struct retry_ledger *ledger,
+					     const struct retry_claim *claim,
+					     int64_t wall_ms, int64_t now)
+{
+	struct retry_claim_answer a = { .status = RETRY_CLAIM_NEW };
+	struct entry_id id = id_of(claim);
+	struct entry *e;
+
+	expire(ledger, now);
+	HASH_FIND(hh_id, ledger->by_id, &id, sizeof(id), e);
+	if (e)
+		return answer_known(e, claim);
+	a.status = check_new(ledger, claim, wall_ms, now);
+	if (a.status == RETRY_CLAIM_NEW)
+		a.claim_id = add_entry(ledger, &id, claim, now)->claim_id;
+	return a;
+}
+
+static struct entry *find_claim(const struct retry_ledger *l, uint64_t claim_id)
+{
+	struct entry *e;
+
+	HASH_FIND(hh_claim, l->by_claim, &claim_id, sizeof(claim_id), e);
+	return e;
+}
+
+static void keep_answer(struct retry_ledger *l, struct entry *e,
+			struct base_str answer)
+{
+	if (answer.len > l->limits.answer_bytes ||
+	    answer.len > l->limits.answers_bytes)
+		return;
+	while (l->answers &&
+	       l->answers_bytes + answer.len > l->limits.answers_bytes)
+		drop_answer(l, l->answers);
+	e->answer = base_str_dup(answer);
+	e->answer_len = answer.len;
+	l->answers_bytes += answer.len;
+	DL_APPEND2(l->answers, e, prev_answer, next_answer);
+}
+
+bool retry_ledger_complete(struct retry_ledger *ledger, uint64_t claim_id,
+			   const struct base_str *answer, int64_t now)
+{
+	struct entry *e;
+
+	expire(ledger, now);
+	e = find_claim(ledger, claim_id);
+	if (!e)
+		return false;
+	if (e->done)
+		return true;
+	e->done = true;
+	if (answer)
+		keep_answer(ledger, e, *answer);
+	return true;
+}
+
+bool retry_ledger_release(struct retry_ledger *ledger, uint64_t claim_id)
+{
+	struct entry *e = find_claim(ledger, claim_id);
+
+	if (!e || e->done)
+		return false;
+	remove_entry(ledger, e);
+	return true;
+}
+
+void retry_ledger_roster_activated(struct retry_ledger *ledger,
+				   uint64_t version, bool skipped,
+				   const uint32_t *domains, size_t count,
+				   int64_t wall_ms, int64_t now)
+{
+	ready_activate(&ledger->ready, version, skipped, domains, count,
+		       wall_ms, now);
+}
+
+void retry_ledger_domain_reported(struct retry_ledger *ledger, uint32_t domain,
+				  uint64_t version, int64_t wall_ms,
+				  int64_t now)
+{
+	ready_report(&ledger->ready, domain, version, wall_ms, now);
+}
+
+void retry_ledger_paused(struct retry_ledger *ledger)
+{
+	ready_pause(&ledger->ready);
+}
+
+bool retry_ledger_ready(const struct retry_ledger *ledger, int64_t now)
+{
+	return ready_reached(&ledger->ready, now);
+}
+
+size_t retry_ledger_count(const struct retry_ledger *ledger)
+{
+	return HASH_CNT(hh_id, ledger->by_id);
+}
+
+const char *retry_claim_status_str(enum retry_claim_status status)
+{
+	switch (status) {
+	case RETRY_CLAIM_NEW:
+		return "new";
+	case RETRY_CLAIM_RUNNING:
+		return "running";
+	case RETRY_CLAIM_DONE:
+		return "done";
+	case RETRY_CLAIM_TOO_OLD:
+		return "too_old";
+	case RETRY_CLAIM_TOO_NEW:
+		return "too_new";
+	case RETRY_CLAIM_MISMATCH:
+		return "mismatch";
+	case RETRY_CLAIM_FULL:
+		return "full";
+	case RETRY_CLAIM_NOT_READY:
+		return "not_ready";
+	case RETRY_CLAIM_LATE:
+		return "late";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/packages/retry/suspects.c
@@ -0,0 +1,295 @@
+/* What a daemon knows of requests that were in flight when servers died. */
+#include "retry.h"
+
+#include <string.h>
+#include <uthash.h>
+
+/* Hashed as bytes; it has no padding. */
+struct suspect_id {
+	uint32_t service;
+	struct base_digest fingerprint;
+};
+
+struct suspect {
+	struct suspect_id id;
+	enum retry_suspicion state;
+	uint32_t round;
+	int64_t expires_at;
+	UT_hash_handle hh;
+};
+
+struct retry_suspects {
+	struct suspect *by_id;
+};
+
+struct retry_suspects *retry_suspects_create(void)
+{
+	return base_alloc(sizeof(struct retry_suspects));
+}
+
+static void remove_suspect(struct retry_suspects *all, struct suspect *s)
+{
+	HASH_DEL(all->by_id, s);
+	free(s);
+}
+
+void retry_suspects_destroy(struct retry_suspects *suspects)
+{
+	struct suspect *s, *next;
+
+	if (!suspects)
+		return;
+	HASH_ITER (hh, suspects->by_id, s, next)
+		remove_suspect(suspects, s);
+	free(suspects);
+}
+
+static struct suspect_id id_of(uint32_t service, const struct base_digest *fp)
+{
+	struct suspect_id id = { .service = service, .fingerprint = *fp };
+
+	return id;
+}
+
+static struct suspect *find(struct retry_suspects *all, uint32_t service,
+			    const struct base_digest *fp, int64_t now)
+{
+	struct suspect_id id = id_of(service, fp);
+	struct suspect *s;
+
+	HASH_FIND(hh, all->by_id, &id, sizeof(id), s);
+	if (s && now >= s->expires_at) {
+		remove_suspect(all, s);
+		return NULL;
+	}
+	return s;
+}
+
+static int64_t lifetime(enum retry_suspicion state)
+{
+	switch (state) {
+	case RETRY_SUSPICION_CONVICTED:
+		return RETRY_CONVICTED_TTL_US;
+	case RETRY_SUSPICION_SUSPECT:
+		return RETRY_SUSPECT_TTL_US;
+	default:
+		return RETRY_CLEARED_TTL_US;
+	}
+}
+
+/* Least harm first: expired, cleared, suspect, convicted; then the oldest. */
+static bool goes_before(const struct suspect *a, const struct suspect *b,
+			int64_t now)
+{
+	bool a_expired = now >= a->expires_at;
+	bool b_expired = now >= b->expires_at;
+
+	if (a_expired != b_expired)
+		return a_expired;
+	if (a->state != b->state)
+		return a->state < b->state;
+	return a->expires_at < b->expires_at;
+}
+
+static void make_room(struct retry_suspects *all, int64_t now)
+{
+	struct suspect *s, *next, *victim = all->by_id;
+
+	if (HASH_COUNT(all->by_id) < RETRY_SUSPECTS_MAX)
+		return;
+	HASH_ITER (hh, all->by_id, s, next) {
+		if (goes_before(s, victim, now))
+			victim = s;
+	}
+	remove_suspect(all, victim);
+}
+
+static struct suspect *set(struct retry_suspects *all,
+			   const struct retry_suspect_news *news, int64_t now)
+{
+	struct suspect *s = find(all, news->service, &news->fingerprint, now);
+
+	if (!s) {
+		make_room(all, now);
+		s = base_alloc(sizeof(*s));
+		s->id = id_of(news->service, &news->fingerprint);
+		HASH_ADD(hh, all->by_id, id, sizeof(s->id), s);
+	}
+	s->state = news->state;
+	s->round = news->round;
+	s->expires_at = now + lifetime(news->state);
+	return s;
+}
+
+static void set_and_tell(struct retry_suspects *all,
+			 const struct retry_suspect_news *news, int64_t now,
+			 retry_suspect_cb cb, void *ctx)
+{
+	set(all, news, now);
+	if (cb)
+		cb(ctx, news);
+}
+
+static struct retry_suspect_news news_of(const struct suspect *s)
+{
+	struct retry_suspect_news news = { .service = s->id.service,
+					   .fingerprint = s->id.fingerprint,
+					   .state = s->state,
+					   .round = s->round };
+
+	return news;
+}
+
+static bool has(const struct base_digest *list, size_t len,
+		const struct base_digest *fp)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		if (base_digest_equal(&list[i], fp))
+			return true;
+	}
+	return false;
+}
+
+static void make_suspect(struct retry_suspects *all, uint32_t service,
+			 const struct base_digest *fp, int64_t now,
+			 retry_suspect_cb cb, void *ctx)
+{
+	struct retry_suspect_news news = { .service = service,
+					   .fingerprint = *fp,
+					   .state = RETRY_SUSPICION_SUSPECT,
+					   .round = 1 };
+	struct suspect *s = find(all, service, fp, now);
+
+	if (s && s->state == RETRY_SUSPICION_CONVICTED)
+		return;
+	if (s)
+		news.round = s->round;
+	if (s && s->state == RETRY_SUSPICION_CLEARED)
+		news.round++;
+	set_and_tell(all, &news, now, cb, ctx);
+}
+
+static void convict(struct retry_suspects *all, uint32_t service,
+		    const struct base_digest *fp, int64_t now,
+		    retry_suspect_cb cb, void *ctx)
+{
+	struct retry_suspect_news news = { .service = service,
+					   .fingerprint = *fp,
+					   .state = RETRY_SUSPICION_CONVICTED,
+					   .round = 1 };
+	struct suspect *s = find(all, service, fp, now);
+
+	if (s)
+		news.round = s->round;
+	set_and_tell(all, &news, now, cb, ctx);
+}
+
+void retry_suspects_server_died(struct retry_suspects *suspects,
+				const struct retry_death *death, int64_t now,
+				retry_suspect_cb cb, void *ctx)
+{
+	const struct base_digest *fp;
+	size_t i;
+
+	/* Two permits at once mean that one has overrun: neither is proof. */
+	if (death->permitted_len == 1)
+		convict(suspects, death->service, &death->permitted[0], now, cb,
+			ctx);
+	for (i = 0; i < death->in_flight_len; i++) {
+		fp = &death->in_flight[i];
+		if (death->permitted_len == 1 &&
+		    has(death->permitted, death->permitted_len, fp))
+			continue;
+		make_suspect(suspects, death->service, fp, now, cb, ctx);
+	}
+}
+
+void retry_suspects_succeeded(struct retry_suspects *suspects, uint32_t service,
+			      const struct base_digest *fingerprint,
+			      int64_t now, retry_suspect_cb cb, void *ctx)
+{
+	struct suspect *s = find(suspects, service, fingerprint, now);
+	struct retry_suspect_news news;
+
+	if (!s || s->state != RETRY_SUSPICION_SUSPECT)
+		return;
+	news = news_of(s);
+	news.state = RETRY_SUSPICION_CLEARED;
+	set_and_tell(suspects, &news, now, cb, ctx);
+}
+
+/*
+ * A conviction is final, whatever the round: a guard that has not heard of it
+ * may have opened a new round meanwhile.
+ */
+static bool overrides(const struct retry_suspect_news *news,
+		      const struct suspect *s)
+{
+	if (s->state == RETRY_SUSPICION_CONVICTED)
+		return false;
+	if (news->state == RETRY_SUSPICION_CONVICTED)
+		return true;
+	if (news->round != s->round)
+		return news->round > s->round;
+	return news->state == RETRY_SUSPICION_CLEARED &&
+	       s->state == RETRY_SUSPICION_SUSPECT;
+}
+
+bool retry_suspects_learn(struct retry_suspects *suspects,
+			  const struct retry_suspect_news *news, int64_t now)
+{
+	struct suspect *s =
+		find(suspects, news->service, &news->fingerprint, now);
+
+	if (news->state == RETRY_SUSPICION_NONE)
+		return false;
+	if (s && !overrides(news, s))
+		return false;
+	set(suspects, news, now);
+	return true;
+}
+
+enum retry_suspicion retry_suspects_check(struct retry_suspects *suspects,
+					  uint32_t service,
+					  const struct base_digest *fingerprint,
+					  int64_t now,
+					  struct retry_suspect_news *known)
+{
+	struct suspect *s = find(suspects, service, fingerprint, now);
+
+	if (known) {
+		memset(known, 0, sizeof(*known));
+		known->service = service;
+		known->fingerprint = *fingerprint;
+	}
+	if (!s)
+		return RETRY_SUSPICION_NONE;
+	/* A caller that keeps sending it gets no new chance by waiting. */
+	if (s->state == RETRY_SUSPICION_CONVICTED)
+		s->expires_at = now + RETRY_CONVICTED_TTL_US;
+	if (known)
+		*known = news_of(s);
+	return s->state;
+}
+
+void retry_suspects_each(const struct retry_suspects *suspects,
+			 uint32_t service, int64_t now, retry_suspect_cb cb,
+			 void *ctx)
+{
+	struct retry_suspect_news news;
+	struct suspect *s, *next;
+
+	HASH_ITER (hh, suspects->by_id, s, next) {
+		if (s->id.service != service || now >= s->expires_at)
+			continue;
+		news = news_of(s);
+		cb(ctx, &news);
+	}
+}
+
+size_t retry_suspects_count(const struct retry_suspects *suspects)
+{
+	return HASH_COUNT(suspects->by_id);
+}
