Keep former rosters until a partition's entries have switched

A randomised model of two entries and two owners found second runs in the first version: "moved" was decided by the rosters of the last retention period. An entry cut off for longer still claims keys at their former owner, and the new owner by then no longer takes them for moved.

Weighed: a floor for all keys at each roster change (refuses many honest requests at owners that did not change) against keeping former rosters until all domains have reported the version for the retention period. The latter is chosen: retry_ledger_moved_since() names the oldest roster to compare with.

Not seen by the model: switching off the floor at the start (the readiness floor covers it), the pause rule (unit test only) and the rule for skipped versions.

--- a/packages/retry/ledger.c
+++ b/packages/retry/ledger.c
@@ -60,7 +60,8 @@
 	l->limits = limits ? *limits : retry_ledger_default_limits;
 	l->claim_seed = (uint64_t)wall_ms * 1000003 ^ (uint64_t)now;
 	l->expired_ms = INT64_MIN;
-	ready_init(&l->ready, l->limits.margin_ms, wall_ms);
+	ready_init(&l->ready, l->limits.margin_ms, l->limits.retention_us,
+		   wall_ms);
 	return l;
 }
 
@@ -284,6 +285,11 @@
 	ready_pause(&ledger->ready);
 }
 
+uint64_t retry_ledger_moved_since(struct retry_ledger *ledger, int64_t now)
+{
+	return ready_moved_since(&ledger->ready, now);
+}
+
 bool retry_ledger_ready(const struct retry_ledger *ledger, int64_t now)
 {
 	return ready_reached(&ledger->ready, now);
--- a/packages/retry/ready.c
+++ b/packages/retry/ready.c
@@ -1,8 +1,10 @@
 /* The readiness rule of D6. */
 #include "ready.h"
 
-void ready_init(struct ready *ready, int64_t margin_ms, int64_t wall_ms)
+void ready_init(struct ready *ready, int64_t margin_ms, int64_t retention_us,
+		int64_t wall_ms)
 {
+	ready->retention_us = retention_us;
 	ready->margin_ms = margin_ms;
 	ready->gate_all = true;
 	/* Keys claimed at a former start were created before this. */
@@ -105,6 +107,22 @@
 	return true;
 }
 
+static void note_reached(struct ready *ready, int64_t now)
+{
+	struct ready_version *last = NULL;
+
+	if (ready->recent_len)
+		last = &ready->recent[ready->recent_len - 1];
+	if (ready->version == ready->moved_since ||
+	    (last && last->version == ready->version))
+		return;
+	/* Without room the newest is replaced, which only forgets later. */
+	if (ready->recent_len < READY_VERSIONS)
+		last = &ready->recent[ready->recent_len++];
+	last->version = ready->version;
+	last->reached_at = now;
+}
+
 /* Takes over the floor once the domains have reported. */
 static void settle(struct ready *ready, int64_t now)
 {
@@ -112,6 +130,7 @@
 
 	if (!ready_reached(ready, now))
 		return;
+	note_reached(ready, now);
 	floor_ms = current_floor(ready);
 	if (ready->moved_floor_ms < floor_ms)
 		ready->moved_floor_ms = floor_ms;
@@ -120,6 +139,20 @@
 	ready->gate_all = false;
 }
 
+uint64_t ready_moved_since(struct ready *ready, int64_t now)
+{
+	size_t i, past = 0;
+
+	settle(ready, now);
+	while (past < ready->recent_len &&
+	       now - ready->recent[past].reached_at >= ready->retention_us)
+		ready->moved_since = ready->recent[past++].version;
+	for (i = past; i < ready->recent_len; i++)
+		ready->recent[i - past] = ready->recent[i];
+	ready->recent_len -= past;
+	return ready->moved_since;
+}
+
 void ready_activate(struct ready *ready, uint64_t version, bool skipped,
 		    const uint32_t *domains, size_t count, int64_t wall_ms,
 		    int64_t now)
--- a/packages/retry/ready.h
+++ b/packages/retry/ready.h
@@ -21,8 +21,17 @@
 	int64_t met_wall_ms;
 };
 
+/* A version that all domains have reported. */
+struct ready_version {
+	uint64_t version;
+	int64_t reached_at;
+};
+
+#define READY_VERSIONS 16
+
 struct ready {
 	int64_t margin_ms;
+	int64_t retention_us;
 	bool activated;
 	bool paused;
 	/* Every key counts as moved until the domains have reported. */
@@ -34,9 +43,14 @@
 	int64_t moved_floor_ms;
 	struct ready_domain *domains;
 	size_t count;
+	/* Reached less than the retention period ago, oldest first. */
+	struct ready_version recent[READY_VERSIONS];
+	size_t recent_len;
+	uint64_t moved_since;
 };
 
-void ready_init(struct ready *ready, int64_t margin_ms, int64_t wall_ms);
+void ready_init(struct ready *ready, int64_t margin_ms, int64_t retention_us,
+		int64_t wall_ms);
 void ready_release(struct ready *ready);
 void ready_activate(struct ready *ready, uint64_t version, bool skipped,
 		    const uint32_t *domains, size_t count, int64_t wall_ms,
@@ -46,6 +60,8 @@
 void ready_pause(struct ready *ready);
 /* All domains have reported, long enough ago. */
 bool ready_reached(const struct ready *ready, int64_t now);
+/* See retry_ledger_moved_since(). */
+uint64_t ready_moved_since(struct ready *ready, int64_t now);
 /* @return RETRY_CLAIM_NEW, _TOO_OLD or _NOT_READY */
 enum retry_claim_status ready_check(struct ready *ready, bool moved,
 				    int64_t created_ms, int64_t now);
--- a/packages/retry/retry.h
+++ b/packages/retry/retry.h
@@ -192,8 +192,8 @@
 	struct retry_key key;
 	struct base_digest fingerprint;
 	/**
-	 * Another VM owned the key in a roster that was active within the
-	 * last retention period.
+	 * Another VM owned the key in a former roster, from the version
+	 * retry_ledger_moved_since() on.
 	 */
 	bool moved;
 	/**
@@ -266,6 +266,16 @@
  */
 void retry_ledger_paused(struct retry_ledger *ledger);
 
+/**
+ * Version of the oldest roster that claims are compared with to tell whether
+ * their key has moved; older rosters may be forgotten. It follows the active
+ * version once all domains have reported that for the retention period, so a
+ * long partition keeps former rosters alive: an entry that is cut off may
+ * still claim keys at their former owners.
+ * @return 0 while all rosters since the start count
+ */
+uint64_t retry_ledger_moved_since(struct retry_ledger *ledger, int64_t now);
+
 /** Moved keys are accepted; for status output. */
 bool retry_ledger_ready(const struct retry_ledger *ledger, int64_t now);
 size_t retry_ledger_count(const struct retry_ledger *ledger);
