Test suspects, permits and the limits of answers

Weighed: marking the requests beside a convicted one as suspects, too. They are kept: if another of them also crashes servers, its first death is known and its second convicts it; innocents pay one permit each. A conviction is final in any round, because a guard that has not heard of it may open a new round. A guard's ask carries what it knows, or an arbiter that has not heard yet would let the suspect run freely.

Change: a model of five guards with lost permit answers and arbiter changes, tests of the merge rule, the arbiter, bounds, and answers_bytes.

--- a/packages/retry/tests/test_ledger.c
+++ b/packages/retry/tests/test_ledger.c
@@ -38,14 +38,11 @@
 }
 
 /* A ledger that is ready; wall and now start at WALL and 0. */
-static struct retry_ledger *ready_ledger(size_t keys, int64_t retention_us)
+static struct retry_ledger *ready_ledger(struct retry_ledger_limits limits)
 {
-	struct retry_ledger_limits limits = retry_ledger_default_limits;
 	struct retry_ledger *l;
 	uint32_t domain = 0;
 
-	limits.keys = keys;
-	limits.retention_us = retention_us;
 	l = retry_ledger_create(&limits, WALL - 20000, -20 * BASE_SECOND_US);
 	retry_ledger_roster_activated(l, 1, false, &domain, 1, WALL - 20000,
 				      -20 * BASE_SECOND_US);
@@ -68,7 +65,7 @@
 /* Guards against a second run, a lost answer and answers to a stranger. */
 Test(ledger, runs_once_and_repeats_the_answer)
 {
-	struct retry_ledger *l = ready_ledger(10, 600 * BASE_SECOND_US);
+	struct retry_ledger *l = ready_ledger(retry_ledger_default_limits);
 	struct retry_key k = key_at(WALL, 1);
 	struct retry_claim other = { .account = BASE_STR("b"),
 				     .key = k,
@@ -100,7 +97,10 @@
 /* Guards against an expired key accepted again after the clock steps back. */
 Test(ledger, refuses_what_it_cannot_know_or_hold)
 {
-	struct retry_ledger *l = ready_ledger(2, BASE_SECOND_US);
+	struct retry_ledger_limits limits = { .keys = 2,
+					      .retention_us = BASE_SECOND_US,
+					      .margin_ms = 5000 };
+	struct retry_ledger *l = ready_ledger(limits);
 	struct retry_claim late = { .key = key_at(WALL, 9), .deadline = 5 };
 	struct retry_key k = key_at(WALL, 1);
 
@@ -130,14 +130,24 @@
 Test(ledger, drops_oldest_answers_first)
 {
 	struct retry_ledger_limits limits = retry_ledger_default_limits;
-	struct retry_ledger *l = ready_ledger(10, 600 * BASE_SECOND_US);
-	struct base_str big = { base_alloc(20000), limits.answer_bytes + 1 };
-	struct retry_claim_answer a = claim(l, key_at(WALL, 1), WALL, 0);
-
-	retry_ledger_complete(l, a.claim_id, &big, 0);
-	a = claim(l, key_at(WALL, 1), WALL, 0);
-	cr_assert(eq(int, a.status, RETRY_CLAIM_DONE));
-	cr_assert(not(a.answer_kept));
-	free((char *)big.ptr);
+	struct base_str answer = BASE_STR("123456");
+	struct retry_claim_answer a;
+	struct retry_ledger *l;
+	uint8_t i;
+
+	limits.answer_bytes = 5;
+	limits.answers_bytes = 12;
+	l = ready_ledger(limits);
+	for (i = 0; i < 4; i++) {
+		answer.len = i == 3 ? 6 : 5;
+		a = claim(l, key_at(WALL, i), WALL, 0);
+		cr_assert(retry_ledger_complete(l, a.claim_id, &answer, 0));
+	}
+	for (i = 0; i < 4; i++) {
+		a = claim(l, key_at(WALL, i), WALL, 0);
+		cr_assert(eq(int, a.status, RETRY_CLAIM_DONE));
+		/* The first was dropped, the last is too big. */
+		cr_assert(eq(int, a.answer_kept, i == 1 || i == 2));
+	}
 	retry_ledger_destroy(l);
 }
--- /dev/null
+++ b/packages/retry/tests/test_suspects.c
@@ -0,0 +1,288 @@
+/* Tests of crashing requests, under virtual time with fixed seeds. */
+#include "retry.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <string.h>
+
+#define GUARDS 5
+#define REQUESTS 120
+#define CRASHER 0
+#define TICK_US (10 * BASE_MS_US)
+
+enum phase { WAITING, RUNNING, PERMITTED, FINISHED, REFUSED };
+
+struct request {
+	struct base_digest fp;
+	enum phase phase;
+	int guard;
+	int ticks_left;
+	uint64_t permit;
+	int64_t permit_end;
+};
+
+/* Guards of one service; each request is sent again until it has run. */
+struct fleet {
+	struct base_rand rnd;
+	int64_t now;
+	struct retry_suspects *known[GUARDS];
+	struct retry_arbiter *arbiters[GUARDS];
+	int arbiter;
+	struct request reqs[REQUESTS];
+	int deaths;
+	int most_permitted;
+	/* Switch of the mechanism, to show that the test can fail. */
+	bool ignore_suspicion;
+};
+
+static struct base_digest digest(uint32_t n)
+{
+	return base_digest_of((struct base_str){ (char *)&n, sizeof(n) });
+}
+
+static void spread(void *ctx, const struct retry_suspect_news *news)
+{
+	struct fleet *f = ctx;
+	int i;
+
+	for (i = 0; i < GUARDS; i++)
+		retry_suspects_learn(f->known[i], news, f->now);
+}
+
+static void die(struct fleet *f, int guard)
+{
+	struct base_digest in_flight[REQUESTS], permitted[REQUESTS];
+	struct retry_death death = { .in_flight = in_flight,
+				     .permitted = permitted };
+	struct request *r;
+
+	for (r = f->reqs; r < f->reqs + REQUESTS; r++) {
+		if (r->guard != guard ||
+		    (r->phase != RUNNING && r->phase != PERMITTED))
+			continue;
+		in_flight[death.in_flight_len++] = r->fp;
+		if (r->phase == PERMITTED)
+			permitted[death.permitted_len++] = r->fp;
+		r->phase = WAITING;
+	}
+	f->deaths++;
+	retry_suspects_server_died(f->known[guard], &death, f->now, spread, f);
+}
+
+/* Some answers of the arbiter are lost; their permits lapse. */
+static void ask(struct fleet *f, struct request *r,
+		const struct retry_suspect_news *known)
+{
+	struct retry_permit_ask a = { .suspect = *known,
+				      .remaining_us = 10 * BASE_SECOND_US };
+	struct retry_permit p =
+		retry_arbiter_ask(f->arbiters[f->arbiter], &a, f->now);
+
+	if (p.status != RETRY_PERMIT_GRANTED || !base_rand_below(&f->rnd, 40))
+		return;
+	r->phase = PERMITTED;
+	r->permit = p.id;
+	r->permit_end = f->now + p.lifetime_us;
+}
+
+static void start(struct fleet *f, struct request *r)
+{
+	struct retry_suspect_news known;
+	enum retry_suspicion state;
+
+	r->guard = (int)base_rand_below(&f->rnd, GUARDS);
+	r->ticks_left = 1 + (int)base_rand_below(&f->rnd, 5);
+	state = retry_suspects_check(f->known[r->guard], 0, &r->fp, f->now,
+				     &known);
+	if (state == RETRY_SUSPICION_CONVICTED)
+		r->phase = REFUSED;
+	else if (state == RETRY_SUSPICION_SUSPECT && !f->ignore_suspicion)
+		ask(f, r, &known);
+	else
+		r->phase = RUNNING;
+}
+
+static void finish(struct fleet *f, struct request *r)
+{
+	if (r == &f->reqs[CRASHER]) {
+		die(f, r->guard);
+		return;
+	}
+	if (r->phase == PERMITTED)
+		retry_arbiter_ended(f->arbiters[f->arbiter], 0, r->permit,
+				    RETRY_PERMIT_SUCCEEDED, f->now, spread, f);
+	retry_suspects_succeeded(f->known[r->guard], 0, &r->fp, f->now, spread,
+				 f);
+	r->phase = FINISHED;
+}
+
+static void tick(struct fleet *f)
+{
+	struct request *r;
+	int permitted = 0;
+
+	f->now += TICK_US;
+	if (!base_rand_below(&f->rnd, 500)) {
+		f->arbiter = (f->arbiter + 1) % GUARDS;
+		retry_arbiter_took_over(f->arbiters[f->arbiter], 0, f->now);
+	}
+	for (r = f->reqs; r < f->reqs + REQUESTS; r++) {
+		if (r->phase == WAITING)
+			start(f, r);
+		else if (r->phase != RUNNING && r->phase != PERMITTED)
+			continue;
+		else if (!--r->ticks_left)
+			finish(f, r);
+		permitted += r->phase == PERMITTED;
+	}
+	if (f->most_permitted < permitted)
+		f->most_permitted = permitted;
+}
+
+static void run_fleet(struct fleet *f, uint64_t seed, bool ignore)
+{
+	uint32_t i;
+
+	memset(f, 0, sizeof(*f));
+	base_rand_seed(&f->rnd, seed);
+	f->ignore_suspicion = ignore;
+	for (i = 0; i < GUARDS; i++) {
+		f->known[i] = retry_suspects_create();
+		f->arbiters[i] = retry_arbiter_create(f->known[i], i + 1);
+	}
+	for (i = 0; i < REQUESTS; i++)
+		f->reqs[i].fp = digest(i);
+	for (i = 0; i < 20000; i++)
+		tick(f);
+}
+
+static void free_fleet(struct fleet *f)
+{
+	int i;
+
+	for (i = 0; i < GUARDS; i++) {
+		retry_arbiter_destroy(f->arbiters[i]);
+		retry_suspects_destroy(f->known[i]);
+	}
+}
+
+/*
+ * Guards against one request that takes down server after server, and against
+ * innocent requests refused for having been beside it.
+ */
+Test(crash, at_most_two_deaths_and_no_innocent_convicted)
+{
+	struct fleet f;
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= 30; seed++) {
+		run_fleet(&f, seed, false);
+		cr_assert(eq(int, f.deaths, 2));
+		cr_assert(eq(int, f.most_permitted, 1));
+		cr_assert(eq(int, f.reqs[CRASHER].phase, REFUSED));
+		for (i = CRASHER + 1; i < REQUESTS; i++)
+			cr_assert(eq(int, f.reqs[i].phase, FINISHED));
+		free_fleet(&f);
+	}
+	run_fleet(&f, 1, true);
+	cr_assert(gt(int, f.deaths, 100));
+	free_fleet(&f);
+}
+
+/* Guards against guards that disagree for ever after reordered messages. */
+Test(news, any_order_gives_the_same_state)
+{
+	struct retry_suspects *a, *b;
+	struct retry_suspect_news news[6];
+	struct base_digest fp = digest(1);
+	struct base_rand rnd;
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= 200; seed++) {
+		base_rand_seed(&rnd, seed);
+		a = retry_suspects_create();
+		b = retry_suspects_create();
+		for (i = 0; i < 6; i++)
+			news[i] = (struct retry_suspect_news){
+				.fingerprint = fp,
+				.state = 1 + base_rand_below(&rnd,
+							     seed % 2 ? 2 : 3),
+				.round = base_rand_below(&rnd, 3),
+			};
+		for (i = 0; i < 6; i++) {
+			retry_suspects_learn(a, &news[i], 0);
+			retry_suspects_learn(b, &news[5 - i], 0);
+		}
+		cr_assert(eq(int, retry_suspects_check(a, 0, &fp, 0, NULL),
+			     retry_suspects_check(b, 0, &fp, 0, NULL)));
+		retry_suspects_destroy(a);
+		retry_suspects_destroy(b);
+	}
+}
+
+/* Guards against a free run where the arbiter has not heard of the suspect. */
+Test(arbiter, goes_from_suspect_to_cleared_to_convicted)
+{
+	struct retry_suspects *s = retry_suspects_create();
+	struct retry_arbiter *a = retry_arbiter_create(s, 1);
+	struct retry_permit_ask ask = {
+		.suspect = { .fingerprint = digest(1),
+			     .state = RETRY_SUSPICION_SUSPECT,
+			     .round = 1 },
+		.remaining_us = BASE_SECOND_US,
+	};
+	struct retry_death death = { .in_flight = &ask.suspect.fingerprint,
+				     .in_flight_len = 1 };
+	struct retry_permit p = retry_arbiter_ask(a, &ask, 0);
+
+	cr_assert(eq(int, p.status, RETRY_PERMIT_GRANTED));
+	cr_assert(eq(i64, p.lifetime_us, BASE_SECOND_US));
+	cr_assert(eq(int, retry_arbiter_ask(a, &ask, 0).status,
+		     RETRY_PERMIT_BUSY));
+	retry_arbiter_ended(a, 0, p.id, RETRY_PERMIT_SUCCEEDED, 1, NULL, NULL);
+	cr_assert(eq(int, retry_arbiter_ask(a, &ask, 1).status,
+		     RETRY_PERMIT_NOT_NEEDED));
+	/* In flight at another death: a new round that old news cannot end. */
+	retry_suspects_server_died(s, &death, 1, NULL, NULL);
+	ask.suspect.state = RETRY_SUSPICION_CLEARED;
+	p = retry_arbiter_ask(a, &ask, 1);
+	cr_assert(eq(int, p.status, RETRY_PERMIT_GRANTED));
+	retry_arbiter_ended(a, 0, p.id, RETRY_PERMIT_DIED, 2, NULL, NULL);
+	cr_assert(eq(int, retry_arbiter_ask(a, &ask, 2).status,
+		     RETRY_PERMIT_REFUSED));
+	retry_arbiter_destroy(a);
+	retry_suspects_destroy(s);
+}
+
+/* Guards against convictions by overrun permits and against endless growth. */
+Test(suspects, are_bounded_and_need_proof)
+{
+	struct retry_suspects *s = retry_suspects_create();
+	struct base_digest fps[2] = { digest(1), digest(2) };
+	struct retry_death death = { .in_flight = fps,
+				     .in_flight_len = 2,
+				     .permitted = fps,
+				     .permitted_len = 2 };
+	struct retry_suspect_news news = { .state = RETRY_SUSPICION_SUSPECT };
+	uint32_t i;
+
+	retry_suspects_server_died(s, &death, 0, NULL, NULL);
+	cr_assert(eq(int, retry_suspects_check(s, 0, &fps[0], 0, NULL),
+		     RETRY_SUSPICION_SUSPECT));
+	death.permitted_len = 1;
+	retry_suspects_server_died(s, &death, 0, NULL, NULL);
+	for (i = 10; i < 10 + 2 * RETRY_SUSPECTS_MAX; i++) {
+		news.fingerprint = digest(i);
+		retry_suspects_learn(s, &news, 1);
+	}
+	cr_assert(le(sz, retry_suspects_count(s), RETRY_SUSPECTS_MAX));
+	cr_assert(eq(int, retry_suspects_check(s, 0, &fps[0], 1, NULL),
+		     RETRY_SUSPICION_CONVICTED));
+	cr_assert(eq(int,
+		     retry_suspects_check(s, 0, &fps[0],
+					  2 + RETRY_CONVICTED_TTL_US, NULL),
+		     RETRY_SUSPICION_NONE));
+	retry_suspects_destroy(s);
+}
