Let any request try a server whose guard said not run

Need: on a service with non-idempotent routes only, a server whose backend failed stayed out: its guard's heartbeats rightly do not bring it back, and requests that avoid trials never tried it while others could run.

Weighed: letting heartbeats end the failure (each one would attract work to a dead backend server) against trials by any request. A living guard answers "not run" for certain, so the trial is safe and is rerouted. Servers that are silent or lost their link still get no trial from such requests; they are probed. Probes leave out backend failures, which they cannot end.

Change: choice of trials in policy.c, probe_due(), a test.

--- a/packages/routing/policy.c
+++ b/packages/routing/policy.c
@@ -100,18 +100,23 @@
 	size_t usable_len;
 	/* The failed server with the oldest due trial, by tier. */
 	struct routing_state *trial[TIER_COUNT];
+	/* One that the request should not try. */
+	struct routing_state *last_resort;
 	size_t excluded;
 	size_t failed;
 	size_t cold;
 };
 
-static void note_trial(struct survey *sv, enum tier tier,
+/* A guard that is alive says "not run" for certain, so any request may try. */
+static void note_trial(struct survey *sv, const struct routing_query *query,
 		       struct routing_state *s)
 {
-	struct routing_state *old = sv->trial[tier];
+	struct routing_state **slot = &sv->trial[tier_of(query, s)];
 
-	if (!old || s->retry_at < old->retry_at)
-		sv->trial[tier] = s;
+	if (query->avoid_trial && s->failure != ROUTING_OUT_BACKEND)
+		slot = &sv->last_resort;
+	if (!*slot || s->retry_at < (*slot)->retry_at)
+		*slot = s;
 }
 
 static void survey(struct routing_table *table, struct routing_service *svc,
@@ -138,7 +143,7 @@
 		case ROUTING_OUT_SILENT:
 			sv->failed++;
 			if (routing_health_trial_due(s, now))
-				note_trial(sv, tier_of(query, s), s);
+				note_trial(sv, query, s);
 			break;
 		case ROUTING_OUT_COLD:
 		case ROUTING_OUT_NO_CAPACITY:
@@ -183,7 +188,7 @@
 	size_t n;
 
 	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
-		if (sv->trial[tier] && !query->avoid_trial)
+		if (sv->trial[tier])
 			return try_failed(table, sv->trial[tier], now);
 		n = gather_headroom(sv, query, tier, now);
 		if (n)
@@ -192,10 +197,8 @@
 	/* No headroom anywhere: spread the excess, the guards refuse it. */
 	if (sv->usable_len)
 		return two_choices(table, sv->usable, sv->usable_len, now);
-	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
-		if (sv->trial[tier])
-			return try_failed(table, sv->trial[tier], now);
-	}
+	if (sv->last_resort)
+		return try_failed(table, sv->last_resort, now);
 	return NULL;
 }
 
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -100,9 +100,11 @@
 	const uint32_t *excluded;
 	size_t excluded_len;
 	/**
-	 * Do not use this request to try a failed server unless nothing else
-	 * is left. For non-idempotent requests of a daemon that sends probes,
-	 * see routing_due_probes().
+	 * Do not use this request to try a server whose link failed or that is
+	 * silent, unless nothing else is left: the request could be lost. For
+	 * non-idempotent requests of a daemon that sends probes, see
+	 * routing_due_probes(). It may still try a server after
+	 * ROUTING_NOT_RUN, because its guard would say "not run" again.
 	 */
 	bool avoid_trial;
 };
@@ -193,10 +195,11 @@
 				 uint32_t *server);
 
 /**
- * Lists servers that are draining, silent or failed and due for a probe: the
- * daemon opens the link and sends a heartbeat, to which the peer replies with
- * its own. Without probes a drained server that restarted stays out until it
- * sends a heartbeat by itself. Each listed server's back-off starts again.
+ * Lists servers that are draining, silent or whose link failed, and that are
+ * due for a probe: the daemon opens the link and sends a heartbeat, to which
+ * the peer replies with its own. Without probes a drained server that restarted
+ * stays out until it sends a heartbeat by itself. Each listed server waits for
+ * its next, longer back-off.
  * @return the number of ids written, at most @p max
  */
 size_t routing_due_probes(struct routing_table *table, int64_t now,
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -184,6 +184,7 @@
 {
 	struct routing_state *s = find(table, server);
 
+	assert(report);
 	if (!s)
 		return;
 	s->heard_at = now;
@@ -230,10 +231,11 @@
 
 static bool probe_due(const struct routing_state *s, int64_t now)
 {
-	if (now < s->retry_at)
-		return false;
-	return routing_health_out(s, now) == ROUTING_OUT_DRAINING ||
-	       routing_health_trial_due(s, now);
+	enum routing_out out = routing_health_out(s, now);
+
+	return now >= s->retry_at &&
+	       (out == ROUTING_OUT_DRAINING || out == ROUTING_OUT_LINK ||
+		out == ROUTING_OUT_SILENT);
 }
 
 size_t routing_due_probes(struct routing_table *table, int64_t now,
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -190,6 +190,11 @@
 	uint32_t s, ids[SERVERS];
 	int i;
 
+	/* A guard that is alive can be tried without risk. */
+	routing_failed(t, 1, ROUTING_NOT_RUN, 0);
+	routing_pick(t, &q, BASE_SECOND_US, &s);
+	cr_assert(eq(u32, s, 1));
+	routing_answered(t, 1, &idle, BASE_SECOND_US);
 	routing_failed(t, 0, ROUTING_LOST, 0);
 	for (i = 0; i < 100; i++) {
 		routing_pick(t, &q, BASE_SECOND_US, &s);
