Say in the header of retry who calls what

Need: the daemon's author has to know the order of calls, when a chain's start is charged and what a permit proves.

Weighed: fingerprints over lengths in machine order against decimal lengths; the latter is equal on every machine. Running a suspect alone on its server is left to the guard: it costs one drained server for each permit, and a death beside an unknown crashing request is rare.

Change: comments in retry.h, retry_fingerprint().

--- a/packages/retry/key.c
+++ b/packages/retry/key.c
@@ -60,12 +60,10 @@
 struct base_digest retry_fingerprint(const struct base_str *parts, size_t count)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf all = BASE_BUF_INIT;
-	uint64_t len;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		len = parts[i].len;
-		base_buf_add(&all, &len, sizeof(len));
+		base_buf_addf(&all, "%zu:", parts[i].len);
 		base_buf_add_str(&all, parts[i]);
 	}
 	return base_digest_of(base_buf_str(&all));
--- a/packages/retry/retry.h
+++ b/packages/retry/retry.h
@@ -5,6 +5,16 @@
  *
  * Pure decision code: no sockets, no clock. `now` is monotonic microseconds,
  * `wall_ms` is wall-clock milliseconds. An object belongs to one thread.
+ *
+ * Who calls what:
+ * - An entry that starts a chain stamps retry_first_attempt(). Any daemon that
+ *   gets an answer calls retry_budget_record_success() or retry_decide().
+ * - An entry with a non-idempotent request asks the key's owner, which calls
+ *   retry_ledger_claim(). On NEW the entry sends the request to a guard and
+ *   tells the owner how it ended: complete, or release when it has not run. It
+ *   tells nothing when the end is unclear, so the key stays RUNNING.
+ * - A guard calls retry_suspects_check() before it starts a request and asks
+ *   the arbiter of the service for a permit when it is a suspect.
  */
 #ifndef RETRY_H
 #define RETRY_H
@@ -33,14 +43,15 @@
 	int64_t updated_at;
 };
 
-/** An answer came at the first attempt or at a retry. */
+/** An answer other than an error came, at the first attempt or a retry. */
 void retry_budget_record_success(struct retry_budget *budget, int64_t now);
 /** Takes one retry out of the budget. @return false when there is none */
 bool retry_budget_try_spend(struct retry_budget *budget, int64_t now);
 /**
  * A daemon nearer to the failing hop retried within a chain that started here:
- * the answer of a request without a call token says "retried", and this daemon
- * has not retried it. The budget may become negative.
+ * the request came without a call token, was sent with attempt 0 and not
+ * retried here, and its answer (good or bad) says "retried". The budget may
+ * become negative; successes work the debt off.
  */
 void retry_budget_charge(struct retry_budget *budget, int64_t now);
 /**
@@ -94,10 +105,10 @@
 	enum retry_outcome outcome;
 	/** `attempt` of the request's context: 0, or 1 in a retried chain. */
 	uint32_t attempt;
-	/** "retried" as carried on the failed answer. */
+	/** "retried" as carried on the failed answer; false without one. */
 	bool answer_retried;
 	bool idempotent;
-	/** Other servers that this daemon has already tried without a run. */
+	/** Times that this daemon has already rerouted the request. */
 	uint32_t reroutes;
 	/** End of the request's time. */
 	int64_t deadline;
@@ -168,7 +179,7 @@
 	RETRY_CLAIM_NEW,
 	/** It was claimed before and its end is not known. */
 	RETRY_CLAIM_RUNNING,
-	/** It has run; the answer follows when it was kept. */
+	/** It has run; the answer is given if it was kept. */
 	RETRY_CLAIM_DONE,
 	/** It may have run before what this owner knows. */
 	RETRY_CLAIM_TOO_OLD,
@@ -255,7 +266,10 @@
 				   uint64_t version, bool skipped,
 				   const uint32_t *domains, size_t count,
 				   int64_t wall_ms, int64_t now);
-/** @param version  the oldest that any daemon of the domain has active */
+/**
+ * Ignored for domains that the active roster does not name.
+ * @param version  the oldest that any daemon of the domain has active
+ */
 void retry_ledger_domain_reported(struct retry_ledger *ledger, uint32_t domain,
 				  uint64_t version, int64_t wall_ms,
 				  int64_t now);
@@ -286,7 +300,7 @@
 #define RETRY_SUSPECT_TTL_US (600 * BASE_SECOND_US)
 #define RETRY_CONVICTED_TTL_US (3600 * BASE_SECOND_US)
 #define RETRY_CLEARED_TTL_US (60 * BASE_SECOND_US)
-/** Longest run of a suspect with permission. */
+/** Longest run of a suspect with a permit; a longer request never clears. */
 #define RETRY_PERMIT_US (5 * BASE_SECOND_US)
 /** Longest wait before a guard asks again. */
 #define RETRY_PERMIT_POLL_US (50 * BASE_MS_US)
@@ -304,6 +318,10 @@
 
 /** Content of the message `suspect`, sent to the guards of the service. */
 struct retry_suspect_news {
+	/**
+	 * This daemon's number of the service. A message carries the name,
+	 * because numbers may differ between configuration versions.
+	 */
 	uint32_t service;
 	struct base_digest fingerprint;
 	enum retry_suspicion state;
@@ -312,16 +330,19 @@
 };
 
 /**
- * Suspects of all services as known to one daemon. Daemons that exchange news
- * reach the same state in any order of messages: the higher round wins, and
- * within a round convicted wins over cleared over suspect.
+ * Suspects of all services as known to one daemon, at most RETRY_SUSPECTS_MAX.
+ * Daemons that exchange news reach the same state in any order of messages: a
+ * conviction wins, then the higher round, then cleared over suspect.
  */
 struct retry_suspects;
 
 struct retry_suspects *retry_suspects_create(void);
 void retry_suspects_destroy(struct retry_suspects *suspects);
 
-/** Called for each change that the other guards of the service must learn. */
+/**
+ * Called for each change that the other guards of the service must learn. It
+ * sends or stores the news and does not destroy the suspects.
+ */
 typedef void (*retry_suspect_cb)(void *ctx,
 				 const struct retry_suspect_news *news);
 
@@ -340,7 +361,8 @@
  * A backend server died. The request that ran with a permit is convicted if
  * there is exactly one; all others in flight become suspects. Send the news
  * before the failures are answered, so that guards know the suspects before a
- * caller can send them again.
+ * caller can send them again. An entry that loses the link to a guard calls
+ * this, too, for what it had in flight there.
  */
 void retry_suspects_server_died(struct retry_suspects *suspects,
 				const struct retry_death *death, int64_t now,
@@ -361,14 +383,21 @@
 					  const struct base_digest *fingerprint,
 					  int64_t now,
 					  struct retry_suspect_news *known);
-/** Reports all that is known, for a peer that has just started. */
+/**
+ * Reports all that is known of a service, for a guard that has just started.
+ * @p cb must not change the suspects.
+ */
 void retry_suspects_each(const struct retry_suspects *suspects,
 			 uint32_t service, int64_t now, retry_suspect_cb cb,
 			 void *ctx);
 size_t retry_suspects_count(const struct retry_suspects *suspects);
 
 enum retry_permit_status {
-	/** Run it now; stop it when the permit ends. */
+	/**
+	 * Run it now; stop it when the permit ends, and report its end. Run it
+	 * with nothing else on the server if possible: a death during the run
+	 * convicts it, also when an unknown request beside it was the cause.
+	 */
 	RETRY_PERMIT_GRANTED,
 	/** Another suspect of the service runs; ask again later. */
 	RETRY_PERMIT_BUSY,
