Say when failures after a server's death may be answered

Weighed: counting deaths without a permit towards a conviction would convict innocent requests that were in flight at both. So the caller of the package has to hold the answers for the time that news take.

Change: comment of retry_suspects_server_died().

--- a/packages/retry/retry.h
+++ b/packages/retry/retry.h
@@ -359,10 +359,11 @@
 
 /**
  * A backend server died. The request that ran with a permit is convicted if
- * there is exactly one; all others in flight become suspects. Send the news
- * before the failures are answered, so that guards know the suspects before a
- * caller can send them again. An entry that loses the link to a guard calls
- * this, too, for what it had in flight there.
+ * there is exactly one; all others in flight become suspects. Answer the
+ * failures only when the other guards can have the news: a caller that sends
+ * the request again earlier may reach a guard that runs it freely, and costs
+ * another server. An entry that loses the link to a guard calls this, too, for
+ * what it had in flight there.
  */
 void retry_suspects_server_died(struct retry_suspects *suspects,
 				const struct retry_death *death, int64_t now,
