--- a/packages/config/tests/test_snapshot.c
+++ b/packages/config/tests/test_snapshot.c
@@ -33,6 +33,7 @@
 	cr_assert(eq(i64, vm->service->cold_us, 3000000));
 	cr_assert(gone->cancelled && gone->burst == 2);
 	cr_assert(is_name(key->account->name, "acme"));
+	cr_assert(eq(u8, key->digest.bytes[31], 0xaa));
 	cr_assert(eq(i64, key->account->weight, 3));
 	cr_assert(is_name(s->priorities[0].name, "orders"));
 	cr_assert(eq(u32, s->priorities[1].level, 1));
@@ -166,6 +167,12 @@
 						    NULL, &status, &err),
 		     NULL));
 	cr_assert(eq(int, status, CONFIG_ERR_DIGEST));
+	m->parts[0].size--;
+	cr_assert(eq(ptr,
+		     (void *)config_snapshot_create(m, config_publication_part,
+						    pub, NULL, &status, &err),
+		     NULL));
+	cr_assert(eq(int, status, CONFIG_ERR_DIGEST));
 	bytes = BASE_STR_NONE;
 	cr_assert(eq(ptr,
 		     (void *)config_snapshot_create(m, fetch_damaged, &bytes,
