Free demands in a way the analyzer follows

The table is cleared first and the elements are freed from their list. Accounts with little demand stay until their route is idle for 0.5 s; their number is bounded by the configuration.

--- a/packages/overload/pressure.c
+++ b/packages/overload/pressure.c
@@ -20,8 +20,6 @@
 #define DEMAND_US (500 * BASE_MS_US)
 /* Shares are computed anew at most this often. */
 #define SHARES_US (20 * BASE_MS_US)
-/* Accounts with less demand than this (requests) are forgotten. */
-#define DEMAND_MIN 0.01
 
 /* What one account asks for on one route. */
 struct demand {
@@ -55,10 +53,12 @@
 
 static void forget_demands(struct route *route)
 {
-	struct demand *demand, *next;
+	struct demand *demand = route->demands;
+	struct demand *next;
 
-	HASH_ITER (hh, route->demands, demand, next) {
-		HASH_DEL(route->demands, demand);
+	HASH_CLEAR(hh, route->demands);
+	for (; demand; demand = next) {
+		next = demand->hh.next;
 		free(demand);
 	}
 }
@@ -183,31 +183,20 @@
 	return demand;
 }
 
-static void forget_idle_demands(struct route *route)
-{
-	struct demand *demand, *next;
-
-	HASH_ITER (hh, route->demands, demand, next) {
-		if (demand->count >= DEMAND_MIN)
-			continue;
-		HASH_DEL(route->demands, demand);
-		free(demand);
-	}
-}
-
 static double decay_demands(struct route *route, int64_t now)
 {
 	double factor = 1 - (double)(now - route->shared_at) / DEMAND_US;
 	struct demand *demand, *next;
 	double total = 0;
 
-	if (factor < 0)
-		factor = 0;
+	if (factor <= 0) {
+		forget_demands(route);
+		return 0;
+	}
 	HASH_ITER (hh, route->demands, demand, next) {
 		demand->count *= factor;
 		total += demand->count;
 	}
-	forget_idle_demands(route);
 	return total;
 }
 
@@ -245,7 +234,7 @@
 
 	route->shared_at = now;
 	HASH_ITER (hh, route->demands, demand, next) {
-		demand->share = level * demand->weight / demand->count;
+		demand->share = level * demand->weight / (demand->count + 1e-9);
 	}
 }
 
