--- /dev/null
+++ b/packages/daemon/admin.c
@@ -0,0 +1,159 @@
+/* Status, counters and spans for operators. */
+#include "admin.h"
+#include "guard.h"
+#include "entry.h"
+#include "membership.h"
+#include "roster.h"
+#include "spans.h"
+
+#include <jansson.h>
+
+#define MAX_HEADERS 16384
+#define MAX_BODY 4096
+#define MAX_CONNECTIONS 64
+#define IDLE_US (60 * BASE_SECOND_US)
+
+struct admin {
+	struct node *node;
+	struct http_server *server;
+};
+
+static json_t *text_json(const struct base_buf *buf)
+{
+	return json_string(buf->ptr ? buf->ptr : "");
+}
+
+static json_t *configuration_json(const struct node *node)
+{
+	char hash[65] = "";
+
+	if (node->snapshot)
+		base_digest_hex(&node->snapshot->digest, hash);
+	return json_pack(
+		"{s:I,s:s,s:b,s:o,s:o}", "version",
+		(json_int_t)(node->snapshot ? node->snapshot->version : 0),
+		"hash", hash, "platform_up", node->platform_up, "last_refused",
+		text_json(&node->last_refused), "last_conflict",
+		text_json(&node->last_conflict));
+}
+
+static json_t *guard_json(const struct node *node, int64_t now)
+{
+	struct routing_report report = guard_report(node->guard, now);
+
+	return json_pack("{s:I,s:I,s:b,s:i,s:I}", "load",
+			 (json_int_t)report.load, "limit",
+			 (json_int_t)report.limit, "cold_full",
+			 report.cold_full, "cutoff", guard_cutoff(node->guard),
+			 "works", (json_int_t)guard_open_works(node->guard));
+}
+
+static json_t *peer_json(const struct node *node, const struct config_vm *vm,
+			 int64_t now)
+{
+	uint32_t id = roster_vm_id(node->roster, vm->name);
+	struct routing_view view;
+
+	if (!routing_server_view(node->routing, id, now, &view))
+		return NULL;
+	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s}", "vm",
+			 vm->name.ptr, "domain", vm->domain->name.ptr,
+			 "service", vm->service->name.ptr, "in_flight",
+			 (json_int_t)view.in_flight, "load",
+			 (json_int_t)view.load, "limit", (json_int_t)view.limit,
+			 "usable", view.usable, "why", view.why);
+}
+
+static json_t *peers_json(const struct node *node, int64_t now)
+{
+	json_t *peers = json_array();
+	size_t i;
+
+	for (i = 0; node->snapshot && i < node->snapshot->vm_count; i++)
+		json_array_append_new(
+			peers, peer_json(node, &node->snapshot->vms[i], now));
+	return peers;
+}
+
+static void render_status(const struct node *node, struct base_buf *out)
+{
+	int64_t now = base_now_us();
+	json_t *json = json_pack(
+		"{s:s,s:s,s:b,s:b,s:I,s:I,s:o,s:o,s:o}", "vm",
+		node->settings->vm, "domain", node->settings->domain, "ready",
+		membership_ready(node->membership), "draining", node->draining,
+		"uptime_ms", (json_int_t)((now - node->started_at) / 1000),
+		"open_requests", (json_int_t)entry_open_flows(node->entry),
+		"configuration", configuration_json(node), "guard",
+		guard_json(node, now), "peers", peers_json(node, now));
+	char *text = json ? json_dumps(json, JSON_INDENT(2)) : NULL;
+
+	base_buf_addf(out, "%s\n", text ? text : "{}");
+	free(text);
+	json_decref(json);
+}
+
+static void on_request(void *ctx, struct http_exchange *ex)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
+	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
+	struct admin *admin = ctx;
+	struct node *node = admin->node;
+	struct base_str path = ex->request.path;
+	struct base_str type = BASE_STR("text/plain");
+	int status = 200;
+
+	if (base_str_equal(path, BASE_STR("/status"))) {
+		render_status(node, &body);
+		type = BASE_STR("application/json");
+	} else if (base_str_equal(path, BASE_STR("/counters"))) {
+		base_counters_render(node->counters, &body);
+	} else if (base_str_equal(path, BASE_STR("/spans"))) {
+		spans_render(node->spans, &body);
+		type = BASE_STR("application/x-ndjson");
+	} else if (base_str_equal(path, BASE_STR("/ready"))) {
+		if (!membership_ready(node->membership) || node->draining)
+			status = 503;
+		base_buf_addf(&body, "%s\n", status == 200 ? "ok" : "no");
+	} else {
+		status = 404;
+		base_buf_addf(&body,
+			      "paths: /status /counters /spans /ready\n");
+	}
+	http_headers_add(&headers, BASE_STR("Content-Type"), type);
+	http_exchange_reply(ex, status, &headers, base_buf_str(&body));
+}
+
+struct admin *admin_create(struct node *node, struct base_error *err)
+{
+	struct admin *admin = base_alloc(sizeof(*admin));
+	struct http_server_settings settings = {
+		.listen = base_str_from(node->settings->admin_listen),
+		.max_body = MAX_BODY,
+		.max_headers = MAX_HEADERS,
+		.max_connections = MAX_CONNECTIONS,
+		.idle_timeout_us = IDLE_US,
+		.handler = on_request,
+		.ctx = admin,
+	};
+
+	admin->node = node;
+	if (http_server_create(node->base, &settings, &admin->server, err)) {
+		free(admin);
+		return NULL;
+	}
+	return admin;
+}
+
+void admin_destroy(struct admin *admin)
+{
+	if (!admin)
+		return;
+	http_server_destroy(admin->server);
+	free(admin);
+}
+
+const char *admin_address(const struct admin *admin)
+{
+	return http_server_address(admin->server);
+}
--- /dev/null
+++ b/packages/daemon/admin.h
@@ -0,0 +1,11 @@
+/* Status, counters and spans for operators. */
+#ifndef ADMIN_H
+#define ADMIN_H
+
+#include "node.h"
+
+struct admin *admin_create(struct node *node, struct base_error *err);
+void admin_destroy(struct admin *admin);
+const char *admin_address(const struct admin *admin);
+
+#endif
--- /dev/null
+++ b/packages/daemon/control.c
@@ -0,0 +1,412 @@
+/* The control task: platform watches, candidates, activation. */
+#include "control.h"
+#include "candidate.h"
+#include "watch.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <pthread.h>
+#include <string.h>
+
+#define TICK_US (100 * BASE_MS_US)
+
+struct control {
+	struct event_base *base;
+	struct base_mailbox *inbox;
+	struct base_mailbox *outbox;
+	struct base_log *log;
+	struct base_counters *counters;
+	struct watch *manifest_watch;
+	struct watch *vms_watch;
+	struct watch_source *platform;
+	struct event *inbox_event;
+	struct event *tick;
+	struct candidate *candidate;
+	struct publication *active;
+	struct base_digest refused;
+	bool relay;
+	int64_t relay_heard_at;
+	bool platform_up;
+	pthread_t thread;
+};
+
+static void post(struct control *c, struct data_message *msg)
+{
+	base_mailbox_post(c->outbox, msg);
+}
+
+static struct data_message *new_message(enum data_message_type type)
+{
+	struct data_message *msg = base_alloc(sizeof(*msg));
+
+	msg->type = type;
+	return msg;
+}
+
+static void count(struct control *c, const char *name)
+{
+	base_counter_add(base_counters_get(c->counters, name), 1);
+}
+
+static void report_conflict(struct control *c, int64_t version,
+			    const struct base_digest *loser)
+{
+	struct data_message *msg = new_message(DATA_CONFLICT);
+
+	msg->version = version;
+	msg->digest = *loser;
+	post(c, msg);
+}
+
+static int64_t active_version(const struct control *c)
+{
+	return c->active ? c->active->version : 0;
+}
+
+static void drop_candidate(struct control *c)
+{
+	candidate_destroy(c->candidate);
+	c->candidate = NULL;
+}
+
+static void activate(struct control *c)
+{
+	struct data_message *msg = new_message(DATA_ACTIVATED);
+
+	publication_unref(c->active);
+	c->active = publication_ref(candidate_publication(c->candidate));
+	msg->snapshot = config_snapshot_ref(candidate_snapshot(c->candidate));
+	msg->publication = publication_ref(c->active);
+	msg->version = c->active->version;
+	msg->digest = c->active->digest;
+	post(c, msg);
+	drop_candidate(c);
+}
+
+static void refuse_candidate(struct control *c, const char *reason)
+{
+	struct data_message *msg = new_message(DATA_REFUSED);
+
+	c->refused = *candidate_digest(c->candidate);
+	msg->version = candidate_version(c->candidate);
+	msg->digest = c->refused;
+	base_buf_addf(&msg->text, "%s", reason);
+	post(c, msg);
+	drop_candidate(c);
+}
+
+/* Asks for what the candidate lacks and activates it when it is due. */
+static void advance(struct control *c, int64_t now)
+{
+	struct base_error err = { "" };
+	struct data_message *msg;
+	char key[128];
+
+	if (!c->candidate)
+		return;
+	while (candidate_wants(c->candidate, now, key, sizeof(key))) {
+		if (!candidate_from_peer(c->candidate)) {
+			watch_source_get(c->platform, key);
+			continue;
+		}
+		msg = new_message(DATA_FETCH);
+		base_buf_addf(&msg->text, "%s", key);
+		post(c, msg);
+	}
+	switch (candidate_advance(c->candidate, now, &err)) {
+	case CANDIDATE_WAITING:
+		break;
+	case CANDIDATE_REFUSED:
+		refuse_candidate(c, err.message);
+		break;
+	case CANDIDATE_REREAD:
+		watch_source_get(c->platform, CONFIG_KEY_MANIFEST);
+		break;
+	case CANDIDATE_DUE:
+		activate(c);
+		break;
+	}
+}
+
+/* Whether (version, digest) goes before what is in force. */
+static bool supersedes(const struct control *c, int64_t version,
+		       const struct base_digest *digest, bool active_elsewhere)
+{
+	if (version != active_version(c))
+		return version > active_version(c);
+	/* Active on two sides of a partition: the greater hash wins. */
+	return active_elsewhere &&
+	       memcmp(digest->bytes, c->active->digest.bytes,
+		      sizeof(digest->bytes)) > 0;
+}
+
+static bool is_known(const struct control *c, const struct base_digest *digest)
+{
+	return (c->active && base_digest_equal(&c->active->digest, digest)) ||
+	       base_digest_equal(&c->refused, digest);
+}
+
+static void take_manifest(struct control *c, struct base_str text,
+			  bool from_peer, int64_t now)
+{
+	struct base_digest digest = base_digest_of(text);
+	struct base_error err = { "" };
+	struct candidate *candidate;
+
+	if (c->candidate &&
+	    base_digest_equal(candidate_digest(c->candidate), &digest)) {
+		candidate_confirm(c->candidate, now);
+		advance(c, now);
+		return;
+	}
+	if (is_known(c, &digest))
+		return;
+	candidate = candidate_create(text, from_peer, c->active, now, &err);
+	if (!candidate) {
+		struct data_message *msg = new_message(DATA_REFUSED);
+
+		c->refused = digest;
+		msg->digest = digest;
+		base_buf_addf(&msg->text, "%s", err.message);
+		post(c, msg);
+		return;
+	}
+	if (!supersedes(c, candidate_version(candidate), &digest, from_peer)) {
+		if (candidate_version(candidate) == active_version(c))
+			report_conflict(c, active_version(c), &digest);
+		else
+			count(c, "config_stale_reads");
+		c->refused = digest;
+		candidate_destroy(candidate);
+		return;
+	}
+	if (c->candidate && !from_peer && candidate_from_peer(c->candidate) &&
+	    candidate_version(c->candidate) >= candidate_version(candidate)) {
+		/* What is active at a peer goes before a mere candidate. */
+		report_conflict(c, candidate_version(candidate), &digest);
+		candidate_destroy(candidate);
+		return;
+	}
+	drop_candidate(c);
+	c->candidate = candidate;
+	advance(c, now);
+}
+
+static void on_platform_value(void *ctx, const char *key, bool found,
+			      struct base_str value)
+{
+	struct control *c = ctx;
+	int64_t now = base_now_us();
+	struct base_error err = { "" };
+	struct data_message *msg;
+
+	if (!strcmp(key, CONFIG_KEY_VMS)) {
+		if (!found)
+			return;
+		msg = new_message(DATA_VM_LIST);
+		msg->vms = config_vm_list_parse(value, &err);
+		if (msg->vms) {
+			post(c, msg);
+			return;
+		}
+		count(c, "vm_list_malformed");
+		data_message_free(msg);
+	} else if (!strcmp(key, CONFIG_KEY_MANIFEST)) {
+		if (found)
+			take_manifest(c, value, false, now);
+	} else if (c->candidate) {
+		if (found)
+			candidate_add(c->candidate, value);
+		advance(c, now);
+	}
+}
+
+static void on_platform_state(void *ctx, bool up)
+{
+	struct control *c = ctx;
+	struct data_message *msg;
+
+	if (c->candidate && !up)
+		candidate_platform_down(c->candidate);
+	if (c->platform_up == up)
+		return;
+	c->platform_up = up;
+	msg = new_message(DATA_PLATFORM_STATE);
+	msg->up = up;
+	post(c, msg);
+}
+
+static void on_peer_version(struct control *c, struct control_message *m,
+			    int64_t now)
+{
+	struct data_message *msg;
+
+	c->relay_heard_at = now;
+	if (is_known(c, &m->digest) ||
+	    !supersedes(c, m->version, &m->digest, true)) {
+		if (c->active && m->version == c->active->version &&
+		    !base_digest_equal(&m->digest, &c->active->digest) &&
+		    !base_digest_equal(&m->digest, &c->refused)) {
+			c->refused = m->digest;
+			report_conflict(c, m->version, &m->digest);
+		}
+		return;
+	}
+	if (c->candidate && candidate_version(c->candidate) == m->version) {
+		if (base_digest_equal(candidate_digest(c->candidate),
+				      &m->digest)) {
+			/* In force at a peer: no need to settle. */
+			candidate_set_active_elsewhere(c->candidate);
+			advance(c, now);
+			return;
+		}
+		if (!candidate_from_peer(c->candidate)) {
+			report_conflict(c, m->version,
+					candidate_digest(c->candidate));
+			drop_candidate(c);
+		}
+	}
+	if (c->candidate && candidate_version(c->candidate) > m->version)
+		return;
+	msg = new_message(DATA_FETCH);
+	base_buf_addf(&msg->text, CONFIG_KEY_MANIFEST);
+	post(c, msg);
+}
+
+static void on_peer_value(struct control *c, struct control_message *m,
+			  int64_t now)
+{
+	if (!m->found)
+		return;
+	if (base_str_equal(base_buf_str(&m->key),
+			   BASE_STR(CONFIG_KEY_MANIFEST))) {
+		take_manifest(c, base_buf_str(&m->value), true, now);
+	} else if (c->candidate) {
+		candidate_add(c->candidate, base_buf_str(&m->value));
+		advance(c, now);
+	}
+}
+
+/* Only relays wait at the platform; others step in when relays are silent. */
+static void choose_watches(struct control *c, int64_t now)
+{
+	bool watching = c->relay || !c->active ||
+			now - c->relay_heard_at > CONTROL_RELAY_SILENCE_US;
+
+	watch_enable(c->manifest_watch, watching);
+	watch_enable(c->vms_watch, watching);
+}
+
+static void on_message(void *ctx, void *message)
+{
+	struct control *c = ctx;
+	struct control_message *m = message;
+	int64_t now = base_now_us();
+
+	switch (m->type) {
+	case CONTROL_PEER_VERSION:
+		on_peer_version(c, m, now);
+		break;
+	case CONTROL_PEER_VALUE:
+		on_peer_value(c, m, now);
+		break;
+	case CONTROL_ROLE:
+		c->relay = m->relay;
+		choose_watches(c, now);
+		break;
+	case CONTROL_STOP:
+		event_base_loopbreak(c->base);
+		break;
+	}
+	control_message_free(m);
+}
+
+static void on_inbox(evutil_socket_t fd, short events, void *arg)
+{
+	struct control *c = arg;
+
+	base_mailbox_drain(c->inbox, on_message, c);
+}
+
+static void on_tick(evutil_socket_t fd, short events, void *arg)
+{
+	struct control *c = arg;
+	int64_t now = base_now_us();
+
+	choose_watches(c, now);
+	advance(c, now);
+}
+
+static void *run(void *arg)
+{
+	struct control *c = arg;
+
+	event_base_dispatch(c->base);
+	return NULL;
+}
+
+static void release(struct control *c)
+{
+	drop_candidate(c);
+	publication_unref(c->active);
+	watch_destroy(c->manifest_watch);
+	watch_destroy(c->vms_watch);
+	watch_source_destroy(c->platform);
+	if (c->inbox_event)
+		event_free(c->inbox_event);
+	if (c->tick)
+		event_free(c->tick);
+	base_mailbox_destroy(c->inbox, NULL, NULL);
+	event_base_free(c->base);
+	free(c);
+}
+
+struct control *control_create(const struct daemon_settings *settings,
+			       struct base_mailbox *out_box,
+			       struct base_log *log,
+			       struct base_counters *counters,
+			       struct base_error *err)
+{
+	struct control *c = base_alloc(sizeof(*c));
+
+	c->base = event_base_new();
+	c->outbox = out_box;
+	c->log = log;
+	c->counters = counters;
+	c->inbox = base_mailbox_create();
+	c->platform = watch_source_create(c->base, settings->platform,
+					  on_platform_value, on_platform_state,
+					  c, err);
+	c->manifest_watch = watch_create(c->platform, CONFIG_KEY_MANIFEST);
+	c->vms_watch = watch_create(c->platform, CONFIG_KEY_VMS);
+	c->inbox_event = event_new(c->base, base_mailbox_fd(c->inbox),
+				   EV_READ | EV_PERSIST, on_inbox, c);
+	event_add(c->inbox_event, NULL);
+	c->tick = event_new(c->base, -1, EV_PERSIST, on_tick, c);
+	event_add(c->tick, &(struct timeval){ .tv_usec = TICK_US });
+	choose_watches(c, base_now_us());
+	if (pthread_create(&c->thread, NULL, run, c)) {
+		base_error_set(err, "cannot start the control task");
+		release(c);
+		return NULL;
+	}
+	return c;
+}
+
+void control_post(struct control *control, struct control_message *msg)
+{
+	base_mailbox_post(control->inbox, msg);
+}
+
+void control_destroy(struct control *control)
+{
+	struct control_message *msg;
+
+	if (!control)
+		return;
+	msg = base_alloc(sizeof(*msg));
+	msg->type = CONTROL_STOP;
+	control_post(control, msg);
+	pthread_join(control->thread, NULL);
+	release(control);
+}
--- /dev/null
+++ b/packages/daemon/daemon.c
@@ -0,0 +1,512 @@
+/* The data task: event loop, messages between tasks, start and stop. */
+#include "admin.h"
+#include "claims.h"
+#include "entry.h"
+#include "guard.h"
+#include "membership.h"
+#include "node.h"
+#include "onward.h"
+#include "rate_link.h"
+#include "roster.h"
+#include "spans.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SPAN_CAPACITY 2048
+#define CALLER_MAX_HEADERS (64 << 10)
+#define CALLER_IDLE_US (120 * BASE_SECOND_US)
+/* The loop runs at least this often, so a longer gap was a pause. */
+#define PAUSE_US BASE_SECOND_US
+#define DRAIN_POLL_US (20 * BASE_MS_US)
+/* Peers and callers learn of the stop before the daemon may end. */
+#define DRAIN_MIN_US BASE_SECOND_US
+
+struct daemon {
+	struct node node;
+	struct http_server *callers;
+	struct event *inbox_event;
+	struct event *sigterm;
+	struct event *sigint;
+	struct event *drain_timer;
+	int64_t drain_started_at;
+};
+
+static const char *daemon_address(const struct daemon *d)
+{
+	return http_server_address(d->callers);
+}
+
+void node_count(struct node *node, const char *name)
+{
+	base_counter_add(base_counters_get(node->counters, name), 1);
+}
+
+bool node_is_self(const struct node *node, const struct config_vm *vm)
+{
+	return node->self == vm;
+}
+
+void node_touch(struct node *node, int64_t now)
+{
+	int64_t gap = now - node->touched_at;
+
+	node->touched_at = now;
+	if (gap < PAUSE_US || node->paused_us)
+		return;
+	node->paused_us = gap;
+	event_active(node->wake_event, EV_TIMEOUT, 0);
+}
+
+bool node_is_waking(const struct node *node)
+{
+	return node->paused_us != 0;
+}
+
+/* Runs after the callback that noticed the pause. */
+static void on_wake(evutil_socket_t fd, short events, void *arg)
+{
+	struct node *node = arg;
+	int64_t paused_us = node->paused_us;
+	struct base_log_line line;
+	int64_t now;
+
+	node_count(node, "pauses");
+	line = base_log_begin(node->log, BASE_LOG_WARN, "process_paused");
+	base_log_int(&line, "paused_ms", paused_us / 1000);
+	base_log_end(&line);
+	claims_woke(node->claims, base_now_us());
+	peer_transport_receive_pending(node->transport);
+	now = base_now_us();
+	node->touched_at = now;
+	node->paused_us = 0;
+	routing_woke(node->routing, now);
+	membership_woke(node->membership, now);
+	guard_woke(node->guard, paused_us, now);
+}
+
+static bool same_routes(const struct config_snapshot *a,
+			const struct config_snapshot *b)
+{
+	size_t i;
+
+	if (!a || a->route_count != b->route_count)
+		return false;
+	for (i = 0; i < a->route_count; i++)
+		if (!base_str_equal(a->routes[i].name, b->routes[i].name))
+			return false;
+	return true;
+}
+
+static void on_activated(struct node *node, struct data_message *msg)
+{
+	const struct config_snapshot *before = node->snapshot;
+	int64_t now = base_now_us();
+	char hash[65];
+	struct base_log_line line;
+
+	node->snapshot = config_snapshot_ref(msg->snapshot);
+	publication_unref(node->publication);
+	node->publication = publication_ref(msg->publication);
+	node->self = config_snapshot_find_vm(node->snapshot,
+					     base_str_from(node->settings->vm));
+	roster_update(node->roster, node->snapshot);
+	roster_configure_routing(node->roster, node->routing);
+	if (!same_routes(before, node->snapshot))
+		overload_pressure_set_routes(
+			node->pressure, (uint32_t)node->snapshot->route_count);
+	peer_transport_set_version(node->transport, (uint64_t)msg->version);
+	guard_configure(node->guard, now);
+	claims_configure(node->claims, before, now);
+	rate_link_configure(node->rate_link, before, now);
+	membership_configure(node->membership, now);
+	config_snapshot_unref(before);
+	base_counter_set(base_counters_get(node->counters, "config_version"),
+			 msg->version);
+	base_digest_hex(&msg->digest, hash);
+	line = base_log_begin(node->log, BASE_LOG_INFO, "config_activated");
+	base_log_int(&line, "version", msg->version);
+	base_log_cstr(&line, "hash", hash);
+	base_log_end(&line);
+	if (node->self)
+		return;
+	line = base_log_begin(node->log, BASE_LOG_WARN, "vm_not_in_roster");
+	base_log_cstr(&line, "vm", node->settings->vm);
+	base_log_end(&line);
+}
+
+static void on_refused(struct node *node, const struct data_message *msg)
+{
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_ERROR, "config_refused");
+
+	node_count(node, "config_refused");
+	base_log_int(&line, "version", msg->version);
+	base_log_str(&line, "reason", base_buf_str(&msg->text));
+	base_log_end(&line);
+	base_buf_reset(&node->last_refused);
+	base_buf_addf(&node->last_refused, "version %" PRId64 ": %s",
+		      msg->version, msg->text.ptr);
+}
+
+static void on_conflict(struct node *node, const struct data_message *msg)
+{
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_ERROR, "config_conflict");
+	char hash[65];
+
+	node_count(node, "config_conflicts");
+	base_digest_hex(&msg->digest, hash);
+	base_log_int(&line, "version", msg->version);
+	base_log_cstr(&line, "loser", hash);
+	base_log_end(&line);
+	base_buf_reset(&node->last_conflict);
+	base_buf_addf(&node->last_conflict,
+		      "version %" PRId64 " was published twice; %s is not in "
+		      "force, publish it again under a higher version",
+		      msg->version, hash);
+}
+
+static void on_data_message(void *ctx, void *message)
+{
+	struct node *node = ctx;
+	struct data_message *msg = message;
+
+	switch (msg->type) {
+	case DATA_ACTIVATED:
+		on_activated(node, msg);
+		break;
+	case DATA_VM_LIST:
+		membership_vm_list(node->membership, msg->vms);
+		break;
+	case DATA_FETCH:
+		membership_fetch(node->membership, base_buf_str(&msg->text));
+		break;
+	case DATA_REFUSED:
+		on_refused(node, msg);
+		break;
+	case DATA_CONFLICT:
+		on_conflict(node, msg);
+		break;
+	case DATA_PLATFORM_STATE:
+		node->platform_up = msg->up;
+		break;
+	}
+	data_message_free(msg);
+}
+
+static void on_inbox(evutil_socket_t fd, short events, void *arg)
+{
+	struct node *node = arg;
+
+	base_mailbox_drain(node->inbox, on_data_message, node);
+}
+
+static const struct config_vm *vm_of_link(struct node *node,
+					  const struct peer_link *link)
+{
+	return roster_vm_at(node->roster, peer_link_address(link));
+}
+
+static void on_link_message(void *ctx, struct peer_link *link,
+			    const struct peer_message *msg,
+			    const struct peer_receipt *receipt)
+{
+	struct node *node = ctx;
+	const struct config_vm *vm;
+
+	node_touch(node, receipt->received_at);
+	switch (msg->type) {
+	case PEER_ANSWER:
+		entry_on_answer(node->entry, msg);
+		break;
+	case PEER_CLAIM_ANSWER:
+		claims_on_answer(node->claims, msg, receipt->received_at);
+		break;
+	case PEER_RATE_GRANT:
+		vm = vm_of_link(node, link);
+		if (vm)
+			rate_link_on_grant(node->rate_link, vm->name, msg,
+					   receipt->received_at);
+		break;
+	default:
+		membership_on_link_message(node->membership, link, msg,
+					   receipt->received_at);
+	}
+}
+
+static void on_remote_message(void *ctx, const struct peer_remote *remote,
+			      const struct peer_message *msg,
+			      const struct peer_receipt *receipt)
+{
+	struct node *node = ctx;
+
+	node_touch(node, receipt->received_at);
+	switch (msg->type) {
+	case PEER_REQUEST:
+		guard_on_remote_request(node->guard, remote, msg, receipt);
+		break;
+	case PEER_CANCEL:
+		guard_on_remote_cancel(node->guard, remote, msg->id);
+		break;
+	case PEER_CLAIM:
+	case PEER_COMPLETE:
+	case PEER_RELEASE:
+		claims_on_remote(node->claims, remote, msg, receipt);
+		break;
+	case PEER_RATE_ASK:
+		rate_link_on_ask(node->rate_link, remote, msg,
+				 receipt->received_at);
+		break;
+	default:
+		membership_on_remote_message(node->membership, remote, msg,
+					     receipt->received_at);
+	}
+}
+
+static void on_link_up(void *ctx, struct peer_link *link)
+{
+	struct node *node = ctx;
+
+	membership_on_link_up(node->membership, link);
+}
+
+static void on_link_down(void *ctx, struct peer_link *link)
+{
+	struct node *node = ctx;
+	const struct config_vm *vm = vm_of_link(node, link);
+	int64_t now = base_now_us();
+
+	membership_on_link_down(node->membership, link);
+	if (!vm)
+		return;
+	entry_on_link_down(node->entry, roster_vm_id(node->roster, vm->name));
+	claims_on_link_down(node->claims, vm, now);
+	rate_link_on_link_down(node->rate_link, vm, now);
+}
+
+static void on_caller_request(void *ctx, struct http_exchange *ex)
+{
+	struct node *node = ctx;
+
+	entry_on_caller_request(node->entry, ex);
+}
+
+static bool is_quiet(struct daemon *d)
+{
+	struct node *node = &d->node;
+
+	return !entry_open_flows(node->entry) &&
+	       !guard_open_works(node->guard) &&
+	       !http_server_open_exchanges(d->callers);
+}
+
+static void on_drain_poll(evutil_socket_t fd, short events, void *arg)
+{
+	struct daemon *d = arg;
+	int64_t past = base_now_us() - d->drain_started_at;
+
+	if (past < DRAIN_MIN_US)
+		return;
+	if (is_quiet(d) || past > d->node.settings->drain_us)
+		event_base_loopbreak(d->node.base);
+}
+
+static void on_stop_signal(evutil_socket_t fd, short events, void *arg)
+{
+	struct daemon *d = arg;
+	struct node *node = &d->node;
+	struct base_log_line line;
+
+	if (node->draining)
+		return;
+	node->draining = true;
+	d->drain_started_at = base_now_us();
+	line = base_log_begin(node->log, BASE_LOG_INFO, "draining");
+	base_log_end(&line);
+	http_server_stop_accepting(d->callers);
+	guard_drain(node->guard);
+	membership_announce(node->membership, d->drain_started_at);
+	event_add(d->drain_timer,
+		  &(struct timeval){ .tv_usec = DRAIN_POLL_US });
+}
+
+static enum daemon_status create_interfaces(struct daemon *d,
+					    struct base_error *err)
+{
+	struct node *node = &d->node;
+	const struct daemon_settings *s = node->settings;
+	struct http_server_settings http = {
+		.listen = base_str_from(s->caller_listen),
+		.max_body = (size_t)s->max_body,
+		.max_headers = CALLER_MAX_HEADERS,
+		.max_connections = (size_t)s->max_connections,
+		.idle_timeout_us = CALLER_IDLE_US,
+		.handler = on_caller_request,
+		.ctx = node,
+	};
+	struct peer_transport_settings peer = {
+		.listen = base_str_from(s->peer_listen),
+		.fleet_secret = base_str_from(s->fleet_secret),
+		.vm = base_str_from(s->vm),
+		.incarnation = node->incarnation,
+		.counters = node->counters,
+		.log = node->log,
+		.callbacks = { on_link_message, on_remote_message, on_link_up,
+			       on_link_down },
+		.ctx = node,
+	};
+
+	if (peer_transport_create(&peer, node->base, &node->transport, err) ||
+	    http_server_create(node->base, &http, &d->callers, err))
+		return DAEMON_ERR_LISTEN;
+	node->guard = guard_create(node, err);
+	node->onward = onward_create(node, err);
+	node->admin = admin_create(node, err);
+	if (!node->guard || !node->onward || !node->admin)
+		return DAEMON_ERR_LISTEN;
+	return DAEMON_OK;
+}
+
+static void create_state(struct node *node)
+{
+	int64_t now = base_now_us();
+
+	node->base = event_base_new();
+	node->counters = base_counters_create();
+	node->log = base_log_create("bilberryhinged");
+	base_log_set_level(node->log, node->settings->log_level);
+	base_rand_seed_system(&node->rnd);
+	node->incarnation = (uint64_t)base_wall_ms();
+	node->started_at = now;
+	node->touched_at = now;
+	node->wake_event = event_new(node->base, -1, 0, on_wake, node);
+	node->roster = roster_create();
+	node->routing = routing_table_create(node->incarnation, NULL);
+	node->pressure = overload_pressure_create(1, node->incarnation);
+	node->spans = spans_create(SPAN_CAPACITY);
+	node->entry = entry_create(node);
+	node->claims = claims_create(node, base_wall_ms(), now);
+	node->rate_link = rate_link_create(node, now);
+	node->membership = membership_create(node);
+}
+
+static void log_start(struct daemon *d)
+{
+	struct node *node = &d->node;
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_INFO, "started");
+
+	base_log_cstr(&line, "vm", node->settings->vm);
+	base_log_cstr(&line, "domain", node->settings->domain);
+	base_log_cstr(&line, "caller", daemon_address(d));
+	base_log_cstr(&line, "onward", onward_address(node->onward));
+	base_log_cstr(&line, "admin", admin_address(node->admin));
+	base_log_str(&line, "peer", peer_transport_address(node->transport));
+	base_log_end(&line);
+}
+
+static void add_signals(struct daemon *d)
+{
+	struct event_base *base = d->node.base;
+
+	signal(SIGPIPE, SIG_IGN);
+	d->sigterm = evsignal_new(base, SIGTERM, on_stop_signal, d);
+	d->sigint = evsignal_new(base, SIGINT, on_stop_signal, d);
+	d->drain_timer = event_new(base, -1, EV_PERSIST, on_drain_poll, d);
+	event_add(d->sigterm, NULL);
+	event_add(d->sigint, NULL);
+}
+
+enum daemon_status daemon_create(const struct daemon_settings *settings,
+				 struct daemon **out, struct base_error *err)
+{
+	struct daemon *d = base_alloc(sizeof(*d));
+	struct node *node = &d->node;
+	enum daemon_status status;
+
+	node->settings = settings;
+	if (sodium_init() < 0) {
+		base_error_set(err, "libsodium cannot be initialised");
+		free(d);
+		return DAEMON_ERR_SYSTEM;
+	}
+	create_state(node);
+	status = create_interfaces(d, err);
+	if (status != DAEMON_OK) {
+		daemon_destroy(d);
+		return status;
+	}
+	add_signals(d);
+	node->inbox = base_mailbox_create();
+	d->inbox_event = event_new(node->base, base_mailbox_fd(node->inbox),
+				   EV_READ | EV_PERSIST, on_inbox, node);
+	event_add(d->inbox_event, NULL);
+	log_start(d);
+	node->control = control_create(settings, node->inbox, node->log,
+				       node->counters, err);
+	if (!node->control) {
+		daemon_destroy(d);
+		return DAEMON_ERR_SYSTEM;
+	}
+	*out = d;
+	return DAEMON_OK;
+}
+
+void daemon_run(struct daemon *daemon)
+{
+	struct base_log_line line;
+
+	event_base_dispatch(daemon->node.base);
+	line = base_log_begin(daemon->node.log, BASE_LOG_INFO, "stopped");
+	base_log_end(&line);
+}
+
+static void discard_message(void *ctx, void *message)
+{
+	(void)ctx;
+	data_message_free(message);
+}
+
+static void free_event(struct event *event)
+{
+	if (event)
+		event_free(event);
+}
+
+void daemon_destroy(struct daemon *daemon)
+{
+	struct node *node = &daemon->node;
+
+	control_destroy(node->control);
+	entry_destroy(node->entry);
+	guard_destroy(node->guard);
+	claims_destroy(node->claims);
+	rate_link_destroy(node->rate_link);
+	membership_destroy(node->membership);
+	admin_destroy(node->admin);
+	onward_destroy(node->onward);
+	http_server_destroy(daemon->callers);
+	peer_transport_destroy(node->transport);
+	free_event(daemon->inbox_event);
+	free_event(daemon->sigterm);
+	free_event(daemon->sigint);
+	free_event(daemon->drain_timer);
+	free_event(node->wake_event);
+	base_mailbox_destroy(node->inbox, discard_message, NULL);
+	config_snapshot_unref(node->snapshot);
+	publication_unref(node->publication);
+	routing_table_destroy(node->routing);
+	overload_pressure_destroy(node->pressure);
+	roster_destroy(node->roster);
+	spans_destroy(node->spans);
+	base_buf_release(&node->last_refused);
+	base_buf_release(&node->last_conflict);
+	base_counters_destroy(node->counters);
+	base_log_destroy(node->log);
+	event_base_free(node->base);
+	free(daemon);
+}
--- /dev/null
+++ b/packages/daemon/daemon.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * The daemon that runs on each backend server VM.
+ *
+ * A daemon has two tasks. The data task runs on the thread that calls
+ * daemon_run(); it owns all interfaces and all decision state. The control task
+ * has a thread of its own; it reads the platform and checks configuration. They
+ * talk by messages only.
+ */
+#ifndef DAEMON_H
+#define DAEMON_H
+
+#include "base.h"
+
+enum daemon_status {
+	DAEMON_OK = 0,
+	/** A setting is missing or not allowed. */
+	DAEMON_ERR_SETTING,
+	/** An address cannot be bound. */
+	DAEMON_ERR_LISTEN,
+	/** The system has no thread or descriptor left. */
+	DAEMON_ERR_SYSTEM,
+};
+
+/** Returns a static description of a status. Never NULL. */
+const char *daemon_strerror(enum daemon_status status);
+
+/** All settings, checked. Texts are NUL-terminated. */
+struct daemon_settings {
+	char *vm;
+	char *domain;
+	char *caller_listen;
+	char *onward_listen;
+	char *admin_listen;
+	char *peer_listen;
+	char *backend;
+	char *platform;
+	char *fleet_secret;
+	/** Comma-separated peer addresses, asked while no roster is known. */
+	char *seed_peers;
+	enum base_log_level log_level;
+	/** Longest time that open requests get at a planned stop. */
+	int64_t drain_us;
+	/** Caller connections at a time. */
+	int64_t max_connections;
+	/** Largest request and answer body, in bytes. */
+	int64_t max_body;
+};
+
+/**
+ * Reads settings from flags and environment variables; flags go first. Prints
+ * help or the version and ends the process when asked to.
+ * @return DAEMON_ERR_SETTING with a message that names the setting, the value
+ *         and what is allowed
+ */
+enum daemon_status daemon_settings_parse(int argc, char **argv,
+					 struct daemon_settings *settings,
+					 struct base_error *err);
+void daemon_settings_release(struct daemon_settings *settings);
+
+struct daemon;
+
+/** Binds all interfaces and starts the control task. */
+enum daemon_status daemon_create(const struct daemon_settings *settings,
+				 struct daemon **out, struct base_error *err);
+/** Serves until SIGTERM or SIGINT, then drains and returns. */
+void daemon_run(struct daemon *daemon);
+void daemon_destroy(struct daemon *daemon);
+
+#endif
--- /dev/null
+++ b/packages/daemon/entry.c
@@ -0,0 +1,488 @@
+/* The entry: authentication, admission and the start of each request. */
+#include "flow.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Callers reach daemons of other failure domains over links this slow. */
+#define DEFAULT_RETRY_AFTER_US BASE_SECOND_US
+
+static void refuse(struct flow *f, enum http_refusal refusal,
+		   const char *detail, int64_t now)
+{
+	struct flow_refusal r = {
+		.refusal = refusal,
+		.not_run = true,
+		.detail = detail,
+	};
+
+	if (refusal == HTTP_REFUSAL_NOT_READY ||
+	    refusal == HTTP_REFUSAL_OWNER_UNREACHABLE)
+		r.retry_after_us = DEFAULT_RETRY_AFTER_US;
+	flow_refuse(f, &r, now);
+}
+
+static struct base_str header(const struct flow *f, const char *name)
+{
+	return http_headers_find(&f->ex->request.headers, base_str_from(name));
+}
+
+/* Headers that the system sets itself, or that could carry a key. */
+static bool is_reserved(const struct http_header *h)
+{
+	static const char *const names[] = {
+		"Authorization",
+		"traceparent",
+		"Idempotency-Key",
+	};
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(names); i++)
+		if (base_str_equal_nocase(h->name, base_str_from(names[i])))
+			return true;
+	if (h->name.len >= 14 &&
+	    !strncasecmp(h->name.ptr, "Bilberryhinge-", 14))
+		return true;
+	return memmem(h->value.ptr, h->value.len, CONFIG_CREDENTIAL_PREFIX,
+		      sizeof(CONFIG_CREDENTIAL_PREFIX) - 1) != NULL;
+}
+
+static void copy_request(struct flow *f)
+{
+	const struct http_request *r = &f->ex->request;
+	size_t i;
+
+	base_buf_add_str(&f->target, r->path);
+	if (r->query.len) {
+		base_buf_add(&f->target, "?", 1);
+		base_buf_add_str(&f->target, r->query);
+	}
+	for (i = 0; i < r->headers.count; i++) {
+		const struct http_header *h = &r->headers.items[i];
+
+		if (!is_reserved(h) && !http_header_is_hop_by_hop(h->name))
+			http_headers_add(&f->headers, h->name, h->value);
+	}
+}
+
+static void start_trace(struct flow *f)
+{
+	struct http_trace parent;
+
+	if (f->onward) {
+		parent = *guard_work_trace(f->parent);
+		http_trace_child(&parent, &f->trace);
+		memcpy(f->parent_span, parent.span_id, sizeof(f->parent_span));
+	} else if (http_trace_parse(header(f, "traceparent"), &parent)) {
+		http_trace_child(&parent, &f->trace);
+		memcpy(f->parent_span, parent.span_id, sizeof(f->parent_span));
+	} else {
+		http_trace_start(&f->trace);
+	}
+}
+
+static bool set_deadline(struct flow *f, int64_t now)
+{
+	struct base_str text = header(f, "Bilberryhinge-Timeout-Ms");
+	int64_t us = f->route->timeout_us;
+	int64_t ms;
+	struct timeval tv;
+
+	if (text.ptr) {
+		if (!base_str_to_i64(text, &ms) || ms < 1)
+			return false;
+		if (ms < us / BASE_MS_US)
+			us = ms * BASE_MS_US;
+	}
+	f->deadline = f->ex->received_at + us;
+	if (f->parent && guard_work_deadline(f->parent) < f->deadline)
+		f->deadline = guard_work_deadline(f->parent);
+	us = f->deadline > now ? f->deadline - now : 1;
+	tv = (struct timeval){ .tv_sec = us / BASE_SECOND_US,
+			       .tv_usec = us % BASE_SECOND_US };
+	event_add(f->timer, &tv);
+	return true;
+}
+
+/* Each failed check looks the same, so that ids cannot be probed. */
+static bool authenticate(struct flow *f)
+{
+	static const struct base_str scheme = { "Bearer ", 7 };
+	struct base_str text = header(f, "Authorization");
+	struct base_str id, secret;
+	const struct config_key *key;
+
+	if (!base_str_starts_with(text, scheme))
+		return false;
+	text.ptr += scheme.len;
+	text.len -= scheme.len;
+	if (!config_credential_split(text, &id, &secret))
+		return false;
+	key = config_snapshot_find_key(f->snapshot, id);
+	if (!key || !config_credential_verify(key, secret) || key->withdrawn)
+		return false;
+	f->account = key->account;
+	return true;
+}
+
+static bool check_idempotency_key(struct flow *f, int64_t now)
+{
+	struct base_str text = header(f, "Idempotency-Key");
+	struct retry_key key;
+
+	if (!text.ptr) {
+		if (f->route->idempotent || f->onward)
+			return true;
+		refuse(f, HTTP_REFUSAL_IDEMPOTENCY_KEY_REQUIRED,
+		       "this route needs an Idempotency-Key header", now);
+		return false;
+	}
+	if (!f->route->idempotent && !retry_key_parse(text, &key)) {
+		refuse(f, HTTP_REFUSAL_IDEMPOTENCY_KEY_INVALID,
+		       "Idempotency-Key is not a UUIDv7", now);
+		return false;
+	}
+	if (text.len > PEER_NAME_MAX) {
+		refuse(f, HTTP_REFUSAL_IDEMPOTENCY_KEY_INVALID,
+		       "Idempotency-Key is too long", now);
+		return false;
+	}
+	base_buf_add_str(&f->key, text);
+	return true;
+}
+
+static bool check_request(struct flow *f, int64_t now)
+{
+	if (f->target.len > PEER_TEXT_MAX || f->headers.count > PEER_LIST_MAX) {
+		refuse(f, HTTP_REFUSAL_BAD_REQUEST,
+		       "the path or the list of headers is too long", now);
+		return false;
+	}
+	if ((int64_t)f->ex->request.body.len > f->route->max_body_bytes) {
+		refuse(f, HTTP_REFUSAL_BODY_TOO_LARGE,
+		       "the body is over the limit of the route", now);
+		return false;
+	}
+	if (!set_deadline(f, now)) {
+		refuse(f, HTTP_REFUSAL_BAD_REQUEST,
+		       "Bilberryhinge-Timeout-Ms is not a positive number",
+		       now);
+		return false;
+	}
+	return check_idempotency_key(f, now);
+}
+
+static bool match_route(struct flow *f, int64_t now)
+{
+	const struct http_request *r = &f->ex->request;
+
+	if (!f->snapshot || !membership_ready(f->node->membership)) {
+		refuse(f, HTTP_REFUSAL_NOT_READY,
+		       "no configuration is in force yet", now);
+		return false;
+	}
+	f->route = config_snapshot_match_route(f->snapshot, r->method, r->path);
+	if (f->route)
+		return true;
+	refuse(f, HTTP_REFUSAL_NO_ROUTE, "no route has this method and path",
+	       now);
+	return false;
+}
+
+static void admit_by_pressure(struct flow *f, int64_t now)
+{
+	struct overload_request request = {
+		.route = (uint32_t)f->route->index,
+		.level = (uint8_t)f->route->priority->level,
+		.idempotent = f->route->idempotent,
+		.account =
+			f->account ? (uint32_t)f->account->index : UINT32_MAX,
+		.weight = f->account ? (uint32_t)f->account->weight : 1,
+	};
+	struct flow_refusal refusal = {
+		.refusal = HTTP_REFUSAL_OVERLOADED,
+		.not_run = true,
+		.detail = "a service of this route is overloaded",
+	};
+
+	if (!f->onward && f->snapshot == f->node->snapshot &&
+	    !overload_pressure_admit(f->node->pressure, &request, now,
+				     &refusal.retry_after_us)) {
+		node_count(f->node, "refused_early");
+		flow_refuse(f, &refusal, now);
+		return;
+	}
+	if (!f->onward)
+		f->attempt = retry_first_attempt(&f->node->budget, now);
+	flow_route(f, now);
+}
+
+static void apply_rate(struct flow *f, const struct rate_decision *decision,
+		       int64_t now)
+{
+	struct flow_refusal refusal = {
+		.refusal = HTTP_REFUSAL_RATE_LIMITED,
+		.not_run = true,
+		.retry_after_us = decision->retry_after_us,
+		.detail = "the client account is beyond its rate",
+	};
+
+	switch (decision->result) {
+	case RATE_ADMITTED:
+		if (!rate_decision_valid(decision, base_now_us())) {
+			flow_refuse(f, &refusal, now);
+			return;
+		}
+		admit_by_pressure(f, now);
+		return;
+	case RATE_WAITING:
+		f->state = FLOW_RATE_WAITING;
+		return;
+	case RATE_REFUSED:
+	case RATE_UNKNOWN_ACCOUNT:
+		flow_refuse(f, &refusal, now);
+		return;
+	}
+}
+
+static void admit_by_rate(struct flow *f, int64_t now)
+{
+	struct rate_link *link = f->node->rate_link;
+	struct rate_decision decision;
+
+	if (f->onward || !f->account) {
+		admit_by_pressure(f, now);
+		return;
+	}
+	decision = rate_link_admit(link, f->account, f->id, now);
+	apply_rate(f, &decision, now);
+	rate_link_flush(link, now);
+}
+
+static void claim(struct flow *f, int64_t now)
+{
+	const struct http_request *r = &f->ex->request;
+	struct base_str parts[] = { r->method, base_buf_str(&f->target),
+				    r->body };
+	struct claims_request request = {
+		.request = f->id,
+		.account = f->account ? f->account->name : BASE_STR_NONE,
+		.key = base_buf_str(&f->key),
+		.deadline = f->deadline,
+	};
+
+	if (f->route->idempotent || !f->key.len) {
+		admit_by_rate(f, now);
+		return;
+	}
+	request.fingerprint = retry_fingerprint(parts, BASE_ARRAY_SIZE(parts));
+	f->state = FLOW_CLAIMING;
+	claims_claim(f->node->claims, &request, now);
+}
+
+void entry_on_caller_request(struct entry *entry, struct http_exchange *ex)
+{
+	int64_t now = base_now_us();
+	struct flow *f = flow_create(entry, ex, now);
+
+	node_touch(entry->node, now);
+	node_count(entry->node, "requests");
+	start_trace(f);
+	copy_request(f);
+	if (!match_route(f, now))
+		return;
+	if (!f->route->open && !authenticate(f)) {
+		refuse(f, HTTP_REFUSAL_UNAUTHENTICATED,
+		       "no key, or one that is not in force", now);
+		return;
+	}
+	if (f->account && f->account->cancelled) {
+		refuse(f, HTTP_REFUSAL_FORBIDDEN,
+		       "the client account is cancelled", now);
+		return;
+	}
+	if (check_request(f, now))
+		claim(f, now);
+}
+
+static void on_parent_end(void *ctx, const struct guard_work *work)
+{
+	struct entry *entry = ctx;
+	struct flow *f, *next;
+
+	HASH_ITER (hh, entry->flows, f, next)
+		if (f->parent == work)
+			f->parent = NULL;
+}
+
+void entry_on_onward_call(struct entry *entry, struct http_exchange *ex,
+			  struct guard_work *parent)
+{
+	int64_t now = base_now_us();
+	const struct peer_context *context = guard_work_context(parent);
+	struct flow *f = flow_create(entry, ex, now);
+
+	node_touch(entry->node, now);
+	node_count(entry->node, "onward_calls");
+	f->onward = true;
+	f->parent = parent;
+	f->depth = context->depth + 1;
+	f->attempt = context->attempt;
+	guard_work_onward_started(parent, now);
+	guard_work_set_end_cb(parent, on_parent_end, entry);
+	start_trace(f);
+	copy_request(f);
+	if (!match_route(f, now))
+		return;
+	if (!context->open)
+		f->account = config_snapshot_find_account(f->snapshot,
+							  context->account);
+	if (!f->account && !f->route->open) {
+		refuse(f, HTTP_REFUSAL_FORBIDDEN,
+		       "this route does not run without a client account", now);
+		return;
+	}
+	if (check_request(f, now))
+		claim(f, now);
+}
+
+void entry_on_answer(struct entry *entry, const struct peer_message *msg)
+{
+	struct flow *f;
+
+	HASH_FIND(hh_wire, entry->by_wire, &msg->id, sizeof(msg->id), f);
+	if (!f) {
+		node_count(entry->node, "answers_late");
+		return;
+	}
+	flow_on_answer(f, &msg->answer, base_now_us());
+}
+
+void entry_on_link_down(struct entry *entry, uint32_t vm)
+{
+	struct flow *f, *next;
+	int64_t now = base_now_us();
+
+	HASH_ITER (hh_wire, entry->by_wire, f, next)
+		if (f->server == vm)
+			flow_on_lost(f, now);
+}
+
+static struct flow *find_flow(struct entry *entry, uint64_t id,
+			      enum flow_state state)
+{
+	struct flow *f;
+
+	HASH_FIND(hh, entry->flows, &id, sizeof(id), f);
+	return f && f->state == state ? f : NULL;
+}
+
+void entry_on_rate_decision(struct entry *entry, uint64_t request,
+			    const struct rate_decision *decision)
+{
+	struct flow *f = find_flow(entry, request, FLOW_RATE_WAITING);
+
+	if (f)
+		apply_rate(f, decision, base_now_us());
+}
+
+static void replay(struct flow *f, const struct peer_stored_answer *stored,
+		   int64_t now)
+{
+	struct peer_answer answer = {
+		.status = stored->status,
+		.outcome = PEER_RAN,
+		.headers = stored->headers,
+		.body = stored->body,
+	};
+	struct flow_refusal gone = {
+		.refusal = HTTP_REFUSAL_ANSWER_TOO_LARGE,
+		.detail = "it ran, but its answer was too large to be kept",
+	};
+
+	node_count(f->node, "answers_replayed");
+	if (stored->status)
+		flow_answer(f, &answer, now);
+	else
+		flow_refuse(f, &gone, now);
+}
+
+static void refuse_claim(struct flow *f, enum peer_claim_result result,
+			 int64_t now)
+{
+	struct flow_refusal r = {
+		.refusal = HTTP_REFUSAL_OWNER_UNREACHABLE,
+		.not_run = true,
+		.retry_after_us = DEFAULT_RETRY_AFTER_US,
+		.detail = "the owner of the idempotency key cannot decide now",
+	};
+
+	if (result == PEER_CLAIM_RUNNING) {
+		r.refusal = HTTP_REFUSAL_IN_PROGRESS;
+		r.not_run = false;
+		r.detail = "a request with this key was sent before and its "
+			   "end is not known";
+	} else if (result == PEER_CLAIM_TOO_OLD) {
+		r.refusal = HTTP_REFUSAL_KEY_TOO_OLD;
+		r.not_run = false;
+		r.retry_after_us = 0;
+		r.detail = "the key was made before what its owner remembers";
+	} else if (result == PEER_CLAIM_MISMATCH) {
+		r.refusal = HTTP_REFUSAL_IDEMPOTENCY_MISMATCH;
+		r.retry_after_us = 0;
+		r.detail = "the key was used for another request";
+	} else if (result == PEER_CLAIM_FULL) {
+		r.refusal = HTTP_REFUSAL_OVERLOADED;
+		r.detail = "the owner of the key holds too many keys";
+	}
+	flow_refuse(f, &r, now);
+}
+
+void entry_on_claim(struct entry *entry, uint64_t request,
+		    const struct peer_claim_answer *answer)
+{
+	struct flow *f = find_flow(entry, request, FLOW_CLAIMING);
+	int64_t now = base_now_us();
+
+	if (!f)
+		return;
+	f->state = FLOW_RATE_WAITING;
+	if (!answer) {
+		refuse(f, HTTP_REFUSAL_OWNER_UNREACHABLE,
+		       "the owner of the idempotency key is out of reach", now);
+	} else if (answer->result == PEER_CLAIM_NEW) {
+		f->claimed = true;
+		f->claim_id = answer->claim_id;
+		admit_by_rate(f, now);
+	} else if (answer->result == PEER_CLAIM_DONE) {
+		replay(f, &answer->stored, now);
+	} else {
+		refuse_claim(f, answer->result, now);
+	}
+}
+
+size_t entry_open_flows(const struct entry *entry)
+{
+	return HASH_COUNT(entry->flows);
+}
+
+struct entry *entry_create(struct node *node)
+{
+	struct entry *entry = base_alloc(sizeof(*entry));
+
+	entry->node = node;
+	return entry;
+}
+
+void entry_destroy(struct entry *entry)
+{
+	struct flow *f, *next;
+	int64_t now = base_now_us();
+
+	if (!entry)
+		return;
+	HASH_ITER (hh, entry->flows, f, next)
+		refuse(f, HTTP_REFUSAL_DRAINING, "the daemon stops", now);
+	free(entry);
+}
--- /dev/null
+++ b/packages/daemon/flow.h
@@ -0,0 +1,102 @@
+/* One request at the entry, from its arrival to its reply. */
+#ifndef FLOW_H
+#define FLOW_H
+
+#include "claims.h"
+#include "entry.h"
+#include "membership.h"
+#include "node.h"
+#include "rate_link.h"
+#include "roster.h"
+#include "spans.h"
+
+#include <uthash.h>
+
+/** First server and its reroutes and retry. */
+#define FLOW_TRIES_MAX 4
+
+enum flow_state {
+	FLOW_NEW,
+	FLOW_CLAIMING,
+	FLOW_RATE_WAITING,
+	FLOW_SENT,
+};
+
+struct flow {
+	uint64_t id;
+	struct entry *entry;
+	struct node *node;
+	/** Keeps route and account valid over configuration changes. */
+	const struct config_snapshot *snapshot;
+	const struct config_route *route;
+	/** NULL on open routes. */
+	const struct config_account *account;
+	/** NULL once the caller has gone. */
+	struct http_exchange *ex;
+	/** Work that made this onward call; NULL for callers and when ended. */
+	struct guard_work *parent;
+	bool onward;
+	enum flow_state state;
+
+	struct base_buf target;
+	struct http_headers headers;
+	struct base_buf key;
+	struct http_trace trace;
+	uint8_t parent_span[8];
+	int64_t started_at;
+	int64_t deadline;
+	uint32_t depth;
+	struct event *timer;
+
+	uint64_t claim_id;
+	bool claimed;
+
+	uint32_t attempt;
+	uint32_t reroutes;
+	bool retried;
+	int32_t cutoff;
+	uint32_t tried[FLOW_TRIES_MAX];
+	uint32_t tries;
+	/** Server of the present try, and the message id sent to it. */
+	uint32_t server;
+	uint64_t wire_id;
+	struct guard_work *local;
+	bool sending;
+
+	UT_hash_handle hh;
+	UT_hash_handle hh_wire;
+};
+
+struct entry {
+	struct node *node;
+	struct flow *flows;
+	struct flow *by_wire;
+	uint64_t next_id;
+};
+
+/** What the caller gets when the request is refused. */
+struct flow_refusal {
+	enum http_refusal refusal;
+	bool not_run;
+	int64_t retry_after_us;
+	const char *detail;
+};
+
+struct flow *flow_create(struct entry *entry, struct http_exchange *ex,
+			 int64_t now);
+/** Replies with a refusal, ends the claim and frees the flow. */
+void flow_refuse(struct flow *f, const struct flow_refusal *refusal,
+		 int64_t now);
+/** Passes a backend server's answer on and frees the flow. */
+void flow_answer(struct flow *f, const struct peer_answer *answer, int64_t now);
+/** Sends the request to a server, or refuses it when there is none. */
+void flow_route(struct flow *f, int64_t now);
+/** The present try ended with this answer; retries or ends the flow. */
+void flow_on_answer(struct flow *f, const struct peer_answer *answer,
+		    int64_t now);
+/** The present try ended without an answer. */
+void flow_on_lost(struct flow *f, int64_t now);
+/** Takes the flow off the server of its present try. */
+void flow_detach(struct flow *f);
+
+#endif
--- /dev/null
+++ b/packages/daemon/guard.c
@@ -0,0 +1,700 @@
+/* The guard: queue, start, cancel and answer work of the own backend server. */
+#include "guard.h"
+#include "death.h"
+#include "membership.h"
+#include "spans.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <uthash.h>
+
+#define TOKEN_BYTES 16
+#define TOKEN_LEN (TOKEN_BYTES * 2)
+
+struct guard_work {
+	uint64_t id;
+	struct guard *guard;
+	struct base_buf bytes;
+	struct peer_message msg;
+	int64_t deadline;
+	int64_t submitted_at;
+	int64_t started_at;
+	guard_answer_cb cb;
+	void *ctx;
+	struct http_call *call;
+	char token[TOKEN_LEN + 1];
+	/* For cancel messages of remote entries. */
+	struct peer_remote remote;
+	uint64_t remote_id;
+	struct http_trace trace;
+	uint32_t onward_open;
+	int64_t onward_since;
+	int32_t cutoff;
+	bool retried;
+	bool abandoned;
+	guard_end_cb end_cb;
+	void *end_ctx;
+	UT_hash_handle hh;
+	UT_hash_handle hh_token;
+};
+
+struct guard {
+	struct node *node;
+	struct overload_guard *overload;
+	struct http_client *backend;
+	struct death_watch *death;
+	struct event *timer;
+	struct guard_work *works;
+	struct guard_work *by_token;
+	uint64_t next_id;
+	bool pumping;
+};
+
+/* What is reported when the answer does not come from the backend server. */
+struct failure {
+	enum http_refusal refusal;
+	enum peer_outcome outcome;
+	int64_t retry_after_us;
+};
+
+static struct overload_guard_config bounds_of(struct node *node)
+{
+	const struct config_service *s = node->self->service;
+	struct overload_guard_config config = {
+		.slots = (uint32_t)s->slots,
+		.connections = (uint32_t)s->connections,
+		.cold_slots = (uint32_t)s->cold_slots,
+		.cold_us = s->cold_us,
+		.seed = node->incarnation,
+	};
+
+	return config;
+}
+
+static void schedule(struct guard *g, int64_t now)
+{
+	int64_t at = overload_guard_next_at(g->overload);
+	int64_t wait = at - now;
+	struct timeval tv;
+
+	if (at == INT64_MAX) {
+		event_del(g->timer);
+		return;
+	}
+	if (wait < 100)
+		wait = 100;
+	tv = (struct timeval){ .tv_sec = wait / BASE_SECOND_US,
+			       .tv_usec = wait % BASE_SECOND_US };
+	event_add(g->timer, &tv);
+}
+
+static void work_free(struct guard_work *w)
+{
+	struct guard *g = w->guard;
+
+	HASH_DELETE(hh, g->works, w);
+	if (w->token[0])
+		HASH_DELETE(hh_token, g->by_token, w);
+	if (w->end_cb)
+		w->end_cb(w->end_ctx, w);
+	peer_message_release(&w->msg);
+	base_buf_release(&w->bytes);
+	free(w);
+}
+
+static void record_span(struct guard_work *w, int status, const char *decision,
+			int64_t now)
+{
+	const struct peer_context *c = &w->msg.request.context;
+	struct http_trace parent = { 0 };
+	struct span span = {
+		.trace = w->trace,
+		.kind = "guard",
+		.started_at = w->submitted_at,
+		.duration_us = now - w->submitted_at,
+		.status = status,
+		.attempt = c->attempt,
+	};
+
+	if (http_trace_parse(c->traceparent, &parent))
+		memcpy(span.parent_id, parent.span_id, sizeof(span.parent_id));
+	snprintf(span.route, sizeof(span.route), "%.*s",
+		 BASE_STR_ARG(c->route));
+	snprintf(span.account, sizeof(span.account), "%.*s",
+		 BASE_STR_ARG(c->account));
+	snprintf(span.decision, sizeof(span.decision), "%s", decision);
+	snprintf(span.served_by, sizeof(span.served_by), "%s",
+		 w->guard->node->settings->vm);
+	spans_add(w->guard->node->spans, &span);
+}
+
+/* Adds the state of the guard, answers and frees the work. */
+static void deliver(struct guard_work *w, struct peer_answer *answer,
+		    const char *decision, int64_t now)
+{
+	struct guard *g = w->guard;
+	struct node *node = g->node;
+	struct routing_report report = guard_report(g, now);
+	struct peer_cutoff cutoff = { .level = (uint32_t)w->cutoff };
+
+	if (node->self)
+		cutoff.service = node->self->service->name;
+	cutoff.level = (uint32_t)overload_cutoff_stricter(
+		w->cutoff, overload_guard_cutoff(g->overload));
+	answer->load = report.load;
+	answer->limit = report.limit;
+	answer->draining = report.draining;
+	answer->cold_full = report.cold_full;
+	answer->cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
+	answer->retried = w->retried;
+	record_span(w, (int)answer->status, decision, now);
+	if (!w->abandoned)
+		w->cb(w->ctx, answer);
+	work_free(w);
+}
+
+static void fail(struct guard_work *w, const struct failure *failure,
+		 int64_t now)
+{
+	const char *name = http_refusal_name(failure->refusal);
+	struct peer_answer answer = {
+		.status = (uint32_t)http_refusal_code(failure->refusal),
+		.outcome = failure->outcome,
+		.reason = base_str_from(name),
+		.retry_after_ms = (uint32_t)(failure->retry_after_us / 1000),
+	};
+
+	deliver(w, &answer, name, now);
+}
+
+static void fail_not_run(struct guard_work *w, enum http_refusal refusal,
+			 int64_t retry_after_us, int64_t now)
+{
+	struct failure failure = { refusal, PEER_NOT_RUN, retry_after_us };
+
+	fail(w, &failure, now);
+}
+
+static struct guard_work *find_work(struct guard *g, uint64_t id)
+{
+	struct guard_work *w;
+
+	HASH_FIND(hh, g->works, &id, sizeof(id), w);
+	return w;
+}
+
+static void pump(struct guard *g, int64_t now);
+
+/* The backend server says by these that it could not take the work. */
+static bool is_overload_status(int status)
+{
+	return status == 429 || status == 503 || status == 504;
+}
+
+static void answer_whole(struct guard_work *w, const struct http_answer *http,
+			 int64_t now)
+{
+	struct peer_header *items =
+		base_alloc_array(http->headers.count, sizeof(*items));
+	struct peer_answer answer = {
+		.status = (uint32_t)http->status,
+		.outcome = PEER_RAN,
+		.body = http->body,
+	};
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < http->headers.count && n < PEER_LIST_MAX; i++) {
+		const struct http_header *h = &http->headers.items[i];
+
+		if (!http_header_is_hop_by_hop(h->name))
+			items[n++] = (struct peer_header){ h->name, h->value };
+	}
+	answer.headers = (struct peer_headers){ items, n };
+	deliver(w, &answer, "answered", now);
+	free(items);
+}
+
+static struct failure failure_of(enum http_result result, bool out_of_time)
+{
+	struct failure lost = { HTTP_REFUSAL_CONNECTION_LOST, PEER_UNKNOWN, 0 };
+
+	if (result == HTTP_RESULT_NOT_SENT)
+		return (struct failure){ HTTP_REFUSAL_NO_SERVER, PEER_NOT_RUN,
+					 BASE_SECOND_US };
+	if (result == HTTP_RESULT_TOO_LARGE)
+		return (struct failure){ HTTP_REFUSAL_ANSWER_TOO_LARGE,
+					 PEER_UNKNOWN, 0 };
+	if (out_of_time)
+		return (struct failure){ HTTP_REFUSAL_DEADLINE, PEER_UNKNOWN,
+					 0 };
+	return lost;
+}
+
+static void on_backend(void *ctx, enum http_result result,
+		       const struct http_answer *http)
+{
+	struct guard_work *w = ctx;
+	struct guard *g = w->guard;
+	int64_t now = base_now_us();
+	enum overload_outcome outcome = OVERLOAD_OUTCOME_OK;
+	struct failure failure;
+
+	w->call = NULL;
+	if (result == HTTP_RESULT_ANSWERED) {
+		if (is_overload_status(http->status))
+			outcome = OVERLOAD_OUTCOME_FAILED;
+		overload_guard_finish(g->overload, w->id, outcome, now);
+		answer_whole(w, http, now);
+		pump(g, now);
+		return;
+	}
+	failure = failure_of(result, now >= w->deadline);
+	if (failure.refusal == HTTP_REFUSAL_CONNECTION_LOST) {
+		death_watch_lost(g->death, w->id,
+				 overload_guard_in_flight(g->overload), now);
+		return;
+	}
+	outcome = result == HTTP_RESULT_NOT_SENT ? OVERLOAD_OUTCOME_SERVER_LOST
+						 : OVERLOAD_OUTCOME_FAILED;
+	overload_guard_finish(g->overload, w->id, outcome, now);
+	fail(w, &failure, now);
+	pump(g, now);
+}
+
+/* The verdict about a group of lost connections. */
+static void on_verdict(void *ctx, const uint64_t *ids, size_t count, bool died)
+{
+	struct guard *g = ctx;
+	int64_t now = base_now_us();
+	struct failure failure = { HTTP_REFUSAL_CONNECTION_LOST, PEER_UNKNOWN,
+				   0 };
+	size_t i;
+
+	if (died) {
+		node_count(g->node, "backend_deaths");
+		overload_guard_server_lost(g->overload, now);
+	}
+	for (i = 0; i < count; i++) {
+		struct guard_work *w = find_work(g, ids[i]);
+
+		if (!w)
+			continue;
+		overload_guard_finish(g->overload, w->id,
+				      died ? OVERLOAD_OUTCOME_SERVER_LOST
+					   : OVERLOAD_OUTCOME_FAILED,
+				      now);
+		fail(w, &failure, now);
+	}
+	pump(g, now);
+}
+
+static void split_target(struct base_str target, struct http_request *request)
+{
+	const char *mark =
+		target.len ? memchr(target.ptr, '?', target.len) : NULL;
+
+	request->path = target;
+	if (!mark)
+		return;
+	request->path.len = (size_t)(mark - target.ptr);
+	request->query.ptr = mark + 1;
+	request->query.len = target.len - request->path.len - 1;
+}
+
+static void add_own_headers(struct guard_work *w, struct http_headers *headers,
+			    int64_t now)
+{
+	const struct peer_context *c = &w->msg.request.context;
+	char traceparent[HTTP_TRACEPARENT_LEN + 1];
+	char remaining[24];
+
+	http_trace_format(&w->trace, traceparent);
+	snprintf(remaining, sizeof(remaining), "%" PRId64,
+		 (w->deadline - now) / 1000);
+	http_headers_add(headers, BASE_STR("traceparent"),
+			 base_str_from(traceparent));
+	http_headers_add(headers, BASE_STR("Bilberryhinge-Call"),
+			 base_str_from(w->token));
+	http_headers_add(headers, BASE_STR("Bilberryhinge-Timeout-Ms"),
+			 base_str_from(remaining));
+	if (c->account.len)
+		http_headers_add(headers, BASE_STR("Bilberryhinge-Account"),
+				 c->account);
+	if (c->idempotency_key.len)
+		http_headers_add(headers, BASE_STR("Idempotency-Key"),
+				 c->idempotency_key);
+}
+
+static void make_token(struct guard_work *w)
+{
+	uint8_t bytes[TOKEN_BYTES];
+
+	randombytes_buf(bytes, sizeof(bytes));
+	sodium_bin2hex(w->token, sizeof(w->token), bytes, sizeof(bytes));
+	HASH_ADD(hh_token, w->guard->by_token, token[0], TOKEN_LEN, w);
+}
+
+static void start(struct guard_work *w, int64_t now)
+{
+	struct guard *g = w->guard;
+	const struct peer_request *r = &w->msg.request;
+	struct http_request request = { .method = r->method, .body = r->body };
+	size_t i;
+
+	make_token(w);
+	w->started_at = now;
+	split_target(r->path, &request);
+	for (i = 0; i < r->headers.count; i++)
+		http_headers_add(&request.headers, r->headers.items[i].name,
+				 r->headers.items[i].value);
+	add_own_headers(w, &request.headers, now);
+	w->call = http_client_send(g->backend, &request, w->deadline - now,
+				   on_backend, w);
+	http_headers_release(&request.headers);
+	if (w->call)
+		return;
+	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
+	fail_not_run(w, HTTP_REFUSAL_OVERLOADED, BASE_SECOND_US, now);
+}
+
+static enum http_refusal refusal_of(enum overload_reason reason)
+{
+	switch (reason) {
+	case OVERLOAD_REASON_OVERLOADED:
+		return HTTP_REFUSAL_OVERLOADED;
+	case OVERLOAD_REASON_DEADLINE:
+		return HTTP_REFUSAL_DEADLINE;
+	case OVERLOAD_REASON_DRAINING:
+		return HTTP_REFUSAL_DRAINING;
+	}
+	return HTTP_REFUSAL_OVERLOADED;
+}
+
+static void pump(struct guard *g, int64_t now)
+{
+	struct overload_action action;
+
+	if (g->pumping || node_is_waking(g->node))
+		return;
+	g->pumping = true;
+	while (overload_guard_next(g->overload, now, &action)) {
+		struct guard_work *w = find_work(g, action.id);
+
+		if (!w)
+			continue;
+		if (action.type == OVERLOAD_ACTION_START)
+			start(w, now);
+		else
+			fail_not_run(w, refusal_of(action.reason),
+				     action.retry_after_us, now);
+	}
+	g->pumping = false;
+	schedule(g, now);
+}
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	pump(arg, base_now_us());
+}
+
+static bool copy_request(struct guard_work *w,
+			 const struct peer_request *request)
+{
+	struct peer_message msg = { .type = PEER_REQUEST, .request = *request };
+
+	if (peer_message_encode(&msg, &w->bytes, NULL) != PEER_OK)
+		return false;
+	return peer_message_decode(base_buf_str(&w->bytes), &w->msg, NULL) ==
+	       PEER_OK;
+}
+
+static void offer(struct guard_work *w, int64_t now)
+{
+	struct node *node = w->guard->node;
+	const struct peer_context *c = &w->msg.request.context;
+	const struct config_route *route = NULL;
+	const struct config_account *account =
+		config_snapshot_find_account(node->snapshot, c->account);
+	struct overload_work work = {
+		.id = w->id,
+		.level = (uint8_t)(c->priority < OVERLOAD_LEVELS
+					   ? c->priority
+					   : OVERLOAD_LEVELS - 1),
+		.account = account ? (uint32_t)account->index : UINT32_MAX,
+		.weight = account ? (uint32_t)account->weight : 1,
+		.deadline = w->deadline,
+	};
+	size_t i;
+
+	for (i = 0; i < node->snapshot->route_count; i++)
+		if (base_str_equal(node->snapshot->routes[i].name, c->route))
+			route = &node->snapshot->routes[i];
+	/* A route that is not known here is protected like the last shed. */
+	work.idempotent = route && route->idempotent;
+	overload_guard_offer(w->guard->overload, &work, now);
+}
+
+static void answer_remote(void *ctx, const struct peer_answer *answer)
+{
+	struct guard_work *w = ctx;
+	struct node *node = w->guard->node;
+	struct peer_message msg = {
+		.type = PEER_ANSWER,
+		.id = w->remote_id,
+		.answer = *answer,
+	};
+	enum peer_status status =
+		peer_transport_reply(node->transport, &w->remote, &msg);
+
+	if (status == PEER_ERR_TOO_LARGE) {
+		msg.answer = (struct peer_answer){
+			.status = 502,
+			.outcome = PEER_UNKNOWN,
+			.reason = BASE_STR("answer_too_large"),
+			.load = answer->load,
+			.limit = answer->limit,
+		};
+		status =
+			peer_transport_reply(node->transport, &w->remote, &msg);
+	}
+	if (status != PEER_OK)
+		node_count(node, "guard_answers_undeliverable");
+}
+
+/* Starts the decision about a work whose origin is filled in. */
+static struct guard_work *submit(struct guard_work *w,
+				 const struct peer_request *request,
+				 int64_t deadline, int64_t now)
+{
+	struct guard *guard = w->guard;
+	struct http_trace parent;
+	uint64_t id = ++guard->next_id;
+
+	w->id = id;
+	w->deadline = deadline;
+	w->submitted_at = now;
+	w->cutoff = OVERLOAD_CUTOFF_NONE;
+	HASH_ADD(hh, guard->works, id, sizeof(w->id), w);
+	if (!copy_request(w, request)) {
+		fail_not_run(w, HTTP_REFUSAL_BAD_REQUEST, 0, now);
+		return NULL;
+	}
+	if (http_trace_parse(request->context.traceparent, &parent))
+		http_trace_child(&parent, &w->trace);
+	else
+		http_trace_start(&w->trace);
+	if (!guard->overload || !membership_ready(guard->node->membership)) {
+		fail_not_run(w, HTTP_REFUSAL_NOT_READY, BASE_SECOND_US, now);
+		return NULL;
+	}
+	offer(w, now);
+	pump(guard, now);
+	return find_work(guard, id);
+}
+
+struct guard_work *guard_submit(struct guard *guard,
+				const struct peer_request *request,
+				int64_t deadline, int64_t now,
+				guard_answer_cb cb, void *ctx)
+{
+	struct guard_work *w = base_alloc(sizeof(*w));
+
+	w->guard = guard;
+	w->cb = cb;
+	w->ctx = ctx;
+	return submit(w, request, deadline, now);
+}
+
+void guard_on_remote_request(struct guard *guard,
+			     const struct peer_remote *remote,
+			     const struct peer_message *msg,
+			     const struct peer_receipt *receipt)
+{
+	int64_t now = receipt->received_at;
+	int64_t left = msg->request.context.remaining_us - receipt->age_us;
+	struct guard_work *w = base_alloc(sizeof(*w));
+
+	w->guard = guard;
+	w->remote = *remote;
+	w->remote_id = msg->id;
+	w->cb = answer_remote;
+	w->ctx = w;
+	submit(w, &msg->request, now + left, now);
+}
+
+void guard_cancel(struct guard *guard, struct guard_work *work, int64_t now)
+{
+	bool idempotent_call = !work->msg.request.context.idempotency_key.len;
+
+	if (overload_guard_cancel(guard->overload, work->id, now)) {
+		node_count(guard->node, "guard_cancelled_queued");
+		work_free(work);
+		pump(guard, now);
+		return;
+	}
+	node_count(guard->node, "guard_cancelled_running");
+	work->abandoned = true;
+	/* Keyed work is run to its end, so that it is not left half done. */
+	if (!work->call || !idempotent_call)
+		return;
+	http_call_cancel(work->call);
+	overload_guard_finish(guard->overload, work->id, OVERLOAD_OUTCOME_OK,
+			      now);
+	record_span(work, 499, "cancelled", now);
+	work_free(work);
+	pump(guard, now);
+}
+
+void guard_on_remote_cancel(struct guard *guard,
+			    const struct peer_remote *remote, uint64_t id)
+{
+	struct guard_work *w, *next;
+
+	HASH_ITER (hh, guard->works, w, next) {
+		if (w->cb != answer_remote || w->remote_id != id ||
+		    !peer_remote_equal(&w->remote, remote))
+			continue;
+		guard_cancel(guard, w, base_now_us());
+		return;
+	}
+}
+
+struct guard_work *guard_find_token(struct guard *guard, struct base_str token)
+{
+	struct guard_work *w = NULL;
+
+	if (token.len != TOKEN_LEN)
+		return NULL;
+	HASH_FIND(hh_token, guard->by_token, token.ptr, TOKEN_LEN, w);
+	return w;
+}
+
+const struct peer_context *guard_work_context(const struct guard_work *work)
+{
+	return &work->msg.request.context;
+}
+
+int64_t guard_work_deadline(const struct guard_work *work)
+{
+	return work->deadline;
+}
+
+const struct http_trace *guard_work_trace(const struct guard_work *work)
+{
+	return &work->trace;
+}
+
+void guard_work_onward_started(struct guard_work *work, int64_t now)
+{
+	if (!work->onward_open++)
+		work->onward_since = now;
+}
+
+void guard_work_onward_ended(struct guard_work *work, int32_t cutoff,
+			     bool retried, int64_t now)
+{
+	work->cutoff = overload_cutoff_stricter(work->cutoff, cutoff);
+	work->retried = work->retried || retried;
+	if (!--work->onward_open)
+		overload_guard_onward(work->guard->overload, work->id,
+				      now - work->onward_since);
+}
+
+void guard_work_set_end_cb(struct guard_work *work, guard_end_cb cb, void *ctx)
+{
+	work->end_cb = cb;
+	work->end_ctx = ctx;
+}
+
+struct routing_report guard_report(const struct guard *guard, int64_t now)
+{
+	struct routing_report report = { 0 };
+	const struct overload_guard *o = guard->overload;
+
+	report.draining = guard->node->draining;
+	if (!o)
+		return report;
+	report.load = overload_guard_in_flight(o) + overload_guard_queued(o);
+	report.limit = overload_guard_limit(o, now);
+	report.cold_full =
+		overload_guard_cold(o, now) && report.load >= report.limit;
+	return report;
+}
+
+int32_t guard_cutoff(const struct guard *guard)
+{
+	return guard->overload ? overload_guard_cutoff(guard->overload)
+			       : OVERLOAD_CUTOFF_NONE;
+}
+
+size_t guard_open_works(const struct guard *guard)
+{
+	return HASH_COUNT(guard->works);
+}
+
+void guard_drain(struct guard *guard)
+{
+	if (guard->overload)
+		overload_guard_drain(guard->overload);
+}
+
+void guard_woke(struct guard *guard, int64_t paused_us, int64_t now)
+{
+	if (!guard->overload)
+		return;
+	overload_guard_woke(guard->overload, paused_us, now);
+	pump(guard, now);
+}
+
+void guard_configure(struct guard *guard, int64_t now)
+{
+	struct overload_guard_config config;
+
+	if (!guard->node->self)
+		return;
+	config = bounds_of(guard->node);
+	if (guard->overload)
+		overload_guard_reconfigure(guard->overload, &config, now);
+	else
+		guard->overload = overload_guard_create(&config, NULL, now);
+	pump(guard, now);
+}
+
+struct guard *guard_create(struct node *node, struct base_error *err)
+{
+	struct guard *g = base_alloc(sizeof(*g));
+	struct http_client_settings settings = {
+		.address = base_str_from(node->settings->backend),
+		/* The guard's limit is the bound; this only caps memory. */
+		.max_connections = 65536,
+		.max_answer = (size_t)node->settings->max_body,
+	};
+
+	g->node = node;
+	if (http_client_create(node->base, &settings, &g->backend, err)) {
+		free(g);
+		return NULL;
+	}
+	g->death = death_watch_create(node->base, node->settings->backend,
+				      on_verdict, g);
+	g->timer = evtimer_new(node->base, on_timer, g);
+	return g;
+}
+
+void guard_destroy(struct guard *guard)
+{
+	struct guard_work *w, *next;
+
+	if (!guard)
+		return;
+	HASH_ITER (hh, guard->works, w, next)
+		work_free(w);
+	http_client_destroy(guard->backend);
+	death_watch_destroy(guard->death);
+	overload_guard_destroy(guard->overload);
+	event_free(guard->timer);
+	free(guard);
+}
--- /dev/null
+++ b/packages/daemon/main.c
@@ -0,0 +1,26 @@
+/* Program bilberryhinged. */
+#include "daemon.h"
+
+#include <stdio.h>
+
+int main(int argc, char **argv)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+	struct daemon *daemon;
+	enum daemon_status status =
+		daemon_settings_parse(argc, argv, &settings, &err);
+
+	if (status == DAEMON_OK)
+		status = daemon_create(&settings, &daemon, &err);
+	if (status != DAEMON_OK) {
+		fprintf(stderr, "bilberryhinged: %s: %s\n",
+			daemon_strerror(status), err.message);
+		daemon_settings_release(&settings);
+		return 2;
+	}
+	daemon_run(daemon);
+	daemon_destroy(daemon);
+	daemon_settings_release(&settings);
+	return 0;
+}
--- /dev/null
+++ b/packages/daemon/settings.c
@@ -0,0 +1,288 @@
+/* Settings from flags and environment variables. */
+#include "daemon.h"
+#include "http.h"
+#include "peer.h"
+
+#include <argp.h>
+#include <stddef.h>
+#include <string.h>
+
+const char *argp_program_version = "bilberryhinged 0.1";
+
+enum setting_type {
+	SETTING_NAME,
+	SETTING_ADDRESS,
+	SETTING_ADDRESS_LIST,
+	SETTING_SECRET,
+	SETTING_LEVEL,
+	SETTING_NUMBER,
+};
+
+struct setting {
+	int key;
+	const char *flag;
+	const char *env;
+	enum setting_type type;
+	size_t offset;
+	/** NULL for a setting that must be given. */
+	const char *initial;
+	int64_t min;
+	int64_t max;
+	/** Factor from the unit of the flag to the unit of the field. */
+	int64_t scale;
+	const char *arg;
+	const char *doc;
+};
+
+#define FIELD(name) offsetof(struct daemon_settings, name)
+
+static const struct setting table[] = {
+	{ 'n', "vm", "BILBERRYHINGE_VM", SETTING_NAME, FIELD(vm), NULL, 0, 0, 1,
+	  "NAME", "Name of this VM in the configuration" },
+	{ 'd', "domain", "BILBERRYHINGE_DOMAIN", SETTING_NAME, FIELD(domain),
+	  NULL, 0, 0, 1, "NAME", "Failure domain of this VM" },
+	{ 'c', "caller-listen", "BILBERRYHINGE_CALLER_LISTEN", SETTING_ADDRESS,
+	  FIELD(caller_listen), "0.0.0.0:8080", 0, 0, 1, "IP:PORT",
+	  "Interface for callers" },
+	{ 'o', "onward-listen", "BILBERRYHINGE_ONWARD_LISTEN", SETTING_ADDRESS,
+	  FIELD(onward_listen), "127.0.0.1:8081", 0, 0, 1, "IP:PORT",
+	  "Interface for onward calls of the own backend server" },
+	{ 'a', "admin-listen", "BILBERRYHINGE_ADMIN_LISTEN", SETTING_ADDRESS,
+	  FIELD(admin_listen), "127.0.0.1:8082", 0, 0, 1, "IP:PORT",
+	  "Interface for status, counters and spans" },
+	{ 'p', "peer-listen", "BILBERRYHINGE_PEER_LISTEN", SETTING_ADDRESS,
+	  FIELD(peer_listen), "0.0.0.0:8083", 0, 0, 1, "IP:PORT",
+	  "Interface for other daemons" },
+	{ 'b', "backend", "BILBERRYHINGE_BACKEND", SETTING_ADDRESS,
+	  FIELD(backend), NULL, 0, 0, 1, "IP:PORT",
+	  "Address of the own backend server" },
+	{ 'P', "platform", "BILBERRYHINGE_PLATFORM", SETTING_ADDRESS,
+	  FIELD(platform), NULL, 0, 0, 1, "IP:PORT",
+	  "Address of the platform's configuration service" },
+	{ 's', "fleet-secret", "BILBERRYHINGE_FLEET_SECRET", SETTING_SECRET,
+	  FIELD(fleet_secret), NULL, 0, 0, 1, "TEXT",
+	  "Secret shared by all daemons; prefer the environment variable, as "
+	  "flags are visible to other users" },
+	{ 'e', "seed-peers", "BILBERRYHINGE_SEED_PEERS", SETTING_ADDRESS_LIST,
+	  FIELD(seed_peers), "", 0, 0, 1, "IP:PORT,...",
+	  "Daemons asked for the configuration when the platform is down" },
+	{ 'l', "log-level", "BILBERRYHINGE_LOG_LEVEL", SETTING_LEVEL,
+	  FIELD(log_level), "info", 0, 0, 1, "LEVEL",
+	  "error, warn, info or debug" },
+	{ 'D', "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS", SETTING_NUMBER,
+	  FIELD(drain_us), "30", 1, 3600, BASE_SECOND_US, "SECONDS",
+	  "Longest time that open requests get at a planned stop" },
+	{ 'm', "max-connections", "BILBERRYHINGE_MAX_CONNECTIONS",
+	  SETTING_NUMBER, FIELD(max_connections), "4096", 1, 100000, 1, "COUNT",
+	  "Caller connections at a time" },
+	{ 'B', "max-body", "BILBERRYHINGE_MAX_BODY", SETTING_NUMBER,
+	  FIELD(max_body), "1048576", 1024, PEER_BODY_MAX, 1, "BYTES",
+	  "Largest request or answer body" },
+};
+
+#define SETTINGS BASE_ARRAY_SIZE(table)
+
+static void refuse(struct base_error *err, const struct setting *s,
+		   const char *value, const char *allowed)
+{
+	base_error_set(err, "setting --%s (%s): value '%s' is not allowed: %s",
+		       s->flag, s->env,
+		       s->type == SETTING_SECRET ? "(hidden)" : value, allowed);
+}
+
+static bool check_address_list(const char *value)
+{
+	struct base_str rest = base_str_from(value);
+	struct sockaddr_storage addr;
+	socklen_t len;
+
+	while (rest.len) {
+		const char *comma = memchr(rest.ptr, ',', rest.len);
+		size_t n = comma ? (size_t)(comma - rest.ptr) : rest.len;
+
+		if (http_address_parse((struct base_str){ rest.ptr, n }, &addr,
+				       &len, NULL))
+			return false;
+		n += comma != NULL;
+		rest = (struct base_str){ rest.ptr + n, rest.len - n };
+	}
+	return true;
+}
+
+static enum daemon_status set_text(const struct setting *s, const char *value,
+				   void *field, const char *allowed, bool ok,
+				   struct base_error *err)
+{
+	char **text = field;
+
+	if (!ok) {
+		refuse(err, s, value, allowed);
+		return DAEMON_ERR_SETTING;
+	}
+	*text = base_str_dup(base_str_from(value));
+	return DAEMON_OK;
+}
+
+static bool is_name(const char *value)
+{
+	return *value && strlen(value) <= 64 &&
+	       strspn(value, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRST"
+			     "UVWXYZ0123456789._-") == strlen(value);
+}
+
+static enum daemon_status set_number(const struct setting *s, const char *value,
+				     int64_t *field, struct base_error *err)
+{
+	char allowed[96];
+	int64_t number;
+
+	if (!base_str_to_i64(base_str_from(value), &number) ||
+	    number < s->min || number > s->max) {
+		snprintf(allowed, sizeof(allowed),
+			 "a whole number from %lld to %lld", (long long)s->min,
+			 (long long)s->max);
+		refuse(err, s, value, allowed);
+		return DAEMON_ERR_SETTING;
+	}
+	*field = number * s->scale;
+	return DAEMON_OK;
+}
+
+static enum daemon_status apply(const struct setting *s, const char *value,
+				struct daemon_settings *settings,
+				struct base_error *err)
+{
+	void *field = (char *)settings + s->offset;
+	struct sockaddr_storage addr;
+	socklen_t len;
+
+	switch (s->type) {
+	case SETTING_NAME:
+		return set_text(s, value, field,
+				"1 to 64 letters, digits, '.', '_' and '-'",
+				is_name(value), err);
+	case SETTING_ADDRESS:
+		return set_text(s, value, field, "IP:PORT",
+				!http_address_parse(base_str_from(value), &addr,
+						    &len, NULL),
+				err);
+	case SETTING_ADDRESS_LIST:
+		return set_text(s, value, field,
+				"IP:PORT, several separated by commas",
+				check_address_list(value), err);
+	case SETTING_SECRET:
+		return set_text(s, value, field, "at least 16 characters",
+				strlen(value) >= PEER_SECRET_MIN, err);
+	case SETTING_LEVEL:
+		if (base_log_level_parse(base_str_from(value), field))
+			return DAEMON_OK;
+		refuse(err, s, value, "error, warn, info or debug");
+		return DAEMON_ERR_SETTING;
+	case SETTING_NUMBER:
+		return set_number(s, value, field, err);
+	}
+	return DAEMON_ERR_SETTING;
+}
+
+static error_t parse_flag(int key, char *arg, struct argp_state *state)
+{
+	const char **values = state->input;
+	size_t i;
+
+	for (i = 0; i < SETTINGS; i++) {
+		if (table[i].key == key) {
+			values[i] = arg;
+			return 0;
+		}
+	}
+	if (key == ARGP_KEY_ARG)
+		argp_error(state, "unexpected argument '%s'", arg);
+	return ARGP_ERR_UNKNOWN;
+}
+
+static void describe(struct argp_option *options, struct base_buf *docs)
+{
+	size_t i;
+
+	for (i = 0; i < SETTINGS; i++) {
+		const struct setting *s = &table[i];
+
+		base_buf_addf(&docs[i], "%s [%s, %s%s]", s->doc, s->env,
+			      s->initial ? "default " : "required",
+			      s->initial ? s->initial : "");
+		options[i] = (struct argp_option){
+			.name = s->flag,
+			.key = s->key,
+			.arg = s->arg,
+			.doc = docs[i].ptr,
+		};
+	}
+}
+
+enum daemon_status daemon_settings_parse(int argc, char **argv,
+					 struct daemon_settings *settings,
+					 struct base_error *err)
+{
+	struct argp_option options[SETTINGS + 1] = { 0 };
+	struct base_buf docs[SETTINGS] = { 0 };
+	const char *values[SETTINGS] = { 0 };
+	struct argp argp = {
+		.options = options,
+		.parser = parse_flag,
+		.doc = "Overload control daemon beside one backend server.\v"
+		       "Each setting is a flag or an environment variable; the "
+		       "flag goes first.",
+	};
+	enum daemon_status status = DAEMON_OK;
+	size_t i;
+
+	memset(settings, 0, sizeof(*settings));
+	describe(options, docs);
+	argp_parse(&argp, argc, argv, 0, NULL, values);
+	for (i = 0; i < SETTINGS && status == DAEMON_OK; i++) {
+		const struct setting *s = &table[i];
+
+		if (!values[i])
+			values[i] = getenv(s->env);
+		if (!values[i])
+			values[i] = s->initial;
+		if (values[i]) {
+			status = apply(s, values[i], settings, err);
+			continue;
+		}
+		base_error_set(err, "setting --%s (%s) is required", s->flag,
+			       s->env);
+		status = DAEMON_ERR_SETTING;
+	}
+	for (i = 0; i < SETTINGS; i++)
+		base_buf_release(&docs[i]);
+	return status;
+}
+
+void daemon_settings_release(struct daemon_settings *settings)
+{
+	size_t i;
+
+	for (i = 0; i < SETTINGS; i++) {
+		const struct setting *s = &table[i];
+
+		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL)
+			free(*(char **)((char *)settings + s->offset));
+	}
+	memset(settings, 0, sizeof(*settings));
+}
+
+const char *daemon_strerror(enum daemon_status status)
+{
+	switch (status) {
+	case DAEMON_OK:
+		return "success";
+	case DAEMON_ERR_SETTING:
+		return "invalid setting";
+	case DAEMON_ERR_LISTEN:
+		return "cannot listen";
+	case DAEMON_ERR_SYSTEM:
+		return "system call failed";
+	}
+	return "unknown status";
+}
--- /dev/null
+++ b/packages/daemon/tests/test_settings.c
@@ -0,0 +1,64 @@
+/* Tests of the settings. */
+#include "daemon.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <string.h>
+
+static enum daemon_status parse(const char *extra, struct base_error *err,
+				struct daemon_settings *settings)
+{
+	char *argv[] = { "bilberryhinged",
+			 "--vm=a",
+			 "--domain=d",
+			 "--backend=127.0.0.1:1",
+			 "--platform=127.0.0.1:2",
+			 (char *)extra,
+			 NULL };
+
+	setenv("BILBERRYHINGE_FLEET_SECRET", "0123456789abcdef", 1);
+	return daemon_settings_parse(6, argv, settings, err);
+}
+
+Test(settings, flags_go_before_the_environment)
+{
+	struct daemon_settings settings;
+
+	setenv("BILBERRYHINGE_DRAIN_SECONDS", "7", 1);
+	setenv("BILBERRYHINGE_MAX_BODY", "2048", 1);
+	cr_assert(eq(int, parse("--drain-seconds=9", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(i64, settings.drain_us, 9 * BASE_SECOND_US));
+	cr_assert(eq(i64, settings.max_body, 2048));
+	daemon_settings_release(&settings);
+}
+
+/* Guards against errors that do not say what to change. */
+Test(settings, errors_name_setting_value_and_what_is_allowed)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	cr_assert(eq(int, parse("--drain-seconds=0", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	cr_assert(ne(ptr, strstr(err.message, "--drain-seconds"), NULL));
+	cr_assert(ne(ptr, strstr(err.message, "'0'"), NULL));
+	cr_assert(ne(ptr, strstr(err.message, "1 to 3600"), NULL));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--caller-listen=nowhere", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	cr_assert(ne(ptr, strstr(err.message, "IP:PORT"), NULL));
+	daemon_settings_release(&settings);
+}
+
+/* Guards against a secret that ends up in a log or terminal. */
+Test(settings, errors_do_not_show_the_secret)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	cr_assert(eq(int, parse("--fleet-secret=short", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	cr_assert(eq(ptr, strstr(err.message, "short"), NULL));
+	daemon_settings_release(&settings);
+}
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -325,7 +325,7 @@
 {
 	struct http_client *client;
 	struct sockaddr_storage addr;
-	socklen_t len;
+	socklen_t len = 0;
 	enum http_status status =
 		http_address_parse(settings->address, &addr, &len, err);
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -392,7 +392,7 @@
 {
 	struct http_server *server;
 	struct sockaddr_storage addr;
-	socklen_t len;
+	socklen_t len = 0;
 	enum http_status status =
 		http_address_parse(settings->listen, &addr, &len, err);
 
