Escape control characters in the tool's text output

Names and values come from files and daemons. A name with an escape sequence reached the terminal in the text of `check`, `diff` and `status`; such characters are now shown as \xNN. JSON output escapes them already.

Refusing such names on reading was ruled out: the problem has to name them.

--- a/packages/cli/command_diff.c
+++ b/packages/cli/command_diff.c
@@ -36,13 +36,15 @@
 		[CONFIG_CHANGE_REMOVED] = '-',
 		[CONFIG_CHANGE_FIELD] = '~',
 	};
+	BASE_CLEANUP(base_buf_release) struct base_buf line = BASE_BUF_INIT;
 
-	printf("%c %s %s", marks[change->type], change->kind, change->name);
+	base_buf_addf(&line, "%c %s %s", marks[change->type], change->kind,
+		      change->name);
 	if (change->type == CONFIG_CHANGE_FIELD)
-		printf(" %s: %s -> %s", change->field,
-		       *change->before ? change->before : "(absent)",
-		       *change->after ? change->after : "(absent)");
-	putchar('\n');
+		base_buf_addf(&line, " %s: %s -> %s", change->field,
+			      *change->before ? change->before : "(absent)",
+			      *change->after ? change->after : "(absent)");
+	print_line(stdout, base_buf_str(&line));
 }
 
 static json_t *value_of(const char *text)
--- a/packages/cli/command_status.c
+++ b/packages/cli/command_status.c
@@ -69,6 +69,7 @@
 
 static void print_value(struct base_buf *path, json_t *value, int depth)
 {
+	BASE_CLEANUP(base_buf_release) struct base_buf line = BASE_BUF_INIT;
 	char *text;
 
 	if (depth < DEPTH_MAX && json_object_size(value)) {
@@ -79,13 +80,15 @@
 		print_entries(path, value, depth);
 		return;
 	}
+	base_buf_addf(&line, "%s: ", path->ptr);
 	if (json_is_string(value)) {
-		printf("%s: %s\n", path->ptr, json_string_value(value));
-		return;
+		base_buf_addf(&line, "%s", json_string_value(value));
+	} else {
+		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+		base_buf_addf(&line, "%s", text);
+		free(text);
 	}
-	text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
-	printf("%s: %s\n", path->ptr, text);
-	free(text);
+	print_line(stdout, base_buf_str(&line));
 }
 
 static int show(const struct base_buf *body, bool as_json, const char *program)
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -1,19 +1,37 @@
 /* Output that commands share. */
 #include "print.h"
 
+void print_line(FILE *file, struct base_str line)
+{
+	size_t i;
+
+	for (i = 0; i < line.len; i++) {
+		unsigned char c = (unsigned char)line.ptr[i];
+
+		if (c < 0x20 || c == 0x7f)
+			fprintf(file, "\\x%02x", c);
+		else
+			putc(c, file);
+	}
+	putc('\n', file);
+}
+
 static void print_problem(FILE *file, const struct config_problem *p)
 {
+	BASE_CLEANUP(base_buf_release) struct base_buf line = BASE_BUF_INIT;
+
 	if (*p->source)
-		fprintf(file, "%s: ", p->source);
+		base_buf_addf(&line, "%s: ", p->source);
 	if (*p->kind)
-		fprintf(file, "%s ", p->kind);
+		base_buf_addf(&line, "%s ", p->kind);
 	if (*p->name)
-		fprintf(file, "\"%s\" ", p->name);
+		base_buf_addf(&line, "\"%s\" ", p->name);
 	if (*p->field)
-		fprintf(file, "%s ", p->field);
+		base_buf_addf(&line, "%s ", p->field);
 	if (*p->value)
-		fprintf(file, "%s: ", p->value);
-	fprintf(file, "%s\n", p->reason);
+		base_buf_addf(&line, "%s: ", p->value);
+	base_buf_addf(&line, "%s", p->reason);
+	print_line(file, base_buf_str(&line));
 }
 
 void print_problems(FILE *file, const struct config_report *report)
@@ -50,8 +68,3 @@
 	putchar('\n');
 	json_decref(json);
 }
-
-json_t *print_json_str(struct base_str text)
-{
-	return json_stringn(text.ptr ? text.ptr : "", text.len);
-}
--- a/tests/session_config_cli.sh
+++ b/tests/session_config_cli.sh
@@ -76,6 +76,13 @@
 shows err '3 problems'
 [ ! -e "$work/refused" ]
 
+# Names from a file cannot send control sequences to the terminal.
+printf '{"schema":2,"objects":[{"kind":"region","name":"\\u001b[2J"}]}' \
+	>"$work/escape.json"
+expect 1 check "$work/escape.json"
+shows out 'region "\x1b[2J" name "\u001B[2J": not 1 to 64 letters'
+rm "$work/escape.json"
+
 # What cannot be read is told from problems.
 echo '{"schema": 2, "objects": [' >"$work/c.json"
 expect 2 check "$work"
