Satisfy the linter in the daemon and the HTTP server

clang-tidy reported a possible null answer in the platform watch, a stack address kept in an answer and a socket address that it could not follow. The answer is now copied before the guard's state is added, and the bound address is formatted by getnameinfo().

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -135,7 +135,7 @@
 	if (version != active_version(c))
 		return version > active_version(c);
 	/* Active on two sides of a partition: the greater hash wins. */
-	return active_elsewhere &&
+	return active_elsewhere && c->active &&
 	       memcmp(digest->bytes, c->active->digest.bytes,
 		      sizeof(digest->bytes)) > 0;
 }
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -131,27 +131,29 @@
 }
 
 /* Adds the state of the guard, answers and frees the work. */
-static void deliver(struct guard_work *w, struct peer_answer *answer,
+static void deliver(struct guard_work *w, const struct peer_answer *bare,
 		    const char *decision, int64_t now)
 {
 	struct guard *g = w->guard;
 	struct node *node = g->node;
 	struct routing_report report = guard_report(g, now);
-	struct peer_cutoff cutoff = { .level = (uint32_t)w->cutoff };
+	struct peer_answer answer = *bare;
+	struct peer_cutoff cutoff = {
+		.level = (uint32_t)overload_cutoff_stricter(w->cutoff,
+							    guard_cutoff(g)),
+	};
 
 	if (node->self)
 		cutoff.service = node->self->service->name;
-	cutoff.level = (uint32_t)overload_cutoff_stricter(
-		w->cutoff, overload_guard_cutoff(g->overload));
-	answer->load = report.load;
-	answer->limit = report.limit;
-	answer->draining = report.draining;
-	answer->cold_full = report.cold_full;
-	answer->cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
-	answer->retried = w->retried;
-	record_span(w, (int)answer->status, decision, now);
+	answer.load = report.load;
+	answer.limit = report.limit;
+	answer.draining = report.draining;
+	answer.cold_full = report.cold_full;
+	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
+	answer.retried = w->retried;
+	record_span(w, (int)answer.status, decision, now);
 	if (!w->abandoned)
-		w->cb(w->ctx, answer);
+		w->cb(w->ctx, &answer);
 	work_free(w);
 }
 
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -20,9 +20,9 @@
 
 struct setting {
 	int key;
+	enum setting_type type;
 	const char *flag;
 	const char *env;
-	enum setting_type type;
 	size_t offset;
 	/** NULL for a setting that must be given. */
 	const char *initial;
@@ -37,45 +37,45 @@
 #define FIELD(name) offsetof(struct daemon_settings, name)
 
 static const struct setting table[] = {
-	{ 'n', "vm", "BILBERRYHINGE_VM", SETTING_NAME, FIELD(vm), NULL, 0, 0, 1,
+	{ 'n', SETTING_NAME, "vm", "BILBERRYHINGE_VM", FIELD(vm), NULL, 0, 0, 1,
 	  "NAME", "Name of this VM in the configuration" },
-	{ 'd', "domain", "BILBERRYHINGE_DOMAIN", SETTING_NAME, FIELD(domain),
+	{ 'd', SETTING_NAME, "domain", "BILBERRYHINGE_DOMAIN", FIELD(domain),
 	  NULL, 0, 0, 1, "NAME", "Failure domain of this VM" },
-	{ 'c', "caller-listen", "BILBERRYHINGE_CALLER_LISTEN", SETTING_ADDRESS,
+	{ 'c', SETTING_ADDRESS, "caller-listen", "BILBERRYHINGE_CALLER_LISTEN",
 	  FIELD(caller_listen), "0.0.0.0:8080", 0, 0, 1, "IP:PORT",
 	  "Interface for callers" },
-	{ 'o', "onward-listen", "BILBERRYHINGE_ONWARD_LISTEN", SETTING_ADDRESS,
+	{ 'o', SETTING_ADDRESS, "onward-listen", "BILBERRYHINGE_ONWARD_LISTEN",
 	  FIELD(onward_listen), "127.0.0.1:8081", 0, 0, 1, "IP:PORT",
 	  "Interface for onward calls of the own backend server" },
-	{ 'a', "admin-listen", "BILBERRYHINGE_ADMIN_LISTEN", SETTING_ADDRESS,
+	{ 'a', SETTING_ADDRESS, "admin-listen", "BILBERRYHINGE_ADMIN_LISTEN",
 	  FIELD(admin_listen), "127.0.0.1:8082", 0, 0, 1, "IP:PORT",
 	  "Interface for status, counters and spans" },
-	{ 'p', "peer-listen", "BILBERRYHINGE_PEER_LISTEN", SETTING_ADDRESS,
+	{ 'p', SETTING_ADDRESS, "peer-listen", "BILBERRYHINGE_PEER_LISTEN",
 	  FIELD(peer_listen), "0.0.0.0:8083", 0, 0, 1, "IP:PORT",
 	  "Interface for other daemons" },
-	{ 'b', "backend", "BILBERRYHINGE_BACKEND", SETTING_ADDRESS,
+	{ 'b', SETTING_ADDRESS, "backend", "BILBERRYHINGE_BACKEND",
 	  FIELD(backend), NULL, 0, 0, 1, "IP:PORT",
 	  "Address of the own backend server" },
-	{ 'P', "platform", "BILBERRYHINGE_PLATFORM", SETTING_ADDRESS,
+	{ 'P', SETTING_ADDRESS, "platform", "BILBERRYHINGE_PLATFORM",
 	  FIELD(platform), NULL, 0, 0, 1, "IP:PORT",
 	  "Address of the platform's configuration service" },
-	{ 's', "fleet-secret", "BILBERRYHINGE_FLEET_SECRET", SETTING_SECRET,
+	{ 's', SETTING_SECRET, "fleet-secret", "BILBERRYHINGE_FLEET_SECRET",
 	  FIELD(fleet_secret), NULL, 0, 0, 1, "TEXT",
 	  "Secret shared by all daemons; prefer the environment variable, as "
 	  "flags are visible to other users" },
-	{ 'e', "seed-peers", "BILBERRYHINGE_SEED_PEERS", SETTING_ADDRESS_LIST,
+	{ 'e', SETTING_ADDRESS_LIST, "seed-peers", "BILBERRYHINGE_SEED_PEERS",
 	  FIELD(seed_peers), "", 0, 0, 1, "IP:PORT,...",
 	  "Daemons asked for the configuration when the platform is down" },
-	{ 'l', "log-level", "BILBERRYHINGE_LOG_LEVEL", SETTING_LEVEL,
+	{ 'l', SETTING_LEVEL, "log-level", "BILBERRYHINGE_LOG_LEVEL",
 	  FIELD(log_level), "info", 0, 0, 1, "LEVEL",
 	  "error, warn, info or debug" },
-	{ 'D', "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS", SETTING_NUMBER,
+	{ 'D', SETTING_NUMBER, "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS",
 	  FIELD(drain_us), "30", 1, 3600, BASE_SECOND_US, "SECONDS",
 	  "Longest time that open requests get at a planned stop" },
-	{ 'm', "max-connections", "BILBERRYHINGE_MAX_CONNECTIONS",
-	  SETTING_NUMBER, FIELD(max_connections), "4096", 1, 100000, 1, "COUNT",
-	  "Caller connections at a time" },
-	{ 'B', "max-body", "BILBERRYHINGE_MAX_BODY", SETTING_NUMBER,
+	{ 'm', SETTING_NUMBER, "max-connections",
+	  "BILBERRYHINGE_MAX_CONNECTIONS", FIELD(max_connections), "4096", 1,
+	  100000, 1, "COUNT", "Caller connections at a time" },
+	{ 'B', SETTING_NUMBER, "max-body", "BILBERRYHINGE_MAX_BODY",
 	  FIELD(max_body), "1048576", 1024, PEER_BODY_MAX, 1, "BYTES",
 	  "Largest request or answer body" },
 };
--- a/packages/daemon/watch.c
+++ b/packages/daemon/watch.c
@@ -89,7 +89,7 @@
 static bool report(struct watch_source *source, const char *key,
 		   enum http_result result, const struct http_answer *answer)
 {
-	bool ok = result == HTTP_RESULT_ANSWERED &&
+	bool ok = result == HTTP_RESULT_ANSWERED && answer &&
 		  (answer->status == 200 || answer->status == 404);
 
 	source->on_state(source->ctx, ok);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <evhtp.h>
+#include <netdb.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -362,6 +363,7 @@
 	struct sockaddr_storage bound = { 0 };
 	socklen_t bound_len = sizeof(bound);
 	char ip[INET6_ADDRSTRLEN];
+	char port[8];
 
 	if (evhtp_bind_sockaddr(server->htp, (struct sockaddr *)addr, len,
 				LISTEN_BACKLOG))
@@ -369,19 +371,11 @@
 	if (getsockname(evconnlistener_get_fd(server->htp->server),
 			(struct sockaddr *)&bound, &bound_len))
 		return HTTP_ERR_BIND;
-	if (bound.ss_family == AF_INET) {
-		struct sockaddr_in *in = (struct sockaddr_in *)&bound;
-
-		evutil_inet_ntop(AF_INET, &in->sin_addr, ip, sizeof(ip));
-		snprintf(server->address, sizeof(server->address), "%s:%d", ip,
-			 ntohs(in->sin_port));
-	} else {
-		struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&bound;
-
-		evutil_inet_ntop(AF_INET6, &in6->sin6_addr, ip, sizeof(ip));
-		snprintf(server->address, sizeof(server->address), "[%s]:%d",
-			 ip, ntohs(in6->sin6_port));
-	}
+	if (getnameinfo((struct sockaddr *)&bound, bound_len, ip, sizeof(ip),
+			port, sizeof(port), NI_NUMERICHOST | NI_NUMERICSERV))
+		return HTTP_ERR_BIND;
+	snprintf(server->address, sizeof(server->address),
+		 bound.ss_family == AF_INET ? "%s:%s" : "[%s]:%s", ip, port);
 	return HTTP_STATUS_OK;
 }
 
@@ -391,7 +385,7 @@
 				    struct base_error *err)
 {
 	struct http_server *server;
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addr = { 0 };
 	socklen_t len = 0;
 	enum http_status status =
 		http_address_parse(settings->listen, &addr, &len, err);
