--- /dev/null
+++ b/fakes/backend.c
@@ -0,0 +1,585 @@
+/*
+ * Stand-in for a backend server with a bounded number of slots.
+ *
+ *   GET /executions   "LABEL COUNT" lines, by X-Request-Label
+ *   GET /stats        key=value lines
+ *   PUT /control      key=value lines: service_us, slots, cold=1
+ *
+ * Any other path is work. Segments of the path change what happens: crash,
+ * hang, cut, delay-MS, large-BYTES, status-CODE.
+ */
+#include "fake.h"
+
+#include <argp.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+
+#define CHAIN_MAX 32
+#define EXIT_COLD 70
+#define EXIT_CRASH 71
+#define HANG_US (86400 * BASE_SECOND_US)
+#define ONWARD_TIMEOUT_US (30 * BASE_SECOND_US)
+
+struct settings {
+	const char *listen;
+	const char *name;
+	const char *onward;
+	/** "PATH" or "METHOD:PATH", called one after the other. */
+	const char *chain[CHAIN_MAX];
+	size_t chain_count;
+	int64_t slots;
+	int64_t service_us;
+	int64_t cold_slots;
+	int64_t cold_us;
+	bool log_executions;
+};
+
+struct execution {
+	char *label;
+	int64_t count;
+	UT_hash_handle hh;
+};
+
+struct backend {
+	struct event_base *loop;
+	evhtp_t *htp;
+	struct settings settings;
+	struct fake_pool *pool;
+	struct base_rand rnd;
+	struct execution *executions;
+	/** Waiting for a slot, oldest first. */
+	struct job *first;
+	struct job **last;
+	int64_t cold_since;
+	int64_t started;
+	int64_t in_flight;
+	int64_t in_flight_max;
+	int64_t in_slots;
+	int64_t connections;
+	int64_t connections_max;
+	bool saw_authorization;
+	bool saw_key;
+};
+
+/** What the path of a request asks for. */
+struct wish {
+	bool crash;
+	bool hang;
+	bool cut;
+	int64_t delay_us;
+	int64_t large;
+	int64_t status;
+};
+
+/** One request. */
+struct job {
+	struct backend *backend;
+	/** NULL when its connection has ended. */
+	evhtp_request_t *req;
+	struct event *timer;
+	struct evhttp_connection *onward;
+	struct wish wish;
+	char *path;
+	char *label;
+	char *token;
+	char *key;
+	size_t hop;
+	struct job *next;
+};
+
+static char *header_copy(evhtp_request_t *req, const char *name)
+{
+	const char *value = evhtp_header_find(req->headers_in, name);
+
+	return base_str_dup(base_str_from(value ? value : ""));
+}
+
+static int64_t number_after(const char *segment, const char *prefix)
+{
+	size_t len = strlen(prefix);
+	int64_t number = 0;
+
+	if (!strncmp(segment, prefix, len))
+		base_str_to_i64(base_str_from(segment + len), &number);
+	return number;
+}
+
+static struct wish parse_wish(const char *path)
+{
+	char *copy = base_str_dup(base_str_from(path));
+	struct wish wish = { .status = 200 };
+	char *rest = copy;
+	char *segment;
+
+	while ((segment = strsep(&rest, "/"))) {
+		wish.crash |= !strcmp(segment, "crash");
+		wish.hang |= !strcmp(segment, "hang");
+		wish.cut |= !strcmp(segment, "cut");
+		wish.delay_us += number_after(segment, "delay-") * BASE_MS_US;
+		wish.large += number_after(segment, "large-");
+		if (!strncmp(segment, "status-", 7))
+			wish.status = number_after(segment, "status-");
+	}
+	free(copy);
+	return wish;
+}
+
+static void count_execution(struct backend *b, const struct job *job)
+{
+	struct execution *e;
+
+	b->started++;
+	HASH_FIND_STR(b->executions, job->label, e);
+	if (!e) {
+		e = base_alloc(sizeof(*e));
+		e->label = base_str_dup(base_str_from(job->label));
+		HASH_ADD_KEYPTR(hh, b->executions, e->label, strlen(e->label),
+				e);
+	}
+	e->count++;
+	if (!b->settings.log_executions)
+		return;
+	printf("executed label=%s path=%s\n", job->label, job->path);
+	fflush(stdout);
+}
+
+static void start_next(struct backend *b);
+
+static void job_free(struct job *job)
+{
+	if (job->timer)
+		event_free(job->timer);
+	free(job->path);
+	free(job->label);
+	free(job->token);
+	free(job->key);
+	free(job);
+}
+
+static void job_end(struct job *job)
+{
+	struct backend *b = job->backend;
+
+	b->in_flight--;
+	b->in_slots--;
+	job_free(job);
+	start_next(b);
+}
+
+/* Sends a part of an answer and ends the connection. */
+static void reply_cut(evhtp_request_t *req)
+{
+	static const char part[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Length: 1000\r\n\r\npart";
+	int fd = bufferevent_getfd(evhtp_request_get_bev(req));
+
+	if (send(fd, part, sizeof(part) - 1, MSG_NOSIGNAL) < 0)
+		fprintf(stderr, "cut answer was not sent\n");
+	shutdown(fd, SHUT_RDWR);
+	evhtp_request_resume(req);
+}
+
+static void reply(struct job *job, int64_t status)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
+	evhtp_request_t *req = job->req;
+
+	if (!req)
+		return;
+	evhtp_request_unset_hook(req, evhtp_hook_on_request_fini);
+	if (job->wish.cut) {
+		reply_cut(req);
+		return;
+	}
+	base_buf_addf(&body, "{\"service\":\"%s\",\"path\":\"%s\",",
+		      job->backend->settings.name, job->path);
+	base_buf_addf(&body, "\"label\":\"%s\"}\n", job->label);
+	while ((int64_t)body.len < job->wish.large)
+		base_buf_add(&body, "                ", 16);
+	fake_header(req, "Content-Type", "application/json");
+	fake_header(req, "X-Request-Label", job->label);
+	fake_reply(req, (evhtp_res)status, base_buf_str(&body));
+}
+
+static void finish(struct job *job, int64_t status)
+{
+	reply(job, status);
+	job_end(job);
+}
+
+static void call_onward(struct job *job);
+
+static void on_onward(struct evhttp_request *req, void *arg)
+{
+	struct job *job = arg;
+	int status = req ? evhttp_request_get_response_code(req) : 0;
+
+	fake_pool_return(job->backend->pool, job->onward);
+	job->onward = NULL;
+	if (status < 200 || status > 299) {
+		finish(job, status ? status : EVHTP_RES_BADGATEWAY);
+		return;
+	}
+	job->hop++;
+	call_onward(job);
+}
+
+static enum evhttp_cmd_type parse_method(struct base_str name)
+{
+	if (base_str_equal(name, BASE_STR("POST")))
+		return EVHTTP_REQ_POST;
+	if (base_str_equal(name, BASE_STR("PUT")))
+		return EVHTTP_REQ_PUT;
+	if (base_str_equal(name, BASE_STR("DELETE")))
+		return EVHTTP_REQ_DELETE;
+	return EVHTTP_REQ_GET;
+}
+
+/*
+ * A key of the caller's with the same time, so that a second execution makes
+ * the same onward call.
+ */
+static void onward_key(struct job *job, char out[FAKE_UUID_SIZE])
+{
+	uint64_t hash;
+
+	fake_uuid7(&job->backend->rnd, out);
+	if (strlen(job->key) != FAKE_UUID_SIZE - 1)
+		return;
+	hash = base_hash64(base_str_from(job->key), job->hop + 1);
+	snprintf(out, FAKE_UUID_SIZE, "%.24s%012llx", job->key,
+		 (unsigned long long)(hash >> 16));
+}
+
+static void call_onward(struct job *job)
+{
+	struct backend *b = job->backend;
+	struct evhttp_request *req;
+	struct evkeyvalq *headers;
+	char key[FAKE_UUID_SIZE];
+	struct base_str method;
+	const char *target;
+	const char *colon;
+
+	if (job->hop == b->settings.chain_count) {
+		finish(job, job->wish.status);
+		return;
+	}
+	target = b->settings.chain[job->hop];
+	colon = strchr(target, ':');
+	method = (struct base_str){ target, colon ? colon - target : 0 };
+	req = evhttp_request_new(on_onward, job);
+	headers = evhttp_request_get_output_headers(req);
+	fake_pool_set_host(b->pool, req);
+	evhttp_add_header(headers, "Bilberryhinge-Call", job->token);
+	evhttp_add_header(headers, "X-Request-Label", job->label);
+	if (parse_method(method) != EVHTTP_REQ_GET) {
+		onward_key(job, key);
+		evhttp_add_header(headers, "Idempotency-Key", key);
+	}
+	job->onward = fake_pool_take(b->pool);
+	if (evhttp_make_request(job->onward, req, parse_method(method),
+				colon ? colon + 1 : target))
+		on_onward(NULL, job);
+}
+
+static void on_served(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	call_onward(arg);
+}
+
+static void start(struct job *job)
+{
+	struct backend *b = job->backend;
+	int64_t us = job->wish.hang
+			     ? HANG_US
+			     : b->settings.service_us + job->wish.delay_us;
+	struct timeval delay = { us / BASE_SECOND_US, us % BASE_SECOND_US };
+
+	b->in_slots++;
+	count_execution(b, job);
+	if (job->wish.crash) {
+		fprintf(stderr, "crash on request label=%s\n", job->label);
+		_exit(EXIT_CRASH);
+	}
+	job->timer = evtimer_new(b->loop, on_served, job);
+	evtimer_add(job->timer, &delay);
+}
+
+static void start_next(struct backend *b)
+{
+	while (b->first && b->in_slots < b->settings.slots) {
+		struct job *job = b->first;
+
+		b->first = job->next;
+		if (!b->first)
+			b->last = &b->first;
+		start(job);
+	}
+}
+
+static bool is_cold(const struct backend *b)
+{
+	return base_now_us() - b->cold_since < b->settings.cold_us;
+}
+
+static int look_for_secrets(evhtp_kv_t *kv, void *arg)
+{
+	struct backend *b = arg;
+
+	if (!strcasecmp(kv->key, "Authorization"))
+		b->saw_authorization = true;
+	if (strstr(kv->val, "bhk_"))
+		b->saw_key = true;
+	return 0;
+}
+
+static evhtp_res on_closed(evhtp_request_t *req, void *arg)
+{
+	struct job *job = arg;
+
+	(void)req;
+	job->req = NULL;
+	return EVHTP_RES_OK;
+}
+
+static void accept_work(struct backend *b, evhtp_request_t *req)
+{
+	struct job *job = base_alloc(sizeof(*job));
+
+	b->in_flight++;
+	if (b->in_flight > b->in_flight_max)
+		b->in_flight_max = b->in_flight;
+	if (is_cold(b) && b->in_flight > b->settings.cold_slots) {
+		fprintf(stderr, "died cold with %lld requests in flight\n",
+			(long long)b->in_flight);
+		_exit(EXIT_COLD);
+	}
+	job->backend = b;
+	job->req = req;
+	job->path = base_str_dup(base_str_from(req->uri->path->full));
+	job->wish = parse_wish(job->path);
+	job->label = header_copy(req, "X-Request-Label");
+	job->token = header_copy(req, "Bilberryhinge-Call");
+	job->key = header_copy(req, "Idempotency-Key");
+	evhtp_request_pause(req);
+	evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
+			       (evhtp_hook)on_closed, job);
+	*b->last = job;
+	b->last = &job->next;
+	start_next(b);
+}
+
+static void reply_executions(struct backend *b, evhtp_request_t *req)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf out = BASE_BUF_INIT;
+	struct execution *e;
+	struct execution *next;
+
+	HASH_ITER (hh, b->executions, e, next)
+		base_buf_addf(&out, "%s %lld\n", *e->label ? e->label : "-",
+			      (long long)e->count);
+	fake_reply(req, EVHTP_RES_OK, base_buf_str(&out));
+}
+
+static void reply_stats(struct backend *b, evhtp_request_t *req)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf out = BASE_BUF_INIT;
+
+	base_buf_addf(&out, "executions=%lld\nin_flight=%lld\n",
+		      (long long)b->started, (long long)b->in_flight);
+	base_buf_addf(&out, "in_flight_max=%lld\nconnections=%lld\n",
+		      (long long)b->in_flight_max, (long long)b->connections);
+	base_buf_addf(&out, "connections_max=%lld\ncold=%d\n",
+		      (long long)b->connections_max, is_cold(b));
+	base_buf_addf(&out, "saw_authorization=%d\nsaw_key=%d\n",
+		      b->saw_authorization, b->saw_key);
+	fake_reply(req, EVHTP_RES_OK, base_buf_str(&out));
+}
+
+static bool apply_setting(struct backend *b, char *line)
+{
+	char *value = strchr(line, '=');
+	int64_t number;
+
+	if (!value)
+		return false;
+	*value++ = '\0';
+	if (!base_str_to_i64(base_str_from(value), &number) || number < 0)
+		return false;
+	if (!strcmp(line, "service_us"))
+		b->settings.service_us = number;
+	else if (!strcmp(line, "slots"))
+		b->settings.slots = number;
+	else if (!strcmp(line, "cold"))
+		b->cold_since = base_now_us();
+	else
+		return false;
+	return true;
+}
+
+static void control(struct backend *b, evhtp_request_t *req)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
+	char *rest;
+	char *line;
+
+	fake_body(req, &body);
+	rest = body.ptr;
+	while ((line = strsep(&rest, "\n"))) {
+		if (!*line || apply_setting(b, line))
+			continue;
+		fake_reply(req, EVHTP_RES_BADREQ,
+			   BASE_STR("service_us=N, slots=N or cold=1\n"));
+		return;
+	}
+	fake_reply(req, EVHTP_RES_OK, BASE_STR_NONE);
+	start_next(b);
+}
+
+static void on_request(evhtp_request_t *req, void *arg)
+{
+	const char *path = req->uri->path->full;
+	struct backend *b = arg;
+
+	if (!strcmp(path, "/executions")) {
+		reply_executions(b, req);
+	} else if (!strcmp(path, "/stats")) {
+		reply_stats(b, req);
+	} else if (!strcmp(path, "/control")) {
+		control(b, req);
+	} else {
+		evhtp_kvs_for_each(req->headers_in, look_for_secrets, b);
+		accept_work(b, req);
+	}
+}
+
+static evhtp_res on_connection_closed(evhtp_connection_t *conn, void *arg)
+{
+	struct backend *b = arg;
+
+	(void)conn;
+	b->connections--;
+	return EVHTP_RES_OK;
+}
+
+static evhtp_res on_connection(evhtp_connection_t *conn, void *arg)
+{
+	struct backend *b = arg;
+
+	b->connections++;
+	if (b->connections > b->connections_max)
+		b->connections_max = b->connections;
+	evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
+				  (evhtp_hook)on_connection_closed, b);
+	return EVHTP_RES_OK;
+}
+
+enum option_key {
+	OPT_LISTEN = 'l',
+	OPT_NAME = 'n',
+	OPT_ONWARD = 'o',
+	OPT_CHAIN = 'c',
+	OPT_SLOTS = 's',
+	OPT_SERVICE_US = 't',
+	OPT_COLD_SLOTS = 'C',
+	OPT_COLD_MS = 'M',
+	OPT_LOG = 'x',
+};
+
+static const struct argp_option options[] = {
+	{ "listen", OPT_LISTEN, "IP:PORT", 0, "Address, default 127.0.0.1:0",
+	  0 },
+	{ "name", OPT_NAME, "NAME", 0, "Service, shown in answers", 0 },
+	{ "onward", OPT_ONWARD, "IP:PORT", 0, "Daemon for onward calls", 0 },
+	{ "chain", OPT_CHAIN, "[METHOD:]PATH", 0, "Onward call; may repeat",
+	  0 },
+	{ "slots", OPT_SLOTS, "N", 0, "Requests served at a time", 0 },
+	{ "service-us", OPT_SERVICE_US, "US", 0, "Service time", 0 },
+	{ "cold-slots", OPT_COLD_SLOTS, "N", 0, "Most in flight while cold",
+	  0 },
+	{ "cold-ms", OPT_COLD_MS, "MS", 0, "Length of the cold start", 0 },
+	{ "log-executions", OPT_LOG, NULL, 0, "Print a line an execution", 0 },
+	{ 0 },
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct settings *s = state->input;
+
+	switch (key) {
+	case OPT_LISTEN:
+		s->listen = arg;
+		return 0;
+	case OPT_NAME:
+		s->name = arg;
+		return 0;
+	case OPT_ONWARD:
+		s->onward = arg;
+		return 0;
+	case OPT_CHAIN:
+		if (s->chain_count == CHAIN_MAX)
+			argp_error(state, "more than %d calls", CHAIN_MAX);
+		s->chain[s->chain_count++] = arg;
+		return 0;
+	case OPT_SLOTS:
+		s->slots = fake_number("slots", arg);
+		return 0;
+	case OPT_SERVICE_US:
+		s->service_us = fake_number("service-us", arg);
+		return 0;
+	case OPT_COLD_SLOTS:
+		s->cold_slots = fake_number("cold-slots", arg);
+		return 0;
+	case OPT_COLD_MS:
+		s->cold_us = fake_number("cold-ms", arg) * BASE_MS_US;
+		return 0;
+	case OPT_LOG:
+		s->log_executions = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		options, parse_option, NULL, "Stand-in for a backend server",
+		NULL,	 NULL,	       NULL,
+	};
+	struct backend b = {
+		.settings = {
+			.listen = "127.0.0.1:0",
+			.name = "service",
+			.slots = 100,
+			.service_us = 1000,
+		},
+	};
+
+	argp_parse(&argp, argc, argv, 0, NULL, &b.settings);
+	if (b.settings.chain_count && !b.settings.onward)
+		fake_die("--chain needs --onward");
+	b.loop = fake_loop();
+	b.last = &b.first;
+	b.cold_since = base_now_us();
+	base_rand_seed_system(&b.rnd);
+	if (b.settings.onward)
+		b.pool = fake_pool_create(b.loop, b.settings.onward,
+					  ONWARD_TIMEOUT_US);
+	fake_handle_signals(b.loop);
+	b.htp = fake_listen(b.loop, b.settings.listen, on_request, &b);
+	evhtp_set_post_accept_cb(b.htp, on_connection, &b);
+	event_base_dispatch(b.loop);
+	exit(0);
+}
