Send the stand-in's calls at their planned times

A call planned for a moment was sent one period later, which added a whole period to every latency (5 ms at 200 calls/s).

The due count is now rounded up, so the first call goes out at once.

--- a/fakes/caller.c
+++ b/fakes/caller.c
@@ -305,7 +305,9 @@
 	(void)what;
 	if (elapsed > c->settings.duration_us)
 		elapsed = c->settings.duration_us;
-	due = elapsed * c->settings.rate / BASE_SECOND_US;
+	/* The first call is planned for the start, the last before the end. */
+	due = (elapsed * c->settings.rate + BASE_SECOND_US - 1) /
+	      BASE_SECOND_US;
 	while (c->planned < due)
 		start_call(c);
 	if (elapsed == c->settings.duration_us)
