Report link down after a send that met a pending disconnect

peer_transport_send() looks at the monitor socket first, so that a request is not queued on an ended connection. The look used up the descriptor's signal, and link_down was then never called.

Reading the events and telling the loop are now one function, watch_look().

--- a/packages/peer/link.c
+++ b/packages/peer/link.c
@@ -258,7 +258,7 @@
 {
 	enum peer_status status = PEER_OK;
 
-	if (!link->up || watch_readable(&link->monitor.watch)) {
+	if (!link->up || watch_look(&link->monitor.watch)) {
 		base_counter_add(t->counters.send_failures, 1);
 		return PEER_ERR_UNREACHABLE;
 	}
@@ -271,6 +271,6 @@
 		transport_count_sent(t, msg->type);
 	else
 		base_counter_add(t->counters.send_failures, 1);
-	watch_after_send(&link->dealer);
+	watch_look(&link->dealer);
 	return status;
 }
--- a/packages/peer/remote.c
+++ b/packages/peer/remote.c
@@ -208,7 +208,7 @@
 		transport_count_sent(t, msg->type);
 	else
 		base_counter_add(t->counters.send_failures, 1);
-	watch_after_send(&t->router);
+	watch_look(&t->router);
 	return status;
 }
 
--- a/packages/peer/tests/test_transport.c
+++ b/packages/peer/tests/test_transport.c
@@ -332,6 +332,35 @@
 	event_base_free(other);
 }
 
+/*
+ * Guards against "sent" for a request that was queued after the connection had
+ * ended: its outcome would be reported as unknown although it never left.
+ */
+Test(transport, send_after_an_unseen_disconnect_fails)
+{
+	struct event_base *loop = event_base_new();
+	struct event_base *other = event_base_new();
+	struct node *a = node_open(loop);
+	struct node *b = node_open(other);
+	struct peer_link *link = peer_transport_link(
+		a->transport, peer_transport_address(b->transport));
+	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
+
+	while (!saw(b, "h") && base_now_us() < end) {
+		run_for(loop, 5 * BASE_MS_US);
+		run_for(other, 5 * BASE_MS_US);
+	}
+	node_close(b);
+	run_for(other, 100 * BASE_MS_US);
+	cr_assert(peer_link_is_up(link));
+	cr_assert(eq(int, send_request(a, link, 1), PEER_ERR_UNREACHABLE));
+	cr_assert(eq(str, a->events, "u"));
+	run_until(a, "ud");
+	node_close(a);
+	event_base_free(loop);
+	event_base_free(other);
+}
+
 /* Guards against daemons of another fleet, or without any secret. */
 Test(transport, wrong_fleet_secret_is_refused_and_counted)
 {
--- a/packages/peer/watch.c
+++ b/packages/peer/watch.c
@@ -60,20 +60,18 @@
 	*watch = (struct watch){ 0 };
 }
 
-bool watch_readable(const struct watch *watch)
+/* Reading the events uses up the signal too, so the loop is told here. */
+bool watch_look(struct watch *watch)
 {
 	size_t size = sizeof(int);
 	int events;
 
 	if (zmq_getsockopt(watch->socket, ZMQ_EVENTS, &events, &size))
 		return false;
-	return events & ZMQ_POLLIN;
-}
-
-void watch_after_send(struct watch *watch)
-{
-	if (watch_readable(watch))
-		evtimer_add(watch->again, &at_once);
+	if (!(events & ZMQ_POLLIN))
+		return false;
+	evtimer_add(watch->again, &at_once);
+	return true;
 }
 
 size_t watch_drain(struct watch *watch)
--- a/packages/peer/watch.h
+++ b/packages/peer/watch.h
@@ -31,10 +31,11 @@
 			    void *ctx);
 /** Does nothing for a watch that is zeroed or closed. */
 void watch_close(struct watch *watch);
-/** True when a message waits. */
-bool watch_readable(const struct watch *watch);
-/** Looks for messages after a send; reads them from the loop. */
-void watch_after_send(struct watch *watch);
+/**
+ * Returns true when a message waits, which is then read from the loop. Needed
+ * after each send, because a send may use up the descriptor's signal.
+ */
+bool watch_look(struct watch *watch);
 /** Receives until the socket is empty or closed. Returns the number. */
 size_t watch_drain(struct watch *watch);
 
