--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -3,6 +3,7 @@
 
 #include <inttypes.h>
 #include <log4c.h>
+#include <stdio.h>
 #include <string.h>
 
 struct base_log {
@@ -22,6 +23,19 @@
 	.format = format_message,
 };
 
+static int append_to_stderr(log4c_appender_t *appender,
+			    const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+/* log4c's own stream appenders put their name in front of each line. */
+static const log4c_appender_type_t stderr_appender = {
+	.name = "bilberryhinge_stderr",
+	.append = append_to_stderr,
+};
+
 static int priority_of(enum base_log_level level)
 {
 	switch (level) {
@@ -45,7 +59,8 @@
 
 	log4c_layout_type_set(&line_layout);
 	log4c_layout_set_type(layout, &line_layout);
-	log4c_appender_set_type(appender, log4c_appender_type_get("stream"));
+	log4c_appender_type_set(&stderr_appender);
+	log4c_appender_set_type(appender, &stderr_appender);
 	log4c_appender_set_layout(appender, layout);
 	log->category = log4c_category_get(program);
 	log4c_category_set_appender(log->category, appender);
