--- a/tests/session_fakes.sh
+++ b/tests/session_fakes.sh
@@ -17,6 +17,7 @@
 start() {
 	local name=$1
 	shift
+	: >"$dir/$name"
 	"$bin/$1" "${@:2}" >"$dir/$name" 2>"$dir/$name.err" &
 	pid=$!
 	pids+=("$pid")
