State when a lost connection is noticed

The daemon's author needs to know that a network cut shows as link_down only after the TCP timeout of 5 s, so silence must be judged by missing heartbeats. Comments only. make check: 3 passed, 0 failed.

--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -436,7 +436,9 @@
 	/**
 	 * The connection ended; messages that arrived before were delivered.
 	 * What was sent and not answered may or may not have arrived. The
-	 * link reconnects by itself.
+	 * link reconnects by itself, after 50 ms at first and 1 s at most.
+	 * After a network cut this comes up to 5 s late; a missing heartbeat
+	 * shows a silent remote sooner.
 	 */
 	void (*link_down)(void *ctx, struct peer_link *link);
 };
@@ -484,7 +486,10 @@
 /** Returns the open link to an address, or NULL. */
 struct peer_link *peer_transport_find(struct peer_transport *transport,
 				      struct base_str address);
-/** Closes a link without a callback; the pointer is invalid afterwards. */
+/**
+ * Closes a link without a callback; the pointer is invalid afterwards. What was
+ * sent and not answered may or may not have arrived.
+ */
 void peer_transport_unlink(struct peer_transport *transport,
 			   struct peer_link *link);
 size_t peer_transport_link_count(const struct peer_transport *transport);
