--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -371,11 +371,23 @@
 	return DAEMON_OK;
 }
 
+/* libevent's default clock is too coarse (4 ms) for the timers here. */
+static struct event_base *create_loop(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 static void create_state(struct node *node)
 {
 	int64_t now = base_now_us();
 
-	node->base = event_base_new();
+	node->base = create_loop();
 	node->counters = base_counters_create();
 	node->log = base_log_create("bilberryhinged");
 	base_log_set_level(node->log, node->settings->log_level);
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -369,6 +369,34 @@
 			flow_on_lost(f, now);
 }
 
+void entry_on_link_up(struct entry *entry, uint32_t vm)
+{
+	struct flow *f, *next;
+	int64_t now = base_now_us();
+
+	HASH_ITER (hh, entry->flows, f, next)
+		if (f->state == FLOW_LINKING && f->server == vm)
+			flow_on_link(f, true, now);
+}
+
+void entry_tick(struct entry *entry, int64_t now)
+{
+	struct flow *f, *next;
+
+	HASH_ITER (hh, entry->flows, f, next) {
+		const struct config_vm *vm;
+		struct peer_link *link;
+
+		if (f->state != FLOW_LINKING)
+			continue;
+		vm = roster_vm(entry->node->roster, f->server);
+		link = vm ? node_link(entry->node, vm) : NULL;
+		if (!link ||
+		    !membership_is_linking(entry->node->membership, link, now))
+			flow_on_link(f, link && peer_link_is_up(link), now);
+	}
+}
+
 static struct flow *find_flow(struct entry *entry, uint64_t id,
 			      enum flow_state state)
 {
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -19,8 +19,10 @@
 void entry_on_answer(struct entry *entry, const struct peer_message *msg);
 /** The link to a VM ended; what was in flight there has an unclear end. */
 void entry_on_link_down(struct entry *entry, uint32_t vm);
-/** Ids of VMs changed with a new snapshot. */
-void entry_on_snapshot(struct entry *entry);
+/** Requests that wait for the link to a VM go on. */
+void entry_on_link_up(struct entry *entry, uint32_t vm);
+/** Ends the wait for links that did not come up in time. */
+void entry_tick(struct entry *entry, int64_t now);
 /** The rate decision of a waiting request. */
 void entry_on_rate_decision(struct entry *entry, uint64_t request,
 			    const struct rate_decision *decision);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -390,6 +390,10 @@
 	struct peer_link *link = node_link(f->node, vm);
 	struct peer_message msg = { .type = PEER_REQUEST, .request = *request };
 
+	if (link && membership_is_linking(f->node->membership, link, now)) {
+		f->state = FLOW_LINKING;
+		return;
+	}
 	msg.id = ++f->entry->next_id;
 	if (!link || peer_transport_send(f->node->transport, link, &msg)) {
 		on_send_failed(f, now);
@@ -428,6 +432,17 @@
 		f->local = work;
 }
 
+void flow_on_link(struct flow *f, bool up, int64_t now)
+{
+	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
+
+	f->state = FLOW_SENT;
+	if (up && vm)
+		send_to(f, vm, now);
+	else
+		on_send_failed(f, now);
+}
+
 static enum http_refusal refusal_of(enum routing_reason reason)
 {
 	return reason == ROUTING_ALL_COLD ? HTTP_REFUSAL_OVERLOADED
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -19,6 +19,8 @@
 	FLOW_NEW,
 	FLOW_CLAIMING,
 	FLOW_RATE_WAITING,
+	/** Waits for the link to its server. */
+	FLOW_LINKING,
 	FLOW_SENT,
 };
 
@@ -96,6 +98,8 @@
 		    int64_t now);
 /** The present try ended without an answer. */
 void flow_on_lost(struct flow *f, int64_t now);
+/** The link that a waiting flow needs is up, or did not come up. */
+void flow_on_link(struct flow *f, bool up, int64_t now);
 /** Takes the flow off the server of its present try. */
 void flow_detach(struct flow *f);
 
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -1,6 +1,7 @@
 /* Links to peers, heartbeats, relays and versions reported by peers. */
 #include "membership.h"
 #include "claims.h"
+#include "entry.h"
 #include "guard.h"
 #include "rate_link.h"
 #include "roster.h"
@@ -16,6 +17,8 @@
 #define RELAYS_PER_DOMAIN 2
 /* A relay that is not up after this time is passed over. */
 #define RELAY_CONNECT_US (2 * BASE_SECOND_US)
+/* Requests wait this long for a link that was just opened. */
+#define LINK_WAIT_US (300 * BASE_MS_US)
 #define LINK_IDLE_US (30 * BASE_SECOND_US)
 /* A fresh or woken daemon asks this many peers and waits this long. */
 #define ASKED_PEERS 8
@@ -368,12 +371,26 @@
 	}
 }
 
+bool membership_is_linking(const struct membership *m,
+			   const struct peer_link *link, int64_t now)
+{
+	const struct member *member = peer_link_data(link);
+
+	(void)m;
+	return member && !peer_link_is_up(link) &&
+	       now - member->opened_at < LINK_WAIT_US;
+}
+
 void membership_on_link_up(struct membership *m, struct peer_link *link)
 {
 	struct member *member = peer_link_data(link);
+	uint32_t vm;
 
-	if (member)
-		send_heartbeat(m, member, base_now_us());
+	if (!member)
+		return;
+	vm = member->vm;
+	send_heartbeat(m, member, base_now_us());
+	entry_on_link_up(m->node->entry, vm);
 }
 
 void membership_on_link_down(struct membership *m, struct peer_link *link)
@@ -583,6 +600,7 @@
 		report_own_domain(m, now);
 	end_asking(m, now);
 	send_probes(m, now);
+	entry_tick(m->node->entry, now);
 }
 
 void membership_configure(struct membership *m, int64_t now)
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -14,9 +14,9 @@
 	local pid
 	for pid in "${PIDS[@]}"; do
 		kill -CONT "$pid" 2>/dev/null
-		kill -KILL "$pid" 2>/dev/null
+			kill -KILL "$pid" 2>/dev/null
 	done
-	wait 2>/dev/null
+	wait >/dev/null 2>&1
 	rm -rf "$WORK"
 }
 trap cleanup EXIT
@@ -24,6 +24,7 @@
 fail() {
 	echo "FAILED: $*" >&2
 	for log in "$WORK"/*.err; do
+		[ -s "$log" ] || continue
 		echo "--- $(basename "$log")" >&2
 		tail -5 "$log" >&2
 	done
@@ -60,6 +61,12 @@
 	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" &
 	PID_OF[$name]=$!
 	PIDS+=($!)
+	# The shell reports the end of jobs that it knows; only daemons are
+	# waited for.
+	case $name in
+	daemon-*) ;;
+	*) disown ;;
+	esac
 }
 
 has_address() {
