Make the cutoff follow demand and keep refused work out of queues

In the surge, the middle services opened 10% of a class that asked for several times their capacity; that work waited behind non-idempotent work and held slots of the services before. In the flood, the cutoff swung and at its strict end cut accounts within their share; probes went mostly to the flooding account, as they were a share of the refusals.

Changes: - Raising takes out what is offered beyond what is started, plus what the queue has to lose in 300 ms; no raise while the queue shrinks fast enough. - Lowering estimates what a level asks for from its admitted share or probes. - Of work at levels that are shed altogether, only limit / 8 may wait. - Probes are sent only while nothing else of the class is admitted. - The target use of the limit is 102%, as 95% left a fifth of the capacity for the lowest class unused.

--- a/bench/overload.c
+++ b/bench/overload.c
@@ -9,7 +9,6 @@
 #define NORMAL_LOAD 0.7
 #define SURGE_LOAD 3.0
 #define SLOWDOWN 3.0
-#define FLOOD_ACCOUNT 1
 #define FLOOD_FACTOR 5.0
 #define RESTART_US (500 * BASE_MS_US)
 /* Guards start cold; measurements begin when they are warm. */
@@ -126,16 +125,17 @@
 	measure_print(label, "goodput_share", goodput / possible, "share");
 }
 
-static void run_flood(struct world *world, const struct measure_label *label)
+/* All other accounts stay within what the services can do. */
+static void run_flood(struct world *world, const struct measure_label *label,
+		      int account)
 {
 	warm_up(world);
-	world->account_factor[FLOOD_ACCOUNT] = FLOOD_FACTOR;
+	world->account_factor[account] = FLOOD_FACTOR;
 	sim_run(&world->sim, TRIGGER_END_US);
-	world->account_factor[FLOOD_ACCOUNT] = 1;
+	world->account_factor[account] = 1;
 	sim_run(&world->sim, END_US);
 	measure_print(label, "worst_account",
-		      measure_worst_account(&world->measure, FLOOD_ACCOUNT),
-		      "share");
+		      measure_worst_account(&world->measure, account), "share");
 	measure_print(
 		label, "goodput",
 		measure_goodput(&world->measure, TRIGGER_US, TRIGGER_END_US),
@@ -171,7 +171,7 @@
 
 static int usage(void)
 {
-	fputs("usage: bench_overload surge|flood|cold_restart|cold_silent "
+	fputs("usage: bench_overload surge|flood|flood_large|cold_restart|cold_silent "
 	      "lakeshore|zawadzki ours|no_control|fixed_limits\n",
 	      stderr);
 	return 2;
@@ -200,7 +200,9 @@
 	if (!strcmp(argv[1], "surge"))
 		run_surge(world, &label);
 	else if (!strcmp(argv[1], "flood"))
-		run_flood(world, &label);
+		run_flood(world, &label, 2);
+	else if (!strcmp(argv[1], "flood_large"))
+		run_flood(world, &label, 1);
 	else if (!strncmp(argv[1], "cold_", 5))
 		run_cold(world, &label, !strcmp(argv[1], "cold_restart"));
 	print_common(world, &label);
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 build=$1
 runs=()
-for scenario in surge flood cold_restart cold_silent; do
+for scenario in surge flood flood_large cold_restart cold_silent; do
 	for deployment in lakeshore zawadzki; do
 		for policy in ours no_control fixed_limits; do
 			runs+=("$scenario $deployment $policy")
--- a/packages/overload/cutoff.c
+++ b/packages/overload/cutoff.c
@@ -4,21 +4,26 @@
 #include <math.h>
 
 /* Over the target: more work waits than this share of the limit. */
-#define TARGET_OVER 0.5
+#define TARGET_OVER 0.3
 #define TARGET_UNDER 0.125
+#define TARGET 0.25
+/* Time in which the queue is meant to shrink to the target. */
+#define DRAIN_US (300 * BASE_MS_US)
 #define RAISE_AFTER_US (20 * BASE_MS_US)
 /* Answers have to carry a new cutoff to the entries before it shows. */
-#define RAISE_AGAIN_US (100 * BASE_MS_US)
+#define RAISE_AGAIN_US (50 * BASE_MS_US)
 #define LOWER_AFTER_US (200 * BASE_MS_US)
 /* One step lowers the admitted share of a level at most to this part. */
 #define RAISE_FACTOR 0.25
 /* One step raises the share at most by this factor, and to this at least. */
-#define LOWER_FACTOR 4.0
+#define LOWER_FACTOR 10.0
 #define ADMITTED_FIRST 0.1
+/* Entries send this share of what they refuse as probes. */
+#define PROBE_SHARE 0.01
 /* A level with a smaller share is shed altogether. */
 #define ADMITTED_MIN 0.02
-/* Part of the limit that is meant to be in use. */
-#define USE_TARGET 0.95
+/* Part of the limit that is meant to be asked for: more than all of it. */
+#define USE_TARGET 1.02
 /* The counts decay with this time constant, in steps of at least 1 ms. */
 #define DECAY_US (100 * BASE_MS_US)
 /* Levels not offered for this long are passed over. */
@@ -118,31 +123,42 @@
 		cutoff->admitted = ADMITTED_MIN;
 }
 
-/* Admits @p spare more work than was offered: highest level first. */
+/*
+ * Admits @p spare more work than was offered: highest level first. What a level
+ * asks for is estimated from what its admitted share, or the probes, offered.
+ */
 static void lower_cutoff(struct overload_cutoff *cutoff, double spare,
 			 int64_t now)
 {
-	double offered = cutoff->offered_at[cutoff->level];
-	double most = cutoff->admitted * LOWER_FACTOR;
+	double share, demand, most;
 	int level = cutoff->level;
 
-	cutoff->admitted =
-		offered > 0 ? cutoff->admitted * (1 + spare / offered) : most;
-	if (cutoff->admitted > most)
-		cutoff->admitted = most;
-	if (cutoff->admitted < ADMITTED_FIRST)
-		cutoff->admitted = ADMITTED_FIRST;
-	if (cutoff->admitted < 1)
-		return;
-	do
-		level++;
-	while (level < OVERLOAD_LEVELS && !in_use(cutoff, level, now));
-	cutoff->level = (uint8_t)level;
-	cutoff->admitted = ADMITTED_FIRST;
+	while (level < OVERLOAD_LEVELS && spare > 0) {
+		share = cutoff->admitted;
+		most = share * LOWER_FACTOR;
+		if (most < ADMITTED_FIRST)
+			most = ADMITTED_FIRST;
+		demand = cutoff->offered_at[level] /
+			 (share > PROBE_SHARE ? share : PROBE_SHARE);
+		cutoff->admitted = share + spare / (demand + 1);
+		if (cutoff->admitted > most)
+			cutoff->admitted = most;
+		if (cutoff->admitted < 1)
+			return;
+		spare -= (1 - share) * demand;
+		do
+			level++;
+		while (level < OVERLOAD_LEVELS && !in_use(cutoff, level, now));
+		cutoff->level = (uint8_t)level;
+		cutoff->admitted = 0;
+	}
 }
 
-static void update_over(struct overload_cutoff *cutoff, int64_t now)
+static void update_over(struct overload_cutoff *cutoff, double surplus,
+			int64_t now)
 {
+	double excess;
+
 	cutoff->under_since = -1;
 	if (cutoff->over_since < 0) {
 		cutoff->over_since = now;
@@ -150,13 +166,14 @@
 	}
 	if (now - cutoff->over_since < RAISE_AFTER_US)
 		return;
-	/* While the queue shrinks, the cutoff is strict enough. */
-	if (cutoff->offered > cutoff->started) {
-		raise_cutoff(cutoff, cutoff->offered - cutoff->started, now);
-		cutoff->over_since = now + RAISE_AGAIN_US - RAISE_AFTER_US;
-	} else {
-		cutoff->over_since = now;
-	}
+	/* Work beyond what is started, and what the queue has to lose. */
+	excess = cutoff->offered - cutoff->started +
+		 surplus * (double)DECAY_US / DRAIN_US;
+	cutoff->over_since = now;
+	if (excess <= 0)
+		return;
+	raise_cutoff(cutoff, excess, now);
+	cutoff->over_since = now + RAISE_AGAIN_US - RAISE_AFTER_US;
 }
 
 static void update_under(struct overload_cutoff *cutoff, int64_t now)
@@ -185,7 +202,7 @@
 
 	decay(cutoff, load->in_flight / limit, now);
 	if (load->queued > TARGET_OVER * limit) {
-		update_over(cutoff, now);
+		update_over(cutoff, load->queued - TARGET * limit, now);
 	} else if (load->queued <= TARGET_UNDER * limit) {
 		update_under(cutoff, now);
 	} else {
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -8,6 +8,8 @@
 
 /* The queue holds this multiple of the limit. */
 #define QUEUE_FACTOR 2
+/* And the limit divided by this of work that is to be shed altogether. */
+#define SHED_DIVISOR 8
 #define SERVICE_GAIN 0.05
 #define RETRY_MIN_US (100 * BASE_MS_US)
 #define RETRY_MAX_US (2 * BASE_SECOND_US)
@@ -296,16 +298,28 @@
 	return true;
 }
 
+/*
+ * The queue is bounded by the limit. Of work at levels that are shed altogether
+ * only as much waits as keeps the server busy: it would wait behind all other
+ * work and occupy slots of the services before this one.
+ */
 static bool next_shed(struct overload_guard *guard,
 		      struct overload_action *action)
 {
 	uint32_t limit = overload_guard_limit(guard, guard->now);
+	uint32_t queued = overload_queue_length(guard->queue);
+	uint32_t first = OVERLOAD_CLASS_ALL;
 	struct overload_work work;
 
-	if (overload_queue_length(guard->queue) <= QUEUE_FACTOR * limit)
+	if (queued > QUEUE_FACTOR * limit)
+		first = idempotent_present(guard) ? OVERLOAD_CLASS_IDEMPOTENT
+						  : OVERLOAD_CLASS_ALL;
+	else if (queued > limit / SHED_DIVISOR)
+		first = OVERLOAD_CLASS_IDEMPOTENT +
+			overload_cutoff_first_shed(&guard->cutoff);
+	else
 		return false;
-	if (!overload_queue_shed(guard->queue, idempotent_present(guard),
-				 guard->now, &work))
+	if (!overload_queue_shed(guard->queue, first, guard->now, &work))
 		return false;
 	set_drop(guard, work.id, OVERLOAD_REASON_OVERLOADED, action);
 	return true;
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -244,8 +244,8 @@
 /**
  * Decides whether to send a request on. Ask once for a request, at hop 1 only:
  * onward calls of an admitted request have been decided on with it, and asking
- * again at each hop would multiply the refusals. Of refusable requests 1% are
- * admitted as probes.
+ * again at each hop would multiply the refusals. While none of the refusable
+ * requests are admitted, 1% go through as probes.
  * @param retry_after_us  set on refusal; may be NULL
  * @return false to refuse with reason overloaded, outcome not-run
  */
--- a/packages/overload/pressure.c
+++ b/packages/overload/pressure.c
@@ -238,9 +238,15 @@
 	}
 }
 
-static bool refuse(struct overload_pressure *pressure, int64_t *retry_after_us)
+/*
+ * Probes are needed only while nothing else is admitted. Otherwise they would
+ * favour the accounts with the most refusals.
+ */
+static bool refuse(struct overload_pressure *pressure, double admitted,
+		   int64_t *retry_after_us)
 {
-	if (base_rand_unit(&pressure->rnd) < PROBE_SHARE)
+	if (admitted < PROBE_SHARE &&
+	    base_rand_unit(&pressure->rnd) < PROBE_SHARE)
 		return true;
 	if (retry_after_us)
 		*retry_after_us =
@@ -272,5 +278,5 @@
 	if (admitted > 1 - DEAD_BAND ||
 	    base_rand_unit(&pressure->rnd) < demand->share)
 		return true;
-	return refuse(pressure, retry_after_us);
+	return refuse(pressure, admitted, retry_after_us);
 }
--- a/packages/overload/queue.c
+++ b/packages/overload/queue.c
@@ -230,15 +230,14 @@
 	return heaviest;
 }
 
-bool overload_queue_shed(struct overload_queue *queue, bool idempotent,
+bool overload_queue_shed(struct overload_queue *queue, uint32_t first,
 			 int64_t now, struct overload_work *work)
 {
 	struct flow *flow;
-	size_t lowest = idempotent ? OVERLOAD_LEVELS : 0;
 	struct item *item;
 	size_t i;
 
-	for (i = CLASSES; i-- > lowest;) {
+	for (i = CLASSES; i-- > first;) {
 		if (!queue->classes[i].length)
 			continue;
 		flow = heaviest_flow(queue, &queue->classes[i], now);
--- a/packages/overload/queue.h
+++ b/packages/overload/queue.h
@@ -4,6 +4,13 @@
 
 #include "overload.h"
 
+/*
+ * Classes are numbered in the order of starting: non-idempotent work by level,
+ * then idempotent work by level.
+ */
+#define OVERLOAD_CLASS_ALL 0
+#define OVERLOAD_CLASS_IDEMPOTENT OVERLOAD_LEVELS
+
 struct overload_queue;
 
 struct overload_queue *overload_queue_create(void);
@@ -21,10 +28,10 @@
 /**
  * Takes the newest work, in the lowest class, of the account that has most
  * work queued and started lately for its weight.
- * @param idempotent  take idempotent work only
+ * @param first  leave alone the classes before this one
  * @return false when there is none
  */
-bool overload_queue_shed(struct overload_queue *queue, bool idempotent,
+bool overload_queue_shed(struct overload_queue *queue, uint32_t first,
 			 int64_t now, struct overload_work *work);
 /**
  * Takes one piece of work that is out of time: whose deadline has come, or for
