--- a/bench/rate_fleet.c
+++ b/bench/rate_fleet.c
@@ -591,6 +591,8 @@
 
 static struct rate_entry *create_entry(struct fleet *f, uint64_t incarnation)
 {
+	if (f->opt.create_entry)
+		return f->opt.create_entry(incarnation);
 	switch (f->opt.policy) {
 	case FLEET_LOCAL_SHARE:
 		return rate_entry_create_local_share(f->opt.daemons);
--- a/bench/rate_fleet.h
+++ b/bench/rate_fleet.h
@@ -24,6 +24,8 @@
 struct fleet_options {
 	uint64_t seed;
 	enum fleet_policy policy;
+	/* Creates the entries in place of the policy, unless NULL. */
+	struct rate_entry *(*create_entry)(uint64_t incarnation);
 	uint32_t daemons;
 	uint32_t domains;
 	uint32_t accounts;
