Carry all values of rate asks and grants in peer messages

The peer messages lacked what struct rate_ask and struct rate_grant of the rate package have: the amount asked ahead, the process of the holder that reports are about, and in grants the asking process, the granting process and the status. Without the processes, a grant to or of a process that has since restarted cannot be told apart.

The fields are appended, so that the meaning of the present elements stays. The decoder refused messages with fewer fields than it knows, which would have made each appended field a break between versions. A layout now says how many fields every sender has; appended ones that are missing are zero. New message types were ruled out: they would need both forms to be answered during an upgrade.

--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -20,10 +20,19 @@
 #define LIST(type, member, in) \
 	FIELD(type, member, FIELD_LIST, PEER_LIST_MAX, in)
 
-#define LAYOUT(type, table)                                                  \
-	{                                                                    \
-		.name = #type, .fields = (table),                            \
-		.count = BASE_ARRAY_SIZE(table), .size = sizeof(struct type) \
+#define LAYOUT(type, table)                         \
+	{                                           \
+		.name = #type, .fields = (table),   \
+		.count = BASE_ARRAY_SIZE(table),    \
+		.required = BASE_ARRAY_SIZE(table), \
+		.size = sizeof(struct type)         \
+	}
+/* A layout that got fields appended after the first `needed` ones. */
+#define LAYOUT_GROWN(type, table, needed)                              \
+	{                                                              \
+		.name = #type, .fields = (table),                      \
+		.count = BASE_ARRAY_SIZE(table), .required = (needed), \
+		.size = sizeof(struct type)                            \
 	}
 
 static const struct field header_fields[] = {
@@ -147,13 +156,23 @@
 	U64(peer_rate_ask, sequence),
 	I64(peer_rate_ask, wanted_mtok),
 	LIST(peer_rate_ask, returns, &rate_return),
+	I64(peer_rate_ask, ahead_mtok),
+	U64(peer_rate_ask, holder),
 };
+#define RATE_ASK_REQUIRED 6
 
 static const struct field rate_grant_fields[] = {
-	NAME(peer_rate_grant, account),	   U64(peer_rate_grant, sequence),
-	U64(peer_rate_grant, grant_id),	   I64(peer_rate_grant, granted_mtok),
-	I64(peer_rate_grant, lifetime_us), I64(peer_rate_grant, wait_us),
-};
+	NAME(peer_rate_grant, account),
+	U64(peer_rate_grant, sequence),
+	U64(peer_rate_grant, grant_id),
+	I64(peer_rate_grant, granted_mtok),
+	I64(peer_rate_grant, lifetime_us),
+	I64(peer_rate_grant, wait_us),
+	U64(peer_rate_grant, incarnation),
+	U64(peer_rate_grant, holder),
+	ENUM(peer_rate_grant, status, PEER_RATE_STATUS_END),
+};
+#define RATE_GRANT_REQUIRED 6
 
 static const struct field suspect_fields[] = {
 	NAME(peer_suspect, service),
@@ -195,8 +214,10 @@
 	[PEER_CLAIM_ANSWER] = LAYOUT(peer_claim_answer, claim_answer_fields),
 	[PEER_COMPLETE] = LAYOUT(peer_complete, complete_fields),
 	[PEER_RELEASE] = LAYOUT(peer_release, release_fields),
-	[PEER_RATE_ASK] = LAYOUT(peer_rate_ask, rate_ask_fields),
-	[PEER_RATE_GRANT] = LAYOUT(peer_rate_grant, rate_grant_fields),
+	[PEER_RATE_ASK] =
+		LAYOUT_GROWN(peer_rate_ask, rate_ask_fields, RATE_ASK_REQUIRED),
+	[PEER_RATE_GRANT] = LAYOUT_GROWN(peer_rate_grant, rate_grant_fields,
+					 RATE_GRANT_REQUIRED),
 	[PEER_SUSPECT] = LAYOUT(peer_suspect, suspect_fields),
 	[PEER_SUSPECT_ASK] = LAYOUT(peer_suspect_ask, suspect_ask_fields),
 	[PEER_SUSPECT_ANSWER] =
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -267,10 +267,25 @@
 struct peer_rate_ask {
 	struct base_str account;
 	struct base_str vm;
+	/** Of the asking process; random. */
 	uint64_t incarnation;
 	uint64_t sequence;
+	/** For requests that wait. */
 	int64_t wanted_mtok;
 	struct peer_rate_returns returns;
+	/** For requests expected soon. 0 when the sender omits it. */
+	int64_t ahead_mtok;
+	/** Process that granted what is returned; 0 when none or omitted. */
+	uint64_t holder;
+};
+
+enum peer_rate_status {
+	PEER_RATE_OK,
+	/** The daemon has no share of the account. */
+	PEER_RATE_NOT_HOLDER,
+	/** The daemon still waits for grants of former holders to lapse. */
+	PEER_RATE_STARTING,
+	PEER_RATE_STATUS_END,
 };
 
 /** Answers the ask with the same id. */
@@ -284,6 +299,12 @@
 	int64_t lifetime_us;
 	/** Time after which asking again may help; 0 for no advice. */
 	int64_t wait_us;
+	/** Copied from the ask; 0 when the sender omits it. */
+	uint64_t incarnation;
+	/** Process that grants; random. 0 when the sender omits it. */
+	uint64_t holder;
+	/** PEER_RATE_OK when the sender omits it. */
+	enum peer_rate_status status;
 };
 
 struct peer_suspect {
@@ -364,7 +385,8 @@
 				     struct base_error *err);
 /**
  * Decodes one message that fills @p bytes. Elements after the known ones of a
- * type are ignored, so that a newer daemon may append fields.
+ * type are ignored, so that a newer daemon may append fields; appended fields
+ * that an older daemon omits are zero.
  * @return PEER_ERR_MALFORMED, PEER_ERR_UNKNOWN_TYPE or PEER_ERR_TOO_LARGE;
  *         @p msg then needs no release. @p err may be NULL.
  */
--- a/packages/peer/tests/test_message.c
+++ b/packages/peer/tests/test_message.c
@@ -281,3 +281,41 @@
 	cr_assert(eq(int, decode_exact(buf.ptr, buf.len, NULL),
 		     PEER_ERR_TOO_LARGE));
 }
+
+static void pack_grant(struct base_buf *buf, int fields)
+{
+	msgpack_packer pk;
+	int i;
+
+	base_buf_reset(buf);
+	msgpack_packer_init(&pk, buf, append);
+	pack_prefix(&pk, 3 + (size_t)fields, PEER_RATE_GRANT);
+	msgpack_pack_str_with_body(&pk, "zawadzki", 8);
+	for (i = 1; i < fields; i++)
+		msgpack_pack_int(&pk, 10 + i);
+}
+
+/* Guards against daemons of two versions that cannot share an account. */
+Test(message, appended_fields_may_be_omitted)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf buf = BASE_BUF_INIT;
+	struct peer_message msg;
+
+	pack_grant(&buf, 6);
+	cr_assert(eq(int, peer_message_decode(base_buf_str(&buf), &msg, NULL),
+		     PEER_OK));
+	cr_assert(eq(i64, msg.rate_grant.wait_us, 15));
+	cr_assert(eq(u64, msg.rate_grant.incarnation, 0));
+	cr_assert(eq(u64, msg.rate_grant.holder, 0));
+	cr_assert(eq(int, msg.rate_grant.status, PEER_RATE_OK));
+	peer_message_release(&msg);
+	pack_grant(&buf, 7);
+	cr_assert(eq(int, peer_message_decode(base_buf_str(&buf), &msg, NULL),
+		     PEER_OK));
+	cr_assert(eq(u64, msg.rate_grant.incarnation, 16));
+	cr_assert(eq(u64, msg.rate_grant.holder, 0));
+	peer_message_release(&msg);
+	pack_grant(&buf, 5);
+	cr_assert(eq(int, decode_exact(buf.ptr, buf.len, NULL),
+		     PEER_ERR_MALFORMED));
+}
