Limit the rate of accounts over the whole fleet

rate_link.c now connects one holder and one entry of the rate package with peers. rate_holders.c chooses the holders of an account from the roster and orders them for an entry; rate_accounts.c keeps since which version the holders hold an account, and which accounts share a number; rate_wire.c turns asks and grants into messages. These three are pure and have tests.

Confirmers are all failure domains in the configuration that have not reported a version since which only the present holders were named. Domains that are out count too: their daemons may still serve callers under an old version. A domain that is removed counts as confirmed, so that operators can end the wait for one that is lost for good.

Whether a version was skipped is judged by consecutive numbers, as nothing else tells. To keep a share over a gap was ruled out: the missed version may have named other holders, which take the report of the later version as the end of that share. docs/configuration.md tells operators so. When another set of the same version wins, its changed holders wait for reports of the next version, because those of this one do not tell the sets apart.

An ask to a holder without a link waits up to 20 ms for the link that it opens. Otherwise the first request after 30 s of idle time, when links are closed, would be refused although the account is inside its rate. A link that failed counts as unreachable at once.

The counters rate_asks and rate_grants count the messages sent; the transport counts their bytes by type.

--- a/packages/daemon/rate_link.h
+++ b/packages/daemon/rate_link.h
@@ -33,6 +33,9 @@
 /** A grant of a remote holder. */
 void rate_link_on_grant(struct rate_link *link, struct base_str holder_vm,
 			const struct peer_message *msg, int64_t now);
+/** Sends the asks that waited for the link. */
+void rate_link_on_link_up(struct rate_link *link, const struct config_vm *vm,
+			  int64_t now);
 void rate_link_on_link_down(struct rate_link *link, const struct config_vm *vm,
 			    int64_t now);
 /** A peer or domain acts on a version; see rate_holder_confirm(). */
