Claim idempotency keys at their owners

The entry's side (claims.c) asks the owner, local or remote, and answers the request after at most 500 ms.

Weighed: - A claim whose link is just being opened waits for the connection within its 500 ms. Refusing at once would refuse the first claim after each idle period, because idle links are closed.

A NEW answer that comes late is released for 30 s after the entry gave up. claims_abandon() is new: an unclear end drops the record of the owner that was claimed and leaves the key running.

The messages between daemons are covered by the build only so far.

--- a/packages/daemon/claims.c
+++ b/packages/daemon/claims.c
@@ -1,74 +1,456 @@
 /* Idempotency keys: claims of the entry and the ledger of owned keys. */
 #include "claims.h"
 #include "entry.h"
+#include "ledger.h"
+#include "membership.h"
+#include "owner.h"
+#include "roster.h"
+
+#include <uthash.h>
+
+/* Longest wait of an entry for the answer of a key's owner. */
+#define CLAIM_WAIT_US (500 * BASE_MS_US)
+/* A claim that was given up is remembered so long, to release a late NEW. */
+#define LATE_ANSWER_US (30 * BASE_SECOND_US)
+
+enum pending_state {
+	/* Waits for the connection to the owner. */
+	PENDING_UNSENT,
+	PENDING_SENT,
+	/* The entry was answered or has gone. */
+	PENDING_GIVEN_UP,
+};
+
+/* A claim at a remote owner; its request number is the message id. */
+struct pending {
+	uint64_t request;
+	struct claims *claims;
+	enum pending_state state;
+	uint32_t vm;
+	struct base_buf account;
+	struct base_buf key;
+	struct base_digest fingerprint;
+	int64_t deadline;
+	struct event *timer;
+	UT_hash_handle hh;
+};
+
+/* A claim that a local entry holds, with the owner that accepted it. */
+struct held {
+	/* Of the key and the claim id, which owners choose separately. */
+	uint64_t id;
+	uint32_t vm;
+	UT_hash_handle hh;
+};
 
 struct claims {
 	struct node *node;
+	struct ledger *ledger;
+	struct pending *pending;
+	struct held *held;
 };
 
-struct claims *claims_create(struct node *node, int64_t wall_ms, int64_t now)
+/* ---- The owner's side ---- */
+
+static void serve_claim(struct claims *c, const struct peer_remote *remote,
+			const struct peer_message *msg,
+			const struct peer_receipt *receipt)
 {
-	struct claims *claims = base_alloc(sizeof(*claims));
+	struct peer_message stored = { 0 };
+	int64_t left = msg->claim.remaining_us - receipt->age_us;
+	struct peer_message out = {
+		.type = PEER_CLAIM_ANSWER,
+		.id = msg->id,
+	};
 
-	claims->node = node;
-	return claims;
+	out.claim_answer = ledger_claim(c->ledger, &msg->claim,
+					receipt->received_at + left,
+					receipt->received_at, &stored);
+	if (peer_transport_reply(c->node->transport, remote, &out)) {
+		node_count(c->node, "claim_answers_undeliverable");
+		/* The entry refuses it as not run when no answer comes. */
+		if (out.claim_answer.result == PEER_CLAIM_NEW)
+			ledger_release(c->ledger, out.claim_answer.claim_id);
+	}
+	peer_message_release(&stored);
 }
 
-void claims_destroy(struct claims *claims)
+void claims_on_remote(struct claims *claims, const struct peer_remote *remote,
+		      const struct peer_message *msg,
+		      const struct peer_receipt *receipt)
 {
-	free(claims);
+	if (msg->type == PEER_CLAIM)
+		serve_claim(claims, remote, msg, receipt);
+	else if (msg->type == PEER_RELEASE)
+		ledger_release(claims->ledger, msg->release.claim_id);
+	else if (msg->type == PEER_COMPLETE &&
+		 msg->complete.outcome == PEER_RAN)
+		ledger_complete(claims->ledger, msg->complete.claim_id,
+				&msg->complete.stored, receipt->received_at);
 }
 
-void claims_configure(struct claims *claims,
-		      const struct config_snapshot *before, int64_t now)
+/* ---- The entry's side ---- */
+
+static uint64_t held_id_of(struct base_str key, uint64_t claim_id)
+{
+	return base_hash64(key, claim_id);
+}
+
+static void hold(struct claims *c, struct base_str key, uint64_t claim_id,
+		 uint32_t vm)
+{
+	uint64_t id = held_id_of(key, claim_id);
+	struct held *h;
+
+	HASH_FIND(hh, c->held, &id, sizeof(id), h);
+	if (h) {
+		h->vm = vm;
+		return;
+	}
+	h = base_alloc(sizeof(*h));
+	h->id = id;
+	h->vm = vm;
+	HASH_ADD(hh, c->held, id, sizeof(h->id), h);
+}
+
+/* Takes a held claim off the list; @return its owner, NULL when unknown. */
+static const struct config_vm *unhold(struct claims *c, struct base_str key,
+				      uint64_t claim_id)
+{
+	uint64_t id = held_id_of(key, claim_id);
+	struct held *h;
+	uint32_t vm;
+
+	HASH_FIND(hh, c->held, &id, sizeof(id), h);
+	if (!h)
+		return NULL;
+	vm = h->vm;
+	HASH_DEL(c->held, h);
+	free(h);
+	return roster_vm(c->node->roster, vm);
+}
+
+static enum peer_status send_to_owner(struct claims *c,
+				      const struct config_vm *vm,
+				      struct peer_message *msg, int64_t now)
+{
+	struct peer_link *link = node_link(c->node, vm);
+
+	if (!link)
+		return PEER_ERR_UNREACHABLE;
+	membership_used(c->node->membership, link, now);
+	return peer_transport_send(c->node->transport, link, msg);
+}
+
+static void pending_free(struct pending *p)
+{
+	HASH_DEL(p->claims->pending, p);
+	event_free(p->timer);
+	base_buf_release(&p->account);
+	base_buf_release(&p->key);
+	free(p);
+}
+
+static void arm(struct pending *p, int64_t us)
+{
+	struct timeval tv;
+
+	if (us < 1)
+		us = 1;
+	tv = (struct timeval){ .tv_sec = us / BASE_SECOND_US,
+			       .tv_usec = us % BASE_SECOND_US };
+	event_add(p->timer, &tv);
+}
+
+/* Tells the entry that no answer comes; a sent claim is remembered. */
+static void give_up(struct pending *p, const char *counter)
+{
+	struct entry *entry = p->claims->node->entry;
+	uint64_t request = p->request;
+
+	node_count(p->claims->node, counter);
+	if (p->state == PENDING_SENT) {
+		p->state = PENDING_GIVEN_UP;
+		arm(p, LATE_ANSWER_US);
+	} else {
+		pending_free(p);
+	}
+	entry_on_claim(entry, request, NULL);
+}
+
+static void on_pending_timer(evutil_socket_t fd, short events, void *arg)
+{
+	struct pending *p = arg;
+
+	if (p->state == PENDING_GIVEN_UP)
+		pending_free(p);
+	else
+		give_up(p, "claims_timed_out");
+}
+
+static enum peer_status send_claim(struct pending *p, int64_t now)
+{
+	struct claims *c = p->claims;
+	const struct config_vm *vm = roster_vm(c->node->roster, p->vm);
+	struct peer_message msg = {
+		.type = PEER_CLAIM,
+		.id = p->request,
+		.claim = {
+			.account = base_buf_str(&p->account),
+			.key = base_buf_str(&p->key),
+			.fingerprint = p->fingerprint,
+			.remaining_us = p->deadline - now,
+		},
+	};
+	enum peer_status status;
+
+	if (!vm)
+		return PEER_ERR_UNREACHABLE;
+	status = send_to_owner(c, vm, &msg, now);
+	if (status == PEER_OK)
+		p->state = PENDING_SENT;
+	return status;
+}
+
+static struct pending *find_open(struct claims *c, uint32_t vm, bool unsent)
 {
+	struct pending *p, *next;
+
+	HASH_ITER (hh, c->pending, p, next)
+		if (p->vm == vm && (p->state == PENDING_UNSENT ||
+				    (!unsent && p->state == PENDING_SENT)))
+			return p;
+	return NULL;
+}
+
+static void claim_remote(struct claims *c, const struct config_vm *vm,
+			 const struct claims_request *request, int64_t deadline,
+			 int64_t now)
+{
+	struct pending *p = base_alloc(sizeof(*p));
+	uint32_t id = roster_vm_id(c->node->roster, vm->name);
+	bool connecting = find_open(c, id, true) ||
+			  !peer_transport_find(c->node->transport, vm->address);
+
+	p->claims = c;
+	p->request = request->request;
+	p->vm = id;
+	p->fingerprint = request->fingerprint;
+	p->deadline = deadline;
+	base_buf_add_str(&p->account, request->account);
+	base_buf_add_str(&p->key, request->key);
+	p->timer = evtimer_new(c->node->base, on_pending_timer, p);
+	HASH_ADD(hh, c->pending, request, sizeof(p->request), p);
+	if (send_claim(p, now) == PEER_OK || connecting)
+		arm(p, deadline - now);
+	else
+		give_up(p, "claims_unsent");
+}
+
+static void claim_local(struct claims *c, const struct config_vm *self,
+			const struct claims_request *request, int64_t deadline,
+			int64_t now)
+{
+	struct peer_message stored = { 0 };
+	struct peer_claim claim = {
+		.account = request->account,
+		.key = request->key,
+		.fingerprint = request->fingerprint,
+	};
+	struct peer_claim_answer answer =
+		ledger_claim(c->ledger, &claim, deadline, now, &stored);
+
+	if (answer.result == PEER_CLAIM_NEW)
+		hold(c, request->key, answer.claim_id,
+		     roster_vm_id(c->node->roster, self->name));
+	entry_on_claim(c->node->entry, request->request, &answer);
+	peer_message_release(&stored);
 }
 
 void claims_claim(struct claims *claims, const struct claims_request *request,
 		  int64_t now)
 {
-	struct peer_claim_answer answer = { .result = PEER_CLAIM_NEW,
-					    .claim_id = 1 };
+	struct node *node = claims->node;
+	const struct config_vm *owner =
+		node->snapshot ? owner_of(node->snapshot, request->account,
+					  request->key)
+			       : NULL;
+	int64_t deadline = now + CLAIM_WAIT_US;
 
-	entry_on_claim(claims->node->entry, request->request, &answer);
+	if (deadline > request->deadline)
+		deadline = request->deadline;
+	if (!owner)
+		entry_on_claim(node->entry, request->request, NULL);
+	else if (node_is_self(node, owner))
+		claim_local(claims, owner, request, deadline, now);
+	else
+		claim_remote(claims, owner, request, deadline, now);
+}
+
+static void release_remote(struct claims *c, const struct config_vm *vm,
+			   struct base_str account, struct base_str key,
+			   uint64_t claim_id, int64_t now)
+{
+	struct peer_message msg = {
+		.type = PEER_RELEASE,
+		.release = { account, key, claim_id },
+	};
+
+	if (!vm || send_to_owner(c, vm, &msg, now))
+		node_count(c->node, "claim_ends_unsent");
 }
 
 void claims_complete(struct claims *claims, struct base_str account,
 		     struct base_str key, uint64_t claim_id,
 		     const struct peer_stored_answer *stored, int64_t now)
 {
+	const struct config_vm *vm = unhold(claims, key, claim_id);
+	struct peer_message msg = {
+		.type = PEER_COMPLETE,
+		.complete = { account, key, claim_id, PEER_RAN, *stored },
+	};
+
+	if (vm && node_is_self(claims->node, vm))
+		ledger_complete(claims->ledger, claim_id, stored, now);
+	else if (!vm || send_to_owner(claims, vm, &msg, now))
+		node_count(claims->node, "claim_ends_unsent");
 }
 
 void claims_release(struct claims *claims, struct base_str account,
 		    struct base_str key, uint64_t claim_id, int64_t now)
 {
+	const struct config_vm *vm = unhold(claims, key, claim_id);
+
+	if (vm && node_is_self(claims->node, vm))
+		ledger_release(claims->ledger, claim_id);
+	else
+		release_remote(claims, vm, account, key, claim_id, now);
+}
+
+void claims_abandon(struct claims *claims, struct base_str key,
+		    uint64_t claim_id)
+{
+	unhold(claims, key, claim_id);
+	node_count(claims->node, "claims_left_running");
 }
 
 void claims_cancel(struct claims *claims, uint64_t request, int64_t now)
 {
+	struct pending *p;
+
+	HASH_FIND(hh, claims->pending, &request, sizeof(request), p);
+	if (!p)
+		return;
+	if (p->state == PENDING_UNSENT) {
+		pending_free(p);
+		return;
+	}
+	p->state = PENDING_GIVEN_UP;
+	arm(p, LATE_ANSWER_US);
 }
 
-void claims_on_remote(struct claims *claims, const struct peer_remote *remote,
-		      const struct peer_message *msg,
-		      const struct peer_receipt *receipt)
+static void on_late_answer(struct pending *p,
+			   const struct peer_claim_answer *answer, int64_t now)
 {
+	struct claims *c = p->claims;
+
+	node_count(c->node, "claim_answers_late");
+	if (answer->result != PEER_CLAIM_NEW)
+		return;
+	node_count(c->node, "claims_released_late");
+	release_remote(c, roster_vm(c->node->roster, p->vm),
+		       base_buf_str(&p->account), base_buf_str(&p->key),
+		       answer->claim_id, now);
 }
 
 void claims_on_answer(struct claims *claims, const struct peer_message *msg,
 		      int64_t now)
 {
+	const struct peer_claim_answer *answer = &msg->claim_answer;
+	uint64_t request = msg->id;
+	struct pending *p;
+
+	HASH_FIND(hh, claims->pending, &request, sizeof(request), p);
+	if (!p || p->state == PENDING_UNSENT) {
+		node_count(claims->node, "claim_answers_unknown");
+		return;
+	}
+	if (p->state == PENDING_GIVEN_UP) {
+		on_late_answer(p, answer, now);
+		pending_free(p);
+		return;
+	}
+	if (answer->result == PEER_CLAIM_NEW)
+		hold(claims, base_buf_str(&p->key), answer->claim_id, p->vm);
+	pending_free(p);
+	entry_on_claim(claims->node->entry, request, answer);
+}
+
+/* Starts over after each answer, which may end other flows and claims. */
+void claims_on_link_up(struct claims *claims, const struct config_vm *vm,
+		       int64_t now)
+{
+	uint32_t id = roster_vm_id(claims->node->roster, vm->name);
+	struct pending *p;
+
+	while ((p = find_open(claims, id, true)))
+		if (now >= p->deadline || send_claim(p, now) != PEER_OK)
+			give_up(p, "claims_unsent");
 }
 
 void claims_on_link_down(struct claims *claims, const struct config_vm *vm,
 			 int64_t now)
 {
+	uint32_t id = roster_vm_id(claims->node->roster, vm->name);
+	struct pending *p, *next;
+
+	while ((p = find_open(claims, id, false)))
+		give_up(p, "claims_link_lost");
+	/* Their answers cannot come on the next connection. */
+	HASH_ITER (hh, claims->pending, p, next)
+		if (p->vm == id && p->state == PENDING_GIVEN_UP)
+			pending_free(p);
+}
+
+void claims_configure(struct claims *claims,
+		      const struct config_snapshot *before, int64_t now)
+{
+	ledger_configure(claims->ledger, before, now);
 }
 
 void claims_on_domain_version(struct claims *claims, struct base_str domain,
 			      uint64_t version, int64_t now)
 {
+	ledger_on_domain_version(claims->ledger, domain, version, now);
 }
 
 void claims_woke(struct claims *claims, int64_t now)
 {
+	ledger_woke(claims->ledger);
+}
+
+struct claims *claims_create(struct node *node, int64_t wall_ms, int64_t now)
+{
+	struct claims *claims = base_alloc(sizeof(*claims));
+
+	claims->node = node;
+	claims->ledger = ledger_create(node, wall_ms, now);
+	return claims;
+}
+
+void claims_destroy(struct claims *claims)
+{
+	struct pending *p, *next;
+	struct held *h, *next_held;
+
+	if (!claims)
+		return;
+	HASH_ITER (hh, claims->pending, p, next)
+		pending_free(p);
+	HASH_ITER (hh, claims->held, h, next_held) {
+		HASH_DEL(claims->held, h);
+		free(h);
+	}
+	ledger_destroy(claims->ledger);
+	free(claims);
 }
--- a/packages/daemon/claims.h
+++ b/packages/daemon/claims.h
@@ -34,6 +34,9 @@
 /** The claimed request certainly did not run. */
 void claims_release(struct claims *claims, struct base_str account,
 		    struct base_str key, uint64_t claim_id, int64_t now);
+/** The end is unclear; the key stays running at its owner. */
+void claims_abandon(struct claims *claims, struct base_str key,
+		    uint64_t claim_id);
 /** Forgets an open claim; a late NEW answer is released. */
 void claims_cancel(struct claims *claims, uint64_t request, int64_t now);
 /** claim, complete and release messages of remote entries. */
@@ -43,6 +46,9 @@
 /** A claim_answer of a remote owner. */
 void claims_on_answer(struct claims *claims, const struct peer_message *msg,
 		      int64_t now);
+/** Sends the claims that waited for the connection to @p vm. */
+void claims_on_link_up(struct claims *claims, const struct config_vm *vm,
+		       int64_t now);
 void claims_on_link_down(struct claims *claims, const struct config_vm *vm,
 			 int64_t now);
 void claims_on_domain_version(struct claims *claims, struct base_str domain,
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -270,8 +270,11 @@
 static void on_link_up(void *ctx, struct peer_link *link)
 {
 	struct node *node = ctx;
+	const struct config_vm *vm = vm_of_link(node, link);
 
 	membership_on_link_up(node->membership, link);
+	if (vm)
+		claims_on_link_up(node->claims, vm, base_now_us());
 }
 
 static void on_link_down(void *ctx, struct peer_link *link)
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -432,6 +432,10 @@
 		r.refusal = HTTP_REFUSAL_IDEMPOTENCY_MISMATCH;
 		r.retry_after_us = 0;
 		r.detail = "the key was used for another request";
+	} else if (result == PEER_CLAIM_TOO_NEW) {
+		r.refusal = HTTP_REFUSAL_IDEMPOTENCY_KEY_INVALID;
+		r.retry_after_us = 0;
+		r.detail = "the creation time of the key is in the future";
 	} else if (result == PEER_CLAIM_FULL) {
 		r.refusal = HTTP_REFUSAL_OVERLOADED;
 		r.detail = "the owner of the key holds too many keys";
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -85,6 +85,9 @@
 		claims_complete(f->node->claims, account_name(f),
 				base_buf_str(&f->key), f->claim_id, &stored,
 				now);
+	} else {
+		claims_abandon(f->node->claims, base_buf_str(&f->key),
+			       f->claim_id);
 	}
 }
 
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -90,6 +90,12 @@
 	PEER_CLAIM_FULL,
 	/** The daemon does not own the key, or not yet. */
 	PEER_CLAIM_NOT_OWNER,
+	/** The owner cannot tell yet what its predecessors accepted. */
+	PEER_CLAIM_NOT_READY,
+	/** The key was created in the future of the owner's clock. */
+	PEER_CLAIM_TOO_NEW,
+	/** The claim was read after the claimer stopped waiting. */
+	PEER_CLAIM_LATE,
 	PEER_CLAIM_RESULT_END,
 };
 
