Hold crashing requests until their arbiter permits them

The guard asks the quarantine before it offers a work. A suspect waits for a permit of the service's arbiter, within its own time; one ask a service is outstanding. A convicted one is refused as suspect, not run. When the server dies, the guard reports what was in flight, the other guards are told, and the failures are answered after that.

Messages: suspect gains round and permit id, the ask its state, round and time, the answer the permit. The fields stand at the end and are 0 when an older daemon does not send them; the decoder accepted only whole messages before, so each type now names how many fields every version sends.

No run with several daemons yet.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -6,6 +6,7 @@
 #include "membership.h"
 #include "node.h"
 #include "onward.h"
+#include "quarantine.h"
 #include "rate_link.h"
 #include "roster.h"
 #include "spans.h"
@@ -85,6 +86,7 @@
 	node->paused_us = 0;
 	routing_woke(node->routing, now);
 	membership_woke(node->membership, now);
+	quarantine_woke(node->quarantine, now);
 	guard_woke(node->guard, paused_us, now);
 }
 
@@ -123,6 +125,7 @@
 	claims_configure(node->claims, before, now);
 	rate_link_configure(node->rate_link, before, now);
 	membership_configure(node->membership, now);
+	quarantine_configure(node->quarantine, now);
 	config_snapshot_unref(before);
 	base_counter_set(base_counters_get(node->counters, "config_version"),
 			 msg->version);
@@ -232,6 +235,13 @@
 			rate_link_on_grant(node->rate_link, vm->name, msg,
 					   receipt->received_at);
 		break;
+	case PEER_SUSPECT:
+	case PEER_SUSPECT_ANSWER:
+		vm = vm_of_link(node, link);
+		if (vm)
+			quarantine_on_link_message(node->quarantine, vm, msg,
+						   receipt->received_at);
+		break;
 	default:
 		membership_on_link_message(node->membership, link, msg,
 					   receipt->received_at);
@@ -261,6 +271,14 @@
 		rate_link_on_ask(node->rate_link, remote, msg,
 				 receipt->received_at);
 		break;
+	case PEER_SUSPECT:
+	case PEER_SUSPECT_ASK:
+		quarantine_on_remote(node->quarantine, remote, msg, receipt);
+		break;
+	case PEER_HELLO:
+		quarantine_on_hello(node->quarantine, remote, &msg->hello,
+				    receipt->received_at);
+		/* Fall through. */
 	default:
 		membership_on_remote_message(node->membership, remote, msg,
 					     receipt->received_at);
@@ -273,8 +291,10 @@
 	const struct config_vm *vm = vm_of_link(node, link);
 
 	membership_on_link_up(node->membership, link);
-	if (vm)
-		claims_on_link_up(node->claims, vm, base_now_us());
+	if (!vm)
+		return;
+	claims_on_link_up(node->claims, vm, base_now_us());
+	quarantine_on_link_up(node->quarantine, vm, base_now_us());
 }
 
 static void on_link_down(void *ctx, struct peer_link *link)
@@ -288,6 +308,7 @@
 		return;
 	entry_on_link_down(node->entry, roster_vm_id(node->roster, vm->name));
 	claims_on_link_down(node->claims, vm, now);
+	quarantine_on_link_down(node->quarantine, vm, now);
 	rate_link_on_link_down(node->rate_link, vm, now);
 }
 
@@ -395,6 +416,7 @@
 	node->claims = claims_create(node, base_wall_ms(), now);
 	node->rate_link = rate_link_create(node, now);
 	node->membership = membership_create(node);
+	node->quarantine = quarantine_create(node);
 }
 
 static void log_start(struct daemon *d)
@@ -487,6 +509,7 @@
 	control_destroy(node->control);
 	entry_destroy(node->entry);
 	guard_destroy(node->guard);
+	quarantine_destroy(node->quarantine);
 	claims_destroy(node->claims);
 	rate_link_destroy(node->rate_link);
 	membership_destroy(node->membership);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -34,6 +34,8 @@
 	int32_t cutoff;
 	bool retried;
 	bool abandoned;
+	/* By the quarantine; not offered yet. */
+	bool held;
 	guard_end_cb end_cb;
 	void *end_ctx;
 	UT_hash_handle hh;
@@ -94,6 +96,7 @@
 {
 	struct guard *g = w->guard;
 
+	quarantine_forget(g->node->quarantine, w->id);
 	HASH_DELETE(hh, g->works, w);
 	if (w->token[0])
 		HASH_DELETE(hh_token, g->by_token, w);
@@ -247,6 +250,8 @@
 		if (is_overload_status(http->status))
 			outcome = OVERLOAD_OUTCOME_FAILED;
 		overload_guard_finish(g->overload, w->id, outcome, now);
+		quarantine_succeeded(g->node->quarantine, w->id,
+				     &w->msg.request, now);
 		answer_whole(w, http, now);
 		pump(g, now);
 		return;
@@ -264,33 +269,58 @@
 	pump(g, now);
 }
 
-/* The verdict about a group of lost connections. */
-static void on_verdict(void *ctx, const uint64_t *ids, size_t count, bool died)
+static void fail_each(struct guard *g, const uint64_t *ids, size_t count,
+		      enum overload_outcome outcome, int64_t now)
 {
-	struct guard *g = ctx;
-	int64_t now = base_now_us();
 	struct failure failure = { HTTP_REFUSAL_CONNECTION_LOST, PEER_UNKNOWN,
 				   0 };
 	size_t i;
 
-	if (died) {
-		node_count(g->node, "backend_deaths");
-		overload_guard_server_lost(g->overload, now);
-	}
 	for (i = 0; i < count; i++) {
 		struct guard_work *w = find_work(g, ids[i]);
 
 		if (!w)
 			continue;
-		overload_guard_finish(g->overload, w->id,
-				      died ? OVERLOAD_OUTCOME_SERVER_LOST
-					   : OVERLOAD_OUTCOME_FAILED,
-				      now);
+		overload_guard_finish(g->overload, w->id, outcome, now);
 		fail(w, &failure, now);
 	}
 	pump(g, now);
 }
 
+void guard_fail_lost(struct guard *guard, const uint64_t *works, size_t count,
+		     int64_t now)
+{
+	fail_each(guard, works, count, OVERLOAD_OUTCOME_SERVER_LOST, now);
+}
+
+/* The verdict about a group of lost connections. */
+static void on_verdict(void *ctx, const uint64_t *ids, size_t count, bool died)
+{
+	struct guard *g = ctx;
+	struct quarantine_lost *lost;
+	int64_t now = base_now_us();
+	size_t n = 0;
+	size_t i;
+
+	if (!died) {
+		fail_each(g, ids, count, OVERLOAD_OUTCOME_FAILED, now);
+		return;
+	}
+	node_count(g->node, "backend_deaths");
+	overload_guard_server_lost(g->overload, now);
+	lost = base_alloc_array(count, sizeof(*lost));
+	for (i = 0; i < count; i++) {
+		struct guard_work *w = find_work(g, ids[i]);
+
+		if (w)
+			lost[n++] = (struct quarantine_lost){ w->id,
+							      &w->msg.request };
+	}
+	quarantine_server_died(g->node->quarantine, lost, n, now);
+	free(lost);
+	pump(g, now);
+}
+
 static void split_target(struct base_str target, struct http_request *request)
 {
 	const char *mark =
@@ -490,9 +520,41 @@
 		fail_not_run(w, HTTP_REFUSAL_NOT_READY, BASE_SECOND_US, now);
 		return NULL;
 	}
+	switch (quarantine_check(guard->node->quarantine, id, &w->msg.request,
+				 deadline, now)) {
+	case QUARANTINE_HOLD:
+		w->held = true;
+		return w;
+	case QUARANTINE_RUN:
+		offer(w, now);
+		pump(guard, now);
+		return find_work(guard, id);
+	default:
+		fail_not_run(w, HTTP_REFUSAL_SUSPECT, 0, now);
+		return NULL;
+	}
+}
+
+void guard_on_permit(struct guard *guard, uint64_t work,
+		     enum quarantine_verdict verdict, int64_t deadline,
+		     int64_t now)
+{
+	struct guard_work *w = find_work(guard, work);
+
+	if (!w || !w->held)
+		return;
+	w->held = false;
+	if (verdict != QUARANTINE_RUN) {
+		fail_not_run(w,
+			     verdict == QUARANTINE_REFUSE
+				     ? HTTP_REFUSAL_SUSPECT
+				     : HTTP_REFUSAL_DEADLINE,
+			     0, now);
+		return;
+	}
+	w->deadline = deadline;
 	offer(w, now);
 	pump(guard, now);
-	return find_work(guard, id);
 }
 
 struct guard_work *guard_submit(struct guard *guard,
@@ -529,7 +591,8 @@
 {
 	bool idempotent_call = !work->msg.request.context.idempotency_key.len;
 
-	if (overload_guard_cancel(guard->overload, work->id, now)) {
+	if (work->held ||
+	    overload_guard_cancel(guard->overload, work->id, now)) {
 		node_count(guard->node, "guard_cancelled_queued");
 		work_free(work);
 		pump(guard, now);
--- a/packages/daemon/guard.h
+++ b/packages/daemon/guard.h
@@ -6,6 +6,7 @@
 #define GUARD_H
 
 #include "node.h"
+#include "quarantine.h"
 
 /**
  * Called exactly once for each submitted request unless it was cancelled. The
@@ -41,6 +42,17 @@
 void guard_on_remote_cancel(struct guard *guard,
 			    const struct peer_remote *remote, uint64_t id);
 
+/**
+ * Decides about a work that the quarantine held.
+ * @param deadline  end of its permit or of its own time
+ */
+void guard_on_permit(struct guard *guard, uint64_t work,
+		     enum quarantine_verdict verdict, int64_t deadline,
+		     int64_t now);
+/** Answers works that were lost when the backend server died. */
+void guard_fail_lost(struct guard *guard, const uint64_t *works, size_t count,
+		     int64_t now);
+
 /** Finds the running work that an onward call belongs to; NULL if none. */
 struct guard_work *guard_find_token(struct guard *guard, struct base_str token);
 const struct peer_context *guard_work_context(const struct guard_work *work);
--- a/packages/peer/decode.c
+++ b/packages/peer/decode.c
@@ -181,12 +181,14 @@
 	enum peer_status status = PEER_OK;
 	size_t i;
 
-	if (count < layout->count) {
+	if (count < layout->required) {
 		base_error_set(d->err, "%s: %zu fields instead of %zu",
-			       layout->name, count, layout->count);
+			       layout->name, count, layout->required);
 		return PEER_ERR_MALFORMED;
 	}
-	for (i = 0; i < layout->count && status == PEER_OK; i++) {
+	if (count > layout->count)
+		count = layout->count;
+	for (i = 0; i < count && status == PEER_OK; i++) {
 		const struct field *field = &layout->fields[i];
 
 		status = read_field(d, field, &elements[i], to + field->offset);
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -20,11 +20,14 @@
 #define LIST(type, member, in) \
 	FIELD(type, member, FIELD_LIST, PEER_LIST_MAX, in)
 
-#define LAYOUT(type, table)                                                  \
-	{                                                                    \
-		.name = #type, .fields = (table),                            \
-		.count = BASE_ARRAY_SIZE(table), .size = sizeof(struct type) \
+/* A type whose first version had only the first `first` fields. */
+#define LAYOUT_GROWN(type, table, first)                              \
+	{                                                             \
+		.name = #type, .fields = (table),                     \
+		.count = BASE_ARRAY_SIZE(table), .required = (first), \
+		.size = sizeof(struct type)                           \
 	}
+#define LAYOUT(type, table) LAYOUT_GROWN(type, table, BASE_ARRAY_SIZE(table))
 
 static const struct field header_fields[] = {
 	NAME(peer_header, name),
@@ -159,15 +162,23 @@
 	NAME(peer_suspect, service),
 	DIGEST(peer_suspect, fingerprint),
 	ENUM(peer_suspect, state, PEER_SUSPECT_STATE_END),
+	U32(peer_suspect, round),
+	U64(peer_suspect, permit_id),
 };
 
 static const struct field suspect_ask_fields[] = {
 	NAME(peer_suspect_ask, service),
 	DIGEST(peer_suspect_ask, fingerprint),
+	ENUM(peer_suspect_ask, state, PEER_SUSPECT_STATE_END),
+	U32(peer_suspect_ask, round),
+	I64(peer_suspect_ask, remaining_us),
 };
 
 static const struct field suspect_answer_fields[] = {
 	ENUM(peer_suspect_answer, verdict, PEER_SUSPECT_VERDICT_END),
+	U64(peer_suspect_answer, permit_id),
+	I64(peer_suspect_answer, lifetime_us),
+	I64(peer_suspect_answer, wait_us),
 };
 
 static const struct field config_announce_fields[] = {
@@ -197,10 +208,11 @@
 	[PEER_RELEASE] = LAYOUT(peer_release, release_fields),
 	[PEER_RATE_ASK] = LAYOUT(peer_rate_ask, rate_ask_fields),
 	[PEER_RATE_GRANT] = LAYOUT(peer_rate_grant, rate_grant_fields),
-	[PEER_SUSPECT] = LAYOUT(peer_suspect, suspect_fields),
-	[PEER_SUSPECT_ASK] = LAYOUT(peer_suspect_ask, suspect_ask_fields),
+	[PEER_SUSPECT] = LAYOUT_GROWN(peer_suspect, suspect_fields, 3),
+	[PEER_SUSPECT_ASK] =
+		LAYOUT_GROWN(peer_suspect_ask, suspect_ask_fields, 2),
 	[PEER_SUSPECT_ANSWER] =
-		LAYOUT(peer_suspect_answer, suspect_answer_fields),
+		LAYOUT_GROWN(peer_suspect_answer, suspect_answer_fields, 1),
 	[PEER_CONFIG_ANNOUNCE] =
 		LAYOUT(peer_config_announce, config_announce_fields),
 	[PEER_CONFIG_GET] = LAYOUT(peer_config_get, config_get_fields),
--- a/packages/peer/layout.h
+++ b/packages/peer/layout.h
@@ -41,6 +41,8 @@
 	const char *name;
 	const struct field *fields;
 	size_t count;
+	/** Fields that every version sends; the others are 0 when missing. */
+	size_t required;
 	size_t size;
 };
 
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -114,6 +114,8 @@
 	/** Another suspect runs on the service. */
 	PEER_SUSPECT_WAIT,
 	PEER_SUSPECT_REFUSE,
+	/** It is no suspect at the arbiter; it may run like any other. */
+	PEER_SUSPECT_FREE,
 	PEER_SUSPECT_VERDICT_END,
 };
 
@@ -296,16 +298,35 @@
 	struct base_str service;
 	struct base_digest fingerprint;
 	enum peer_suspect_state state;
+	/** Grows each time the request becomes a suspect again. */
+	uint32_t round;
+	/**
+	 * 0 for news. Otherwise the message tells the arbiter how the run with
+	 * this permit ended: CLEARED, CONVICTED when the server died, or
+	 * RELEASED.
+	 */
+	uint64_t permit_id;
 };
 
 struct peer_suspect_ask {
 	struct base_str service;
 	struct base_digest fingerprint;
+	/** What the asking guard knows of it. */
+	enum peer_suspect_state state;
+	uint32_t round;
+	/** Time left to the request when the message was sent. */
+	int64_t remaining_us;
 };
 
 /** Answers the ask with the same id. */
 struct peer_suspect_answer {
 	enum peer_suspect_verdict verdict;
+	/** Set for PEER_SUSPECT_RUN, otherwise 0. */
+	uint64_t permit_id;
+	/** Time that the permit is good for, from the sending of the ask. */
+	int64_t lifetime_us;
+	/** For PEER_SUSPECT_WAIT: time until the next ask. */
+	int64_t wait_us;
 };
 
 struct peer_config_announce {
@@ -370,7 +391,8 @@
 				     struct base_error *err);
 /**
  * Decodes one message that fills @p bytes. Elements after the known ones of a
- * type are ignored, so that a newer daemon may append fields.
+ * type are ignored, so that a newer daemon may append fields. Fields that were
+ * appended to a type are 0 in messages of older daemons.
  * @return PEER_ERR_MALFORMED, PEER_ERR_UNKNOWN_TYPE or PEER_ERR_TOO_LARGE;
  *         @p msg then needs no release. @p err may be NULL.
  */
--- a/packages/peer/tests/samples.c
+++ b/packages/peer/tests/samples.c
@@ -115,11 +115,16 @@
 
 	if (m->type == PEER_SUSPECT)
 		m->suspect = (struct peer_suspect){ service, digest,
-						    PEER_SUSPECT_RELEASED };
+						    PEER_SUSPECT_RELEASED, 3,
+						    1234567890123 };
 	else if (m->type == PEER_SUSPECT_ASK)
-		m->suspect_ask = (struct peer_suspect_ask){ service, digest };
+		m->suspect_ask = (struct peer_suspect_ask){
+			service, digest, PEER_SUSPECT_CONVICTED, 4, -250000
+		};
 	else
-		m->suspect_answer.verdict = PEER_SUSPECT_REFUSE;
+		m->suspect_answer = (struct peer_suspect_answer){
+			PEER_SUSPECT_FREE, UINT64_MAX, 5000000, 50000
+		};
 }
 
 static void fill_config(struct peer_message *m)
@@ -322,14 +327,23 @@
 {
 	if (a->type == PEER_SUSPECT_ANSWER) {
 		SAME(a->suspect_answer.verdict, b->suspect_answer.verdict);
+		SAME(a->suspect_answer.permit_id, b->suspect_answer.permit_id);
+		SAME(a->suspect_answer.lifetime_us,
+		     b->suspect_answer.lifetime_us);
+		SAME(a->suspect_answer.wait_us, b->suspect_answer.wait_us);
 	} else if (a->type == PEER_SUSPECT_ASK) {
 		SAME_STR(a->suspect_ask.service, b->suspect_ask.service);
 		SAME_DIGEST(a->suspect_ask.fingerprint,
 			    b->suspect_ask.fingerprint);
+		SAME(a->suspect_ask.state, b->suspect_ask.state);
+		SAME(a->suspect_ask.round, b->suspect_ask.round);
+		SAME(a->suspect_ask.remaining_us, b->suspect_ask.remaining_us);
 	} else {
 		SAME_STR(a->suspect.service, b->suspect.service);
 		SAME_DIGEST(a->suspect.fingerprint, b->suspect.fingerprint);
 		SAME(a->suspect.state, b->suspect.state);
+		SAME(a->suspect.round, b->suspect.round);
+		SAME(a->suspect.permit_id, b->suspect.permit_id);
 	}
 }
 
--- a/packages/peer/tests/test_message.c
+++ b/packages/peer/tests/test_message.c
@@ -202,6 +202,33 @@
 	peer_message_release(&msg);
 }
 
+/* Guards against refusing the messages of an older version in an upgrade. */
+Test(message, appended_fields_may_be_missing)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf buf = BASE_BUF_INIT;
+	struct base_digest digest = base_digest_of(BASE_STR("suspect"));
+	struct peer_message msg;
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, &buf, append);
+	pack_prefix(&pk, 6, PEER_SUSPECT);
+	msgpack_pack_str_with_body(&pk, "packing", 7);
+	msgpack_pack_bin_with_body(&pk, digest.bytes, sizeof(digest.bytes));
+	msgpack_pack_int(&pk, PEER_SUSPECT_CLEARED);
+	cr_assert(eq(int, peer_message_decode(base_buf_str(&buf), &msg, NULL),
+		     PEER_OK));
+	cr_assert(eq(int, (int)msg.suspect.state, PEER_SUSPECT_CLEARED));
+	cr_assert(eq(u32, msg.suspect.round, 0));
+	cr_assert(eq(u64, msg.suspect.permit_id, 0));
+	peer_message_release(&msg);
+	base_buf_reset(&buf);
+	pack_prefix(&pk, 5, PEER_SUSPECT);
+	msgpack_pack_str_with_body(&pk, "packing", 7);
+	msgpack_pack_bin_with_body(&pk, digest.bytes, sizeof(digest.bytes));
+	cr_assert(eq(int, decode_exact(buf.ptr, buf.len, NULL),
+		     PEER_ERR_MALFORMED));
+}
+
 Test(message, unknown_type_has_its_own_status)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf buf = BASE_BUF_INIT;
