--- a/packages/config/priority.h
+++ b/packages/config/priority.h
@@ -5,7 +5,7 @@
 #include "set.h"
 
 /* Each guard keeps a queue per class; more classes are taken for a mistake. */
-#define PRIORITY_MAX 64
+#define PRIORITY_MAX 32
 
 /**
  * Reports cycles and forks, or only that there are over PRIORITY_MAX classes.
--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -1,8 +1,10 @@
 /* Status, counters and spans for operators. */
 #include "admin.h"
+#include "claims.h"
 #include "guard.h"
 #include "entry.h"
 #include "membership.h"
+#include "rate_link.h"
 #include "roster.h"
 #include "spans.h"
 
@@ -79,13 +81,16 @@
 {
 	int64_t now = base_now_us();
 	json_t *json = json_pack(
-		"{s:s,s:s,s:b,s:b,s:I,s:I,s:o,s:o,s:o}", "vm",
+		"{s:s,s:s,s:b,s:b,s:b,s:b,s:I,s:I,s:o,s:o,s:o}", "vm",
 		node->settings->vm, "domain", node->settings->domain, "ready",
-		membership_ready(node->membership), "draining", node->draining,
-		"uptime_ms", (json_int_t)((now - node->started_at) / 1000),
-		"open_requests", (json_int_t)entry_open_flows(node->entry),
-		"configuration", configuration_json(node), "guard",
-		guard_json(node, now), "peers", peers_json(node, now));
+		membership_ready(node->membership), "claims_ready",
+		claims_ready(node->claims, now), "shares_ready",
+		rate_link_ready(node->rate_link, now), "draining",
+		node->draining, "uptime_ms",
+		(json_int_t)((now - node->started_at) / 1000), "open_requests",
+		(json_int_t)entry_open_flows(node->entry), "configuration",
+		configuration_json(node), "guard", guard_json(node, now),
+		"peers", peers_json(node, now));
 	char *text = json ? json_dumps(json, JSON_INDENT(2)) : NULL;
 
 	base_buf_addf(out, "%s\n", text ? text : "{}");
