--- a/fakes/caller.c
+++ b/fakes/caller.c
@@ -33,7 +33,9 @@
 	int64_t body_bytes;
 	int64_t retries;
 	int64_t seed;
+	int64_t retry_delay_us;
 	bool idempotency;
+	bool log_answers;
 };
 
 struct caller {
@@ -165,6 +167,38 @@
 
 static void send_call(struct call *call);
 
+static void on_retry_due(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	send_call(arg);
+}
+
+static void send_later(struct call *call)
+{
+	int64_t us = call->caller->settings.retry_delay_us;
+	const struct timeval delay = { us / BASE_SECOND_US,
+				       us % BASE_SECOND_US };
+
+	event_base_once(call->caller->loop, -1, EV_TIMEOUT, on_retry_due, call,
+			&delay);
+}
+
+static void log_answer(const struct call *call, struct evhttp_request *req)
+{
+	const char *outcome = NULL;
+
+	if (!call->caller->settings.log_answers)
+		return;
+	if (req)
+		outcome = evhttp_find_header(
+			evhttp_request_get_input_headers(req),
+			"Bilberryhinge-Outcome");
+	printf("answer label=%s status=%d outcome=%s\n", call->label,
+	       req ? evhttp_request_get_response_code(req) : 0,
+	       outcome ? outcome : "none");
+}
+
 /* Returns false when the call is over. */
 static bool retry(struct call *call, int status)
 {
@@ -175,7 +209,10 @@
 	if (call->tries > c->settings.retries)
 		return false;
 	count(c, "retries");
-	send_call(call);
+	if (c->settings.retry_delay_us)
+		send_later(call);
+	else
+		send_call(call);
 	return true;
 }
 
@@ -196,6 +233,7 @@
 	} else {
 		count(c, "failed");
 	}
+	log_answer(call, status ? req : NULL);
 	if (retry(call, status))
 		return;
 	base_histogram_record(c->latency, us);
@@ -337,6 +375,8 @@
 	OPT_RETRIES = 'R',
 	OPT_SEED = 's',
 	OPT_IDEMPOTENCY = 'i',
+	OPT_RETRY_DELAY = 'w',
+	OPT_LOG_ANSWERS = 'x',
 };
 
 static const struct argp_option options[] = {
@@ -357,6 +397,10 @@
 	  "Retries at once after any failure, at the next target", 0 },
 	{ "seed", OPT_SEED, "N", 0, "Of the random numbers", 0 },
 	{ "idempotency", OPT_IDEMPOTENCY, NULL, 0, "Send Idempotency-Key", 0 },
+	{ "retry-delay-ms", OPT_RETRY_DELAY, "MS", 0, "Wait before a retry",
+	  0 },
+	{ "log-answers", OPT_LOG_ANSWERS, NULL, 0,
+	  "Print a line for each answer", 0 },
 	{ 0 },
 };
 
@@ -386,6 +430,9 @@
 	case OPT_IDEMPOTENCY:
 		s->idempotency = true;
 		return 0;
+	case OPT_LOG_ANSWERS:
+		s->log_answers = true;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -414,6 +461,10 @@
 	case OPT_RETRIES:
 		s->retries = fake_number("hard-retries", arg);
 		return 0;
+	case OPT_RETRY_DELAY:
+		s->retry_delay_us =
+			fake_number("retry-delay-ms", arg) * BASE_MS_US;
+		return 0;
 	case OPT_SEED:
 		s->seed = fake_number("seed", arg);
 		return 0;
