--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -7,7 +7,8 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* Grants and permits must also lapse while the machine is suspended. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return ts.tv_sec * BASE_SECOND_US + ts.tv_nsec / 1000;
 }
 
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -339,6 +339,9 @@
 const struct config_service *
 config_snapshot_find_service(const struct config_snapshot *snapshot,
 			     struct base_str name);
+const struct config_route *
+config_snapshot_find_route(const struct config_snapshot *snapshot,
+			   struct base_str name);
 const struct config_account *
 config_snapshot_find_account(const struct config_snapshot *snapshot,
 			     struct base_str name);
--- a/packages/config/lookup.c
+++ b/packages/config/lookup.c
@@ -68,6 +68,14 @@
 			  sizeof(*snapshot->services), name);
 }
 
+const struct config_route *
+config_snapshot_find_route(const struct config_snapshot *snapshot,
+			   struct base_str name)
+{
+	return find_named(snapshot->routes, snapshot->route_count,
+			  sizeof(*snapshot->routes), name);
+}
+
 const struct config_account *
 config_snapshot_find_account(const struct config_snapshot *snapshot,
 			     struct base_str name)
--- a/packages/config/object.c
+++ b/packages/config/object.c
@@ -123,7 +123,7 @@
 				       .type = FIELD_INT,
 				       .since = 2,
 				       .min = 0,
-				       .max = 16777216,
+				       .max = 1048576,
 				       .initial = 1048576 } } },
 };
 
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -25,6 +25,8 @@
 #define DRAIN_POLL_US (20 * BASE_MS_US)
 /* Peers and callers learn of the stop before the daemon may end. */
 #define DRAIN_MIN_US BASE_SECOND_US
+/* Time to send the refusals of what was open at the limit. */
+#define DRAIN_FLUSH_US (500 * BASE_MS_US)
 
 struct daemon {
 	struct node node;
@@ -336,8 +338,10 @@
 
 	if (past < DRAIN_MIN_US)
 		return;
-	if (is_quiet(d) || past > d->node.settings->drain_us)
+	if (is_quiet(d) || past > d->node.settings->drain_us + DRAIN_FLUSH_US)
 		event_base_loopbreak(d->node.base);
+	else if (past > d->node.settings->drain_us)
+		entry_abort(d->node.entry, base_now_us());
 }
 
 static void on_stop_signal(evutil_socket_t fd, short events, void *arg)
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -5,8 +5,13 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Callers reach daemons of other failure domains over links this slow. */
-#define DEFAULT_RETRY_AFTER_US BASE_SECOND_US
+#define RETRY_AFTER_MS 1000
+
+/* Spreads callers that were refused together. */
+static int64_t jittered_retry_after(struct node *node)
+{
+	return retry_after_ms(&node->rnd, RETRY_AFTER_MS) * BASE_MS_US;
+}
 
 static void refuse(struct flow *f, enum http_refusal refusal,
 		   const char *detail, int64_t now)
@@ -19,7 +24,7 @@
 
 	if (refusal == HTTP_REFUSAL_NOT_READY ||
 	    refusal == HTTP_REFUSAL_OWNER_UNREACHABLE)
-		r.retry_after_us = DEFAULT_RETRY_AFTER_US;
+		r.retry_after_us = jittered_retry_after(f->node);
 	flow_refuse(f, &r, now);
 }
 
@@ -132,7 +137,7 @@
 	struct retry_key key;
 
 	if (!text.ptr) {
-		if (f->route->idempotent || f->onward)
+		if (f->route->idempotent)
 			return true;
 		refuse(f, HTTP_REFUSAL_IDEMPOTENCY_KEY_REQUIRED,
 		       "this route needs an Idempotency-Key header", now);
@@ -442,7 +447,7 @@
 	struct flow_refusal r = {
 		.refusal = HTTP_REFUSAL_OWNER_UNREACHABLE,
 		.not_run = true,
-		.retry_after_us = DEFAULT_RETRY_AFTER_US,
+		.retry_after_us = jittered_retry_after(f->node),
 		.detail = "the owner of the idempotency key cannot decide now",
 	};
 
@@ -507,14 +512,18 @@
 	return entry;
 }
 
-void entry_destroy(struct entry *entry)
+void entry_abort(struct entry *entry, int64_t now)
 {
 	struct flow *f, *next;
-	int64_t now = base_now_us();
 
+	HASH_ITER (hh, entry->flows, f, next)
+		flow_abort(f, now);
+}
+
+void entry_destroy(struct entry *entry)
+{
 	if (!entry)
 		return;
-	HASH_ITER (hh, entry->flows, f, next)
-		refuse(f, HTTP_REFUSAL_DRAINING, "the daemon stops", now);
+	entry_abort(entry, base_now_us());
 	free(entry);
 }
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -149,9 +149,11 @@
 	};
 	int code = http_refusal_code(refusal->refusal);
 
+	if (f->may_have_run)
+		details.not_run = false;
 	count_refusal(f, refusal->refusal);
 	record_span(f, code, http_refusal_name(refusal->refusal), now);
-	end_claim(f, NULL, refusal->not_run, now);
+	end_claim(f, NULL, details.not_run, now);
 	end_parent(f, now);
 	if (f->ex) {
 		http_refusal_build(&details, &headers, &body);
@@ -251,6 +253,7 @@
 		return false;
 	if (decision.action == RETRY_ACTION_RETRY) {
 		node_count(f->node, "retries");
+		f->may_have_run = true;
 	} else {
 		node_count(f->node, "reroutes");
 		f->reroutes++;
@@ -333,10 +336,6 @@
 	struct flow *f = ctx;
 
 	f->local = NULL;
-	if (f->sending) {
-		/* Answered during the submit; flow_route() goes on with it. */
-		node_count(f->node, "guard_answers_at_once");
-	}
 	flow_on_answer(f, answer, base_now_us());
 }
 
@@ -505,6 +504,17 @@
 		     now);
 }
 
+void flow_abort(struct flow *f, int64_t now)
+{
+	bool not_run = f->state != FLOW_SENT;
+
+	if (f->state == FLOW_RATE_WAITING)
+		rate_link_cancel(f->node->rate_link, f->account, f->id);
+	cancel_try(f, now);
+	refuse_plain(f, HTTP_REFUSAL_DRAINING, not_run, BASE_SECOND_US,
+		     "the daemon stops", now);
+}
+
 /* Work that must not be left half done goes on without its caller. */
 static void on_gone(void *ctx, struct http_exchange *ex)
 {
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -63,7 +63,8 @@
 	uint32_t server;
 	uint64_t wire_id;
 	struct guard_work *local;
-	bool sending;
+	/** An earlier try may have run, so "not-run" would be false. */
+	bool may_have_run;
 
 	UT_hash_handle hh;
 	UT_hash_handle hh_wire;
@@ -86,6 +87,8 @@
 
 struct flow *flow_create(struct entry *entry, struct http_exchange *ex,
 			 int64_t now);
+/** Gives up on the flow at the end of a drain, honestly. */
+void flow_abort(struct flow *f, int64_t now);
 /** Replies with a refusal, ends the claim and frees the flow. */
 void flow_refuse(struct flow *f, const struct flow_refusal *refusal,
 		 int64_t now);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -34,6 +34,7 @@
 	int32_t cutoff;
 	bool retried;
 	bool abandoned;
+	bool idempotent;
 	/* By the quarantine; not offered yet. */
 	bool held;
 	guard_end_cb end_cb;
@@ -447,7 +448,8 @@
 {
 	struct node *node = w->guard->node;
 	const struct peer_context *c = &w->msg.request.context;
-	const struct config_route *route = NULL;
+	const struct config_route *route =
+		config_snapshot_find_route(node->snapshot, c->route);
 	const struct config_account *account =
 		config_snapshot_find_account(node->snapshot, c->account);
 	struct overload_work work = {
@@ -459,13 +461,10 @@
 		.weight = account ? (uint32_t)account->weight : 1,
 		.deadline = w->deadline,
 	};
-	size_t i;
 
-	for (i = 0; i < node->snapshot->route_count; i++)
-		if (base_str_equal(node->snapshot->routes[i].name, c->route))
-			route = &node->snapshot->routes[i];
 	/* A route that is not known here is protected like the last shed. */
-	work.idempotent = route && route->idempotent;
+	w->idempotent = route && route->idempotent;
+	work.idempotent = w->idempotent;
 	overload_guard_offer(w->guard->overload, &work, now);
 }
 
@@ -591,8 +590,6 @@
 
 void guard_cancel(struct guard *guard, struct guard_work *work, int64_t now)
 {
-	bool idempotent_call = !work->msg.request.context.idempotency_key.len;
-
 	if (work->held ||
 	    overload_guard_cancel(guard->overload, work->id, now)) {
 		node_count(guard->node, "guard_cancelled_queued");
@@ -602,8 +599,8 @@
 	}
 	node_count(guard->node, "guard_cancelled_running");
 	work->abandoned = true;
-	/* Keyed work is run to its end, so that it is not left half done. */
-	if (!work->call || !idempotent_call)
+	/* Non-idempotent work is not left half done. */
+	if (!work->call || !work->idempotent)
 		return;
 	http_call_cancel(work->call);
 	overload_guard_finish(guard->overload, work->id, OVERLOAD_OUTCOME_OK,
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -28,6 +28,8 @@
 	int64_t arriving_since;
 	int64_t idle_since;
 	bool malformed;
+	/* evhtp adds a form's body to the query of its URI, so it is kept. */
+	char *query;
 };
 
 struct exchange {
@@ -99,6 +101,7 @@
 		}
 		notify_gone(ex);
 	}
+	free(c->query);
 	free(c);
 	return EVHTP_RES_OK;
 }
@@ -142,6 +145,9 @@
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
 		c->malformed = true;
+	free(c->query);
+	c->query =
+		base_str_dup(base_str_from((const char *)req->uri->query_raw));
 	return EVHTP_RES_OK;
 }
 
@@ -207,7 +213,7 @@
 
 	r->method = own_str(htparser_get_methodstr_m(req->method));
 	r->path = own_str(req->uri->path ? req->uri->path->full : "/");
-	r->query = own_str((const char *)req->uri->query_raw);
+	r->query = own_str(ex->connection->query);
 	evhtp_headers_for_each(req->headers_in, copy_header, &r->headers);
 	evbuffer_remove(req->buffer_in, body, len);
 	r->body = (struct base_str){ body, len };
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -16,7 +16,7 @@
 	for vm in "${VMS[@]}"; do
 		curl -s "http://${ADMIN_OF[$vm]}/spans" | grep "$1" |
 			sed "s/^/$vm /"
-	done | sed 's/^\([^ ]*\) .*"kind":"\([^"]*\)","route":"\([^"]*\)".*"decision":"\([^"]*\)","served_by":"\([^"]*\)","start_us":\([0-9]*\),"duration_us":\([0-9]*\).*/\6 \1 \2 \3 \4 \5 \7/' |
+	done | sed 's/^\([^ ]*\) .*"kind":"\([^"]*\)","route":"\([^"]*\)".*"decision":"\([^"]*\)","served_by":"\([^"]*\)","start_us":\([0-9]*\),"duration_us":\([0-9]*\).*/\6 \1 \2 \3 \4 \5 \7/; s/ by  / by nobody /' |
 		sort -n | while read -r _ vm kind route decision served us; do
 		printf '     %-15s %-7s %-20s %s by %s in %s us\n' \
 			"$vm" "$kind" "$route" "$decision" "$served" "$us"
