--- a/packages/daemon/quarantine.c
+++ b/packages/daemon/quarantine.c
@@ -8,7 +8,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
-/* Held requests are looked at again after this time. */
+/* Between two looks at held requests. */
 #define TICK_US (10 * BASE_MS_US)
 /* An ask without an answer is sent again after this time. */
 #define ASK_WAIT_US (250 * BASE_MS_US)
@@ -296,8 +296,6 @@
 		return_permit(q, &unwanted, RETRY_PERMIT_UNUSED, now);
 }
 
-/* ---- The guard's calls ---- */
-
 enum quarantine_verdict quarantine_check(struct quarantine *q, uint64_t work,
 					 const struct peer_request *request,
 					 int64_t deadline, int64_t now)
@@ -437,8 +435,6 @@
 	fail_later(q, lost, count, now);
 }
 
-/* ---- Messages and links ---- */
-
 static void serve_ask(struct quarantine *q, const struct peer_remote *remote,
 		      const struct peer_message *msg,
 		      const struct peer_receipt *receipt)
