Keep the ends of claims for owners out of reach

A complete or release that could not be sent was dropped. The key then stayed running at its owner for the retention period, also when the request certainly had not run, so the caller got in_progress for 10 minutes.

The end is now kept for 30 s, at most 1,024 of them, and sent when the owner is connected again. Sending it twice is harmless, as it names the claim. An answer that cannot be encoded is completed without it. Asking again by timer was not needed: the link reconnects by itself and reports it.

--- a/packages/daemon/claims.c
+++ b/packages/daemon/claims.c
@@ -7,12 +7,17 @@
 #include "roster.h"
 
 #include <uthash.h>
+#include <utlist.h>
 
 /* Longest wait of an entry for the answer of a key's owner. */
 #define CLAIM_WAIT_US (500 * BASE_MS_US)
 /* A claim that was given up is remembered so long, to release a late NEW. */
 #define LATE_ANSWER_US (30 * BASE_SECOND_US)
 
+/* The end of a claim is kept so long for an owner that is out of reach. */
+#define END_KEPT_US (30 * BASE_SECOND_US)
+#define ENDS_KEPT_MAX 1024
+
 enum pending_state {
 	/* Waits for the connection to the owner. */
 	PENDING_UNSENT,
@@ -43,11 +48,21 @@
 	UT_hash_handle hh;
 };
 
+/* A complete or release that waits for the connection to the owner. */
+struct claim_end {
+	uint32_t vm;
+	int64_t until;
+	struct base_buf bytes;
+	struct claim_end *prev, *next;
+};
+
 struct claims {
 	struct node *node;
 	struct ledger *ledger;
 	struct pending *pending;
 	struct held *held;
+	struct claim_end *ends;
+	size_t end_count;
 };
 
 /* ---- The owner's side ---- */
@@ -287,6 +302,75 @@
 		claim_remote(claims, owner, request, deadline, now);
 }
 
+static void end_free(struct claims *c, struct claim_end *e)
+{
+	DL_DELETE(c->ends, e);
+	c->end_count--;
+	base_buf_release(&e->bytes);
+	free(e);
+}
+
+/* Without its end the key would stay running at its owner. */
+static void keep_end(struct claims *c, uint32_t vm,
+		     const struct peer_message *msg, int64_t now)
+{
+	struct claim_end *e;
+
+	if (c->end_count >= ENDS_KEPT_MAX) {
+		node_count(c->node, "claim_ends_dropped");
+		return;
+	}
+	e = base_alloc(sizeof(*e));
+	e->vm = vm;
+	e->until = now + END_KEPT_US;
+	DL_APPEND(c->ends, e);
+	c->end_count++;
+	if (peer_message_encode(msg, &e->bytes, NULL) == PEER_OK)
+		node_count(c->node, "claim_ends_kept");
+	else
+		end_free(c, e);
+}
+
+static void send_end(struct claims *c, const struct config_vm *vm,
+		     struct peer_message *msg, int64_t now)
+{
+	enum peer_status status;
+
+	if (!vm) {
+		node_count(c->node, "claim_ends_dropped");
+		return;
+	}
+	status = send_to_owner(c, vm, msg, now);
+	if (status == PEER_ERR_TOO_LARGE && msg->type == PEER_COMPLETE) {
+		/* Without the answer the owner still knows that it ran. */
+		msg->complete.stored = (struct peer_stored_answer){ 0 };
+		status = send_to_owner(c, vm, msg, now);
+	}
+	if (status != PEER_OK)
+		keep_end(c, roster_vm_id(c->node->roster, vm->name), msg, now);
+}
+
+static void send_kept_ends(struct claims *c, const struct config_vm *vm,
+			   uint32_t id, int64_t now)
+{
+	struct claim_end *e, *next;
+	struct peer_message msg;
+
+	DL_FOREACH_SAFE(c->ends, e, next)
+	{
+		if (e->vm != id && now < e->until)
+			continue;
+		if (now < e->until &&
+		    peer_message_decode(base_buf_str(&e->bytes), &msg, NULL) ==
+			    PEER_OK) {
+			if (send_to_owner(c, vm, &msg, now) == PEER_OK)
+				node_count(c->node, "claim_ends_sent_late");
+			peer_message_release(&msg);
+		}
+		end_free(c, e);
+	}
+}
+
 static void release_remote(struct claims *c, const struct config_vm *vm,
 			   struct base_str account, struct base_str key,
 			   uint64_t claim_id, int64_t now)
@@ -296,8 +380,7 @@
 		.release = { account, key, claim_id },
 	};
 
-	if (!vm || send_to_owner(c, vm, &msg, now))
-		node_count(c->node, "claim_ends_unsent");
+	send_end(c, vm, &msg, now);
 }
 
 void claims_complete(struct claims *claims, struct base_str account,
@@ -312,8 +395,8 @@
 
 	if (vm && node_is_self(claims->node, vm))
 		ledger_complete(claims->ledger, claim_id, stored, now);
-	else if (!vm || send_to_owner(claims, vm, &msg, now))
-		node_count(claims->node, "claim_ends_unsent");
+	else
+		send_end(claims, vm, &msg, now);
 }
 
 void claims_release(struct claims *claims, struct base_str account,
@@ -396,6 +479,7 @@
 	while ((p = find_open(claims, id, true)))
 		if (now >= p->deadline || send_claim(p, now) != PEER_OK)
 			give_up(p, "claims_unsent");
+	send_kept_ends(claims, vm, id, now);
 }
 
 void claims_on_link_down(struct claims *claims, const struct config_vm *vm,
@@ -447,6 +531,8 @@
 		return;
 	HASH_ITER (hh, claims->pending, p, next)
 		pending_free(p);
+	while (claims->ends)
+		end_free(claims, claims->ends);
 	HASH_ITER (hh, claims->held, h, next_held) {
 		HASH_DEL(claims->held, h);
 		free(h);
