Cut standing queues but spare accounts within their share

At the start of a surge, idempotent work that waited for a slowed service filled the slots of the services before it for almost a second, and their cutoffs overshot.

Change: a queue that has been over its target for 20 ms is no burst. It is cut to 15% of the limit plus 12, taking the accounts above their max-min fair share only; the bound of limit x 2 stays for bursts and for the others. Over the target is now 15% of the limit. A level comes back with up to 30%.

--- a/packages/overload/cutoff.c
+++ b/packages/overload/cutoff.c
@@ -3,12 +3,24 @@
 
 #include <math.h>
 
-/* Over the target: more work waits than this share of the limit. */
-#define TARGET_OVER 0.3
-#define TARGET_UNDER 0.125
-#define TARGET 0.25
+/*
+ * Over the target: more work waits than this share of the limit. The constant
+ * part keeps single requests from counting as overload of a small server.
+ */
+#define TARGET_OVER 0.15
+#define TARGET 0.1
+#define TARGET_UNDER 0.05
+#define TARGET_FLOOR 2
 /* Time in which the queue is meant to shrink to the target. */
 #define DRAIN_US (300 * BASE_MS_US)
+/*
+ * The queue holds this multiple of the limit. A standing queue holds a share,
+ * with a constant part that evens out chance on small servers. It must exceed
+ * the over target: below it, the cutoff would not rise.
+ */
+#define QUEUE_FACTOR 2
+#define STANDING 0.15
+#define STANDING_FLOOR 12
 #define RAISE_AFTER_US (20 * BASE_MS_US)
 /* Answers have to carry a new cutoff to the entries before it shows. */
 #define RAISE_AGAIN_US (50 * BASE_MS_US)
@@ -17,7 +29,7 @@
 #define RAISE_FACTOR 0.25
 /* One step raises the share at most by this factor, and to this at least. */
 #define LOWER_FACTOR 10.0
-#define ADMITTED_FIRST 0.1
+#define ADMITTED_FIRST 0.3
 /* Entries send this share of what they refuse as probes. */
 #define PROBE_SHARE 0.01
 /* A level with a smaller share is shed altogether. */
@@ -166,6 +178,7 @@
 	}
 	if (now - cutoff->over_since < RAISE_AFTER_US)
 		return;
+	cutoff->standing = true;
 	/* Work beyond what is started, and what the queue has to lose. */
 	excess = cutoff->offered - cutoff->started +
 		 surplus * (double)DECAY_US / DRAIN_US;
@@ -181,6 +194,7 @@
 	double use;
 
 	cutoff->over_since = -1;
+	cutoff->standing = false;
 	if (cutoff->under_since < 0) {
 		cutoff->under_since = now;
 		return;
@@ -201,7 +215,7 @@
 	double limit = load->limit;
 
 	decay(cutoff, load->in_flight / limit, now);
-	if (load->queued > TARGET_OVER * limit) {
+	if (load->queued > TARGET_FLOOR + TARGET_OVER * limit) {
 		update_over(cutoff, load->queued - TARGET * limit, now);
 	} else if (load->queued <= TARGET_UNDER * limit) {
 		update_under(cutoff, now);
@@ -220,6 +234,16 @@
 	return INT64_MAX;
 }
 
+uint32_t overload_cutoff_queue_bound(const struct overload_cutoff *cutoff,
+				     uint32_t limit)
+{
+	uint32_t standing = STANDING_FLOOR + (uint32_t)(STANDING * limit);
+	uint32_t bound = QUEUE_FACTOR * limit;
+
+	/* A standing queue serves nobody sooner, and all of it later. */
+	return cutoff->standing && standing < bound ? standing : bound;
+}
+
 uint8_t overload_cutoff_first_shed(const struct overload_cutoff *cutoff)
 {
 	return cutoff->level + (cutoff->admitted > 0);
--- a/packages/overload/cutoff.h
+++ b/packages/overload/cutoff.h
@@ -13,6 +13,8 @@
 	/* Start of the time over or under the target; -1 when it is not. */
 	int64_t over_since;
 	int64_t under_since;
+	/* The queue has been over the target too long for a burst. */
+	bool standing;
 	/* Decaying counts of work offered, in all and by level, and started. */
 	double offered;
 	double offered_at[OVERLOAD_LEVELS];
@@ -40,6 +42,9 @@
 			    const struct overload_load *load, int64_t now);
 /** @return INT64_MAX when no update is needed without an event */
 int64_t overload_cutoff_next_at(const struct overload_cutoff *cutoff);
+/** Length beyond which idempotent work is shed from a queue of the limit. */
+uint32_t overload_cutoff_queue_bound(const struct overload_cutoff *cutoff,
+				     uint32_t limit);
 /** The first (numerically smallest) level that is shed altogether. */
 uint8_t overload_cutoff_first_shed(const struct overload_cutoff *cutoff);
 int32_t overload_cutoff_steps(const struct overload_cutoff *cutoff);
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -189,7 +189,7 @@
 		return;
 	}
 	overload_cutoff_offered(&guard->cutoff, work, now);
-	overload_queue_push(guard->queue, work);
+	overload_queue_push(guard->queue, work, now);
 	/* Waiting, a probe would occupy slots of all services before this. */
 	if (work->idempotent &&
 	    work->level >= overload_cutoff_first_shed(&guard->cutoff))
@@ -308,18 +308,17 @@
 {
 	uint32_t limit = overload_guard_limit(guard, guard->now);
 	uint32_t queued = overload_queue_length(guard->queue);
-	uint32_t first = OVERLOAD_CLASS_ALL;
+	bool full = queued > QUEUE_FACTOR * limit;
+	uint32_t first = OVERLOAD_CLASS_IDEMPOTENT;
 	struct overload_work work;
 
-	if (queued > QUEUE_FACTOR * limit)
-		first = idempotent_present(guard) ? OVERLOAD_CLASS_IDEMPOTENT
-						  : OVERLOAD_CLASS_ALL;
-	else if (queued > limit / SHED_DIVISOR)
-		first = OVERLOAD_CLASS_IDEMPOTENT +
-			overload_cutoff_first_shed(&guard->cutoff);
-	else
+	if (full && !idempotent_present(guard))
+		first = OVERLOAD_CLASS_ALL;
+	else if (queued <= limit / SHED_DIVISOR)
 		return false;
-	if (!overload_queue_shed(guard->queue, first, guard->now, &work))
+	else if (queued <= overload_cutoff_queue_bound(&guard->cutoff, limit))
+		first += overload_cutoff_first_shed(&guard->cutoff);
+	if (!overload_queue_shed(guard->queue, first, !full, guard->now, &work))
 		return false;
 	set_drop(guard, work.id, OVERLOAD_REASON_OVERLOADED, action);
 	return true;
--- a/packages/overload/pressure.c
+++ b/packages/overload/pressure.c
@@ -4,11 +4,10 @@
 #include <assert.h>
 #include <uthash.h>
 
-/* Weight of one observation; entries follow a rise faster than a fall. */
-#define GAIN_STRICTER 0.3
-#define GAIN_LOOSER 0.2
+/* Weight of one observation; servers of a service differ in their cutoffs. */
+#define GAIN 0.3
 /* An observation after this long without one replaces what is known. */
-#define NEWS_US (200 * BASE_MS_US)
+#define NEWS_US (100 * BASE_MS_US)
 /* With less than this share refused, nothing is refused. */
 #define DEAD_BAND 0.02
 /* Without news the cutoff is trusted this long, then lifted gradually. */
@@ -139,12 +138,11 @@
 {
 	struct route *r = &pressure->routes[route];
 	double share = share_of(cutoff, r->level);
-	double gain;
+	double gain = GAIN;
 
 	assert(route < pressure->count);
 	r->admitted = admitted_now(r, now);
-	gain = share < r->admitted ? GAIN_STRICTER : GAIN_LOOSER;
-	if (now - r->observed_at > NEWS_US * gain)
+	if (now - r->observed_at > NEWS_US * GAIN)
 		gain = (double)(now - r->observed_at) / NEWS_US;
 	r->admitted += (gain < 1 ? gain : 1) * (share - r->admitted);
 	r->last_cutoff = cutoff;
--- a/packages/overload/queue.c
+++ b/packages/overload/queue.c
@@ -118,7 +118,7 @@
 }
 
 void overload_queue_push(struct overload_queue *queue,
-			 const struct overload_work *work)
+			 const struct overload_work *work, int64_t now)
 {
 	struct class *class = class_of(queue, work);
 	struct flow *flow = flow_of(class, work);
@@ -126,6 +126,7 @@
 
 	HASH_FIND(hh, queue->by_id, &work->id, sizeof(work->id), item);
 	assert(!item);
+	overload_usage_offered(queue->usage, work->account, work->weight, now);
 	item = base_alloc(sizeof(*item));
 	item->work = *work;
 	item->flow = flow;
@@ -191,7 +192,7 @@
 		class->virtual_time = flow->start;
 		flow->start += 1.0 / flow->weight;
 		*work = TAILQ_FIRST(&flow->items)->work;
-		overload_usage_add(queue->usage, work->account, now);
+		overload_usage_started(queue->usage, work->account, now);
 		remove_item(queue, TAILQ_FIRST(&flow->items));
 		return true;
 	}
@@ -210,8 +211,10 @@
 	return (recent + flow->length) / flow->weight;
 }
 
+/* The heaviest of those that ask for more than @p level; NULL if none does. */
 static struct flow *heaviest_flow(const struct overload_queue *queue,
-				  const struct class *class, int64_t now)
+				  const struct class *class, double level,
+				  int64_t now)
 {
 	struct flow *heaviest = NULL;
 	struct flow *flow, *next;
@@ -219,7 +222,9 @@
 	double use;
 
 	HASH_ITER (hh, class->flows, flow, next) {
-		if (!flow->length)
+		if (!flow->length ||
+		    overload_usage_within(queue->usage, flow->account, level,
+					  now))
 			continue;
 		use = flow_use(queue, flow, now);
 		if (use > most) {
@@ -231,8 +236,11 @@
 }
 
 bool overload_queue_shed(struct overload_queue *queue, uint32_t first,
-			 int64_t now, struct overload_work *work)
+			 bool above_share, int64_t now,
+			 struct overload_work *work)
 {
+	double level =
+		above_share ? overload_usage_fair_level(queue->usage, now) : 0;
 	struct flow *flow;
 	struct item *item;
 	size_t i;
@@ -240,7 +248,9 @@
 	for (i = CLASSES; i-- > first;) {
 		if (!queue->classes[i].length)
 			continue;
-		flow = heaviest_flow(queue, &queue->classes[i], now);
+		flow = heaviest_flow(queue, &queue->classes[i], level, now);
+		if (!flow)
+			continue;
 		item = TAILQ_LAST(&flow->items, item_list);
 		*work = item->work;
 		remove_item(queue, item);
--- a/packages/overload/queue.h
+++ b/packages/overload/queue.h
@@ -17,7 +17,7 @@
 void overload_queue_destroy(struct overload_queue *queue);
 /** The id must not be queued already. */
 void overload_queue_push(struct overload_queue *queue,
-			 const struct overload_work *work);
+			 const struct overload_work *work, int64_t now);
 /**
  * Takes the next work to run: non-idempotent before idempotent, then by level,
  * then start-time fair between accounts, then in the order of arrival.
@@ -28,11 +28,14 @@
 /**
  * Takes the newest work, in the lowest class, of the account that has most
  * work queued and started lately for its weight.
- * @param first  leave alone the classes before this one
+ * @param first        leave alone the classes before this one
+ * @param above_share  leave alone the accounts that ask for less than their
+ *                     max-min fair share
  * @return false when there is none
  */
 bool overload_queue_shed(struct overload_queue *queue, uint32_t first,
-			 int64_t now, struct overload_work *work);
+			 bool above_share, int64_t now,
+			 struct overload_work *work);
 /**
  * Takes one piece of work that is out of time: whose deadline has come, or for
  * idempotent work (and for all when @p all is set) is nearer than @p margin_us.
