Limit asks while an account is overloaded

With 930 daemons and one account at five times its rate, each daemon asked each holder all the time: 34 KB/s sent a daemon on average, 484 KB/s at the busiest holder, against 13 KB/s allowed.

An entry that refuses over a quarter of an account's requests now spends a budget on asks that bring less than a token: 20 a second and one for four tokens. No stock is kept below two tokens of demand a lifetime (one before), where an ask ahead saves no message.

Weighed: the same budget at all times. It refused up to 1.2% of requests inside the rate when demand came to one of 90 daemons. A budget of 5 a second and one for ten tokens sent no less (21 KB/s).

The limit of 13 KB/s for all control traffic is not yet kept at holders and under overload.

--- a/packages/rate/account.c
+++ b/packages/rate/account.c
@@ -5,6 +5,9 @@
 #include <math.h>
 
 #define IDLE_US (5 * BASE_SECOND_US)
+/* What one request adds to the average demand. */
+#define DEMAND_OF_REQUEST \
+	((double)(RATE_TOKEN_MT * BASE_SECOND_US) / DEMAND_AVERAGE_US)
 #define RETRY_AFTER_MIN_US BASE_MS_US
 #define RETRY_AFTER_MAX_US BASE_SECOND_US
 
@@ -20,6 +23,8 @@
 	a->active = true;
 	a->lifetime = RATE_LIFETIME_MAX_US;
 	a->demand_at = now;
+	a->credit = ACCOUNT_SHORT_ASKS;
+	a->credit_at = now;
 	a->used_at = now;
 	a->due = INT64_MAX;
 }
@@ -33,6 +38,7 @@
 	a->waiter_head = 0;
 	a->waiter_count = 0;
 	a->demand = 0;
+	a->refused = 0;
 	a->active = false;
 }
 
@@ -67,11 +73,12 @@
 	a->waiter_count = kept;
 }
 
-static struct rate_decision refusal(const struct account *a, int64_t now)
+static struct rate_decision refuse(struct account *a, int64_t now)
 {
 	int64_t next = asking_next(a, now);
 	int64_t retry = RETRY_AFTER_MIN_US;
 
+	a->refused += DEMAND_OF_REQUEST;
 	if (next > now + RETRY_AFTER_MAX_US)
 		retry = RETRY_AFTER_MAX_US;
 	else if (next - now > retry)
@@ -106,7 +113,7 @@
 void account_refuse_waiters(struct account *a, struct account_env *env,
 			    int64_t now)
 {
-	struct rate_decision decision = refusal(a, now);
+	struct rate_decision decision = refuse(a, now);
 
 	while (a->waiter_count)
 		decide_first(a, env, &decision);
@@ -137,7 +144,7 @@
 {
 	while (a->waiter_count &&
 	       is_hopeless(a, waiter_at(a, 0)->deadline, now)) {
-		struct rate_decision decision = refusal(a, now);
+		struct rate_decision decision = refuse(a, now);
 
 		decide_first(a, env, &decision);
 	}
@@ -170,10 +177,10 @@
 
 	if (age > 0) {
 		a->demand *= exp(-age / DEMAND_AVERAGE_US);
+		a->refused *= exp(-age / DEMAND_AVERAGE_US);
 		a->demand_at = now;
 	}
-	a->demand +=
-		(double)(RATE_TOKEN_MT * BASE_SECOND_US) / DEMAND_AVERAGE_US;
+	a->demand += DEMAND_OF_REQUEST;
 	a->used_at = now;
 }
 
@@ -183,7 +190,7 @@
 	int64_t deadline = now + RATE_WAIT_US;
 
 	if (a->waiter_count == ACCOUNT_WAITERS_MAX)
-		return refusal(a, now);
+		return refuse(a, now);
 	*waiter_at(a, a->waiter_count++) = (struct waiter){
 		.request = request,
 		.deadline = deadline,
@@ -192,7 +199,7 @@
 	if (!is_hopeless(a, deadline, now))
 		return (struct rate_decision){ .result = RATE_WAITING };
 	a->waiter_count--;
-	return refusal(a, now);
+	return refuse(a, now);
 }
 
 struct rate_decision account_admit(struct account *a, struct account_env *env,
--- a/packages/rate/account.h
+++ b/packages/rate/account.h
@@ -13,6 +13,8 @@
 
 /* Requests of one account that may wait at the same time. */
 #define ACCOUNT_WAITERS_MAX 256
+/* Asks in a row that may be short: twice to each of 27 holders. */
+#define ACCOUNT_SHORT_ASKS 54.0
 /* Demand is averaged over about this long. */
 #define DEMAND_AVERAGE_US 500e3
 
@@ -79,7 +81,12 @@
 	int64_t lifetime;
 	/* Recent demand in milli-tokens a second, as of demand_at. */
 	double demand;
+	/* The part of it that was refused. */
+	double refused;
 	int64_t demand_at;
+	/* Asks that may be sent, as of credit_at. */
+	double credit;
+	int64_t credit_at;
 	int64_t used_at;
 	/* When account_tick() has something to do. */
 	int64_t due;
--- a/packages/rate/asking.c
+++ b/packages/rate/asking.c
@@ -24,6 +24,17 @@
 #define TARGET_PART 0.5
 #define LOW_PART 0.16
 #define LASTING_DIVISOR 8
+/*
+ * Asks that bring less than a token, or less than waiting requests need, are
+ * limited to this many a second and a token while overloaded; otherwise each
+ * daemon would ask each holder all the time.
+ */
+#define SHORT_ASKS_PER_SECOND 20.0
+#define SHORT_ASKS_PER_TOKEN 0.25
+/* Overloaded: this part of the requests is refused. */
+#define OVERLOAD_PART 0.25
+/* No stock is kept when less demand is expected within a lifetime. */
+#define STOCK_MIN_MT (2 * RATE_TOKEN_MT)
 
 static bool is_overdue(const struct source *s, int64_t now)
 {
@@ -54,6 +65,20 @@
 	return is_askable(s, now) && s->ahead_at <= now;
 }
 
+static void refill_credit(struct account *a, int64_t now)
+{
+	a->credit += (double)(now - a->credit_at) * SHORT_ASKS_PER_SECOND /
+		     (double)BASE_SECOND_US;
+	if (a->credit > ACCOUNT_SHORT_ASKS)
+		a->credit = ACCOUNT_SHORT_ASKS;
+	a->credit_at = now;
+}
+
+static bool is_out_of_asks(const struct account *a)
+{
+	return a->credit < 1 && a->refused > OVERLOAD_PART * a->demand;
+}
+
 static void send(struct account *a, struct account_env *env, struct source *s,
 		 int64_t need, int64_t ahead, int64_t now)
 {
@@ -72,6 +97,7 @@
 	actions_add(&env->actions, &action);
 	if (need <= 0 && ahead <= 0)
 		return;
+	a->credit = a->credit > 1 ? a->credit - 1 : 0;
 	s->ask_seq = action.ask.seq;
 	s->asked_at = now;
 	s->asked_need_mt = need;
@@ -116,7 +142,7 @@
 {
 	double lifetime = (double)a->lifetime / (double)BASE_SECOND_US;
 
-	return demand_at(a, now) * lifetime >= RATE_TOKEN_MT;
+	return demand_at(a, now) * lifetime >= STOCK_MIN_MT;
 }
 
 /* Tokens wanted for requests to come; 0 while the stock lasts. */
@@ -171,9 +197,12 @@
 
 	if (missing <= 0)
 		return;
+	refill_credit(a, now);
 	ahead = ahead_wanted(a, now);
 	part = need_part(a, missing, now);
 	for (i = 0; i < a->spec.holder_count && missing > 0; i++) {
+		if (is_out_of_asks(a))
+			return;
 		struct source *s = &a->sources[i];
 
 		if (!may_need(s, now))
@@ -190,7 +219,10 @@
 	int64_t wanted = ahead_wanted(a, now);
 	size_t i;
 
+	refill_credit(a, now);
 	for (i = 0; i < a->spec.holder_count && wanted > 0; i++) {
+		if (is_out_of_asks(a))
+			return;
 		if (!may_ahead(&a->sources[i], now))
 			continue;
 		send(a, env, &a->sources[i], 0, wanted, now);
@@ -262,6 +294,9 @@
 	s->ask_seq = 0;
 	s->silent_until = 0;
 	s->silent_backoff = 0;
+	if (amount >= max_i64(s->asked_need_mt, RATE_TOKEN_MT))
+		a->credit += 1;
+	a->credit += (double)amount * SHORT_ASKS_PER_TOKEN / RATE_TOKEN_MT;
 	if (grant->status != RATE_GRANT_OK) {
 		s->need_at = now + max_i64(grant->retry_us, RETRY_MIN_US);
 		s->ahead_at = s->need_at;
@@ -278,15 +313,29 @@
 	stock_add(s, grant, now);
 }
 
+/* When the credit for the next ask is there. */
+static int64_t credit_due(const struct account *a)
+{
+	double missing = 1 - a->credit;
+
+	if (!is_out_of_asks(a))
+		return a->credit_at;
+	return a->credit_at + 1 +
+	       (int64_t)(missing / SHORT_ASKS_PER_SECOND *
+			 (double)BASE_SECOND_US);
+}
+
 int64_t asking_next(const struct account *a, int64_t now)
 {
 	int64_t next = INT64_MAX;
+	int64_t credit = credit_due(a);
 	size_t i;
 
 	for (i = 0; i < a->spec.holder_count; i++) {
 		const struct source *s = &a->sources[i];
 		int64_t at = max_i64(s->need_at, s->silent_until);
 
+		at = max_i64(at, credit);
 		if (!s->ask_seq && has_room(s))
 			next = min_i64(next, max_i64(at, now));
 	}
