Share the link wait of requests with rate asks; count waiting shares

Asks now use the same test, membership_is_linking(), instead of a mark of their own for links that failed.

Nothing told when the shares of a daemon begin after a start or a change of the holders. The gauges rate_shares and rate_shares_waiting do; they are brought up to date every 100 ms while a share waits.

--- a/packages/daemon/rate_link.c
+++ b/packages/daemon/rate_link.c
@@ -4,33 +4,25 @@
 #include "membership.h"
 #include "rate_accounts.h"
 #include "rate_holders.h"
+#include "rate_parked.h"
 #include "rate_wire.h"
 #include "roster.h"
 
 #include <uthash.h>
 
-/* Asks that wait for a link; more of them count as not sent. */
-#define PARKED_MAX 64
 /* A timer that fires before the sockets were drained is put off. */
 #define WAKING_US BASE_MS_US
+/* How often the gauge of shares that wait is brought up to date. */
+#define GAUGE_US (100 * BASE_MS_US)
 
 /* A VM of the roster, by the number that accounts know it by. */
 struct rate_vm {
 	uint64_t id;
 	const struct config_vm *vm;
-	/* Its link failed and is not up again. */
-	bool down;
 	uint64_t round;
 	UT_hash_handle hh;
 };
 
-/* An ask to a VM whose link is being opened. */
-struct parked_ask {
-	struct rate_ask ask;
-	uint64_t holder;
-	int64_t until;
-};
-
 struct rate_link {
 	struct node *node;
 	struct rate_accounts *accounts;
@@ -42,15 +34,18 @@
 	struct event *timer;
 	/* INT64_MAX when the timer is off. */
 	int64_t timer_at;
+	/* When the gauges are due; INT64_MAX when they cannot change. */
+	int64_t gauge_at;
 	/* Decisions see time that never goes back. */
 	int64_t now;
 	bool flushing;
-	struct parked_ask parked[PARKED_MAX];
-	size_t parked_count;
+	struct rate_parked parked;
 	struct base_counter *asks;
 	struct base_counter *grants;
 	struct base_counter *unreachable;
 	struct base_counter *invalid;
+	struct base_counter *shares;
+	struct base_counter *waiting;
 };
 
 /* Messages carry the time of their arrival, which may be in the past. */
@@ -76,11 +71,12 @@
 static void schedule(struct rate_link *link, int64_t now)
 {
 	int64_t at = rate_entry_next_tick(link->entry);
-	size_t i;
+	int64_t parked_at = rate_parked_next(&link->parked);
 
-	for (i = 0; i < link->parked_count; i++)
-		if (link->parked[i].until < at)
-			at = link->parked[i].until;
+	if (parked_at < at)
+		at = parked_at;
+	if (link->gauge_at < at)
+		at = link->gauge_at;
 	if (at != INT64_MAX)
 		set_timer(link, at, now);
 }
@@ -124,23 +120,10 @@
 	return true;
 }
 
-/* Keeps an ask until the link to its holder is up. */
-static bool park(struct rate_link *link, const struct rate_vm *vm,
-		 const struct rate_ask *ask, int64_t now)
-{
-	if (vm->down || link->parked_count == PARKED_MAX)
-		return false;
-	link->parked[link->parked_count++] = (struct parked_ask){
-		.ask = *ask,
-		.holder = vm->id,
-		.until = now + RATE_WAIT_US,
-	};
-	return true;
-}
-
 static void ask_remote(struct rate_link *link, const struct rate_action *action,
 		       int64_t now)
 {
+	struct membership *m = link->node->membership;
 	struct rate_vm *vm = find_vm(link, action->holder);
 	struct peer_link *to = vm ? node_link(link->node, vm->vm) : NULL;
 	bool done;
@@ -149,11 +132,12 @@
 		fail_ask(link, action->holder, now);
 		return;
 	}
-	membership_used(link->node->membership, to, now);
-	if (peer_link_is_up(to))
-		done = send_ask(link, to, &action->ask);
+	membership_used(m, to, now);
+	if (membership_is_linking(m, to, now))
+		done = rate_parked_add(&link->parked, vm->id, &action->ask,
+				       now + RATE_WAIT_US);
 	else
-		done = park(link, vm, &action->ask, now);
+		done = send_ask(link, to, &action->ask);
 	if (!done)
 		fail_ask(link, action->holder, now);
 }
@@ -193,30 +177,11 @@
 	schedule(link, link->now);
 }
 
-/* Takes one ask that waits for a holder. */
-static bool take_parked(struct rate_link *link, uint64_t holder,
-			struct rate_ask *out)
-{
-	size_t i;
-
-	for (i = 0; i < link->parked_count; i++) {
-		if (link->parked[i].holder != holder)
-			continue;
-		*out = link->parked[i].ask;
-		link->parked[i] = link->parked[--link->parked_count];
-		return true;
-	}
-	return false;
-}
-
 static void holder_down(struct rate_link *link, uint64_t holder, int64_t now)
 {
-	struct rate_vm *vm = find_vm(link, holder);
 	struct rate_ask ask;
 
-	if (vm)
-		vm->down = true;
-	while (take_parked(link, holder, &ask))
+	while (rate_parked_take(&link->parked, holder, &ask))
 		;
 	fail_ask(link, holder, now);
 }
@@ -224,16 +189,28 @@
 /* Links that do not come up in time count as failed. */
 static void expire_parked(struct rate_link *link, int64_t now)
 {
-	size_t i = 0;
+	uint64_t holder;
+
+	while (rate_parked_expired(&link->parked, now, &holder))
+		holder_down(link, holder, now);
+}
+
+/* Shares that wait for confirmations or for grants of others to lapse. */
+static void update_gauges(struct rate_link *link, int64_t now)
+{
+	const struct rate_account_state *a = NULL;
+	struct rate_holder_state state;
+	int64_t shares = 0, waiting = 0;
 
-	while (i < link->parked_count) {
-		if (link->parked[i].until > now) {
-			i++;
+	while ((a = rate_accounts_next(link->accounts, a))) {
+		if (!rate_holder_state(link->holder, a->id, now, &state))
 			continue;
-		}
-		holder_down(link, link->parked[i].holder, now);
-		i = 0;
+		shares++;
+		waiting += state.unconfirmed || state.ready_at > now;
 	}
+	base_counter_set(link->shares, shares);
+	base_counter_set(link->waiting, waiting);
+	link->gauge_at = waiting ? now + GAUGE_US : INT64_MAX;
 }
 
 static void on_timer(evutil_socket_t fd, short events, void *arg)
@@ -250,6 +227,8 @@
 	now = advance(link, now);
 	expire_parked(link, now);
 	rate_entry_tick(link->entry, now);
+	if (link->gauge_at <= now)
+		update_gauges(link, now);
 	rate_link_flush(link, now);
 }
 
@@ -329,9 +308,8 @@
 
 	if (!known)
 		return;
-	known->down = false;
 	to = node_link(link->node, vm);
-	while (take_parked(link, known->id, &ask))
+	while (rate_parked_take(&link->parked, known->id, &ask))
 		if (!to || !send_ask(link, to, &ask))
 			fail_ask(link, known->id, advance(link, now));
 	rate_link_flush(link, now);
@@ -524,6 +502,7 @@
 		update_share(link, a, continuous, now);
 		update_entry(link, a, now);
 	}
+	link->gauge_at = now;
 	/* The other parts take over the snapshot before decisions follow. */
 	set_timer(link, now, now);
 }
@@ -543,6 +522,7 @@
 	link->now = now;
 	link->self = roster_hash(base_str_from(node->settings->vm));
 	link->timer_at = INT64_MAX;
+	link->gauge_at = INT64_MAX;
 	link->accounts = rate_accounts_create(roster_hash);
 	link->holder = rate_holder_create(random_id(&node->rnd), now);
 	link->entry = rate_entry_create(random_id(&node->rnd));
@@ -552,6 +532,9 @@
 	link->unreachable =
 		base_counters_get(node->counters, "rate_unreachable");
 	link->invalid = base_counters_get(node->counters, "rate_invalid");
+	link->shares = base_counters_get(node->counters, "rate_shares");
+	link->waiting =
+		base_counters_get(node->counters, "rate_shares_waiting");
 	return link;
 }
 
