--- a/packages/daemon/rate_link.c
+++ b/packages/daemon/rate_link.c
@@ -554,3 +554,17 @@
 	rate_accounts_destroy(link->accounts);
 	free(link);
 }
+
+bool rate_link_ready(const struct rate_link *link, int64_t now)
+{
+	struct rate_account_state *a = NULL;
+	struct rate_holder_state state;
+
+	while ((a = rate_accounts_next(link->accounts, a))) {
+		if (!rate_holder_state(link->holder, a->id, now, &state))
+			continue;
+		if (state.unconfirmed || state.ready_at > now)
+			return false;
+	}
+	return true;
+}
--- a/packages/daemon/rate_link.h
+++ b/packages/daemon/rate_link.h
@@ -42,4 +42,7 @@
 void rate_link_on_domain_version(struct rate_link *link, struct base_str domain,
 				 uint64_t version, int64_t now);
 
+/** All shares that this daemon holds hand out tokens. */
+bool rate_link_ready(const struct rate_link *link, int64_t now);
+
 #endif
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -162,6 +162,22 @@
 	done
 }
 
+is_settled() {
+	local status
+	status=$(curl -sf "http://${ADMIN_OF[$1]}/status") || return 1
+	grep -q '"claims_ready": true' <<<"$status" &&
+		grep -q '"shares_ready": true' <<<"$status"
+}
+
+# wait_settled VM...: until the VMs accept the idempotency keys made from now
+# on and hand out their shares of the accounts' rates.
+wait_settled() {
+	local vm
+	for vm in "$@"; do
+		wait_for 30 is_settled "$vm" || fail "$vm does not settle"
+	done
+}
+
 # start_fleet FOLDER: the platform, and a backend and a daemon for each VM.
 start_fleet() {
 	local vm
@@ -172,6 +188,7 @@
 		start_vm "$vm"
 	done
 	wait_ready "${VMS[@]}"
+	wait_settled "${VMS[@]}"
 }
 
 version_of() {
