--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -14,7 +14,7 @@
 	local pid
 	for pid in "${PIDS[@]}"; do
 		kill -CONT "$pid" 2>/dev/null
-			kill -KILL "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
 	done
 	wait >/dev/null 2>&1
 	rm -rf "$WORK"
@@ -58,6 +58,7 @@
 start() {
 	local name=$1
 	shift
+	: >"$WORK/$name.out"
 	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" &
 	PID_OF[$name]=$!
 	PIDS+=($!)
@@ -162,10 +163,71 @@
 	done
 }
 
-# start_fleet FOLDER: the platform, and a backend and a daemon for each VM.
+# objects FILE: the objects of a configuration file, one a line.
+objects() {
+	grep '"kind"' "$1" | sed 's/,$//'
+}
+
+# write_objects FILE: makes a configuration file of the objects on the input.
+write_objects() {
+	local body
+	body=$(sed '$!s/$/,/')
+	printf '{"schema": 2, "objects": [\n%s\n]}\n' "$body" >"$1"
+}
+
+# keep_vms VM...: leaves only these VMs in the set, and the services, routes
+# and failure domains that have one of them.
+keep_vms() {
+	local vm services=() domains=()
+	for vm in "$@"; do
+		services+=(-e "\"service\": \"${SERVICE_OF[$vm]}\"")
+		services+=(-e "\"kind\": \"service\", \"name\": \"${SERVICE_OF[$vm]}\"")
+		domains+=(-e "\"name\": \"${DOMAIN_OF[$vm]}\"")
+	done
+	{
+		objects "$SET/topology.json" | grep '"kind": "region"'
+		objects "$SET/topology.json" | grep '"failure_domain", "name"' |
+			grep "${domains[@]}"
+		for vm in "$@"; do
+			objects "$SET/topology.json" |
+				grep "\"kind\": \"vm\", \"name\": \"$vm\""
+		done
+	} | write_objects "$SET/topology.new"
+	mv "$SET/topology.new" "$SET/topology.json"
+	for file in services routes; do
+		objects "$SET/$file.json" | grep "${services[@]}" |
+			write_objects "$SET/$file.new"
+		mv "$SET/$file.new" "$SET/$file.json"
+	done
+	VMS=("$@")
+}
+
+# set_state KIND NAME STATE: changes the state of an object in the set.
+set_state() {
+	sed -i "/\"kind\": \"$1\", \"name\": \"$2\"/s/\"state\": \"[a-z]*\"/\"state\": \"$3\"/" \
+		"$SET"/*.json
+}
+
+# put_vms [VM...]: publishes the platform's list of VMs, these as leaving.
+put_vms() {
+	local vm state
+	for vm in "${VMS[@]}"; do
+		state=live
+		case " $* " in
+		*" $vm "*) state=leaving ;;
+		esac
+		printf '{"name":"%s","state":"%s"},' "$vm" "$state"
+	done | sed 's/^/{"vms":[/; s/,$/]}/' >"$WORK/vms"
+	put platform/vms "$WORK/vms"
+}
+
+# start_fleet FOLDER [VM...]: the platform, and a backend and a daemon for each
+# VM of the set, or for the named part of it.
 start_fleet() {
 	local vm
 	load_set "$1"
+	shift
+	[ $# -eq 0 ] || keep_vms "$@"
 	start_platform
 	publish "$SET" 1
 	for vm in "${VMS[@]}"; do
@@ -174,6 +236,41 @@
 	wait_ready "${VMS[@]}"
 }
 
+# start_caller NAME VM [OPTIONS]: load on the daemon of a VM.
+start_caller() {
+	local name=$1 vm=$2
+	shift 2
+	start "caller-$name" "$BIN/fake_caller" \
+		--target "${CALLER_OF[$vm]}" --label "$name" "$@"
+}
+
+# caller_count NAME KEY: a count of a running or ended caller, 0 when absent.
+caller_count() {
+	local out=$WORK/caller-$1.out value
+	value=$(curl -s "http://$(address_of "caller-$1")/" || cat "$out")
+	value=$(sed -n "s/^$2=//p" <<<"$value")
+	echo "${value:-0}"
+}
+
+has_ended() {
+	grep -q '^planned=' "$WORK/caller-$1.out"
+}
+
+# executions_at VM [PATTERN]: work that started at the backend server.
+executions_at() {
+	grep '^executed ' "$WORK/backend-$1.out" | grep -c -- "${2:-}"
+}
+
+# mark: remembers now; at SECONDS: waits until that long after the mark.
+mark() {
+	MARK=$(date +%s%3N)
+}
+
+at() {
+	local left=$((MARK + $1 * 1000 - $(date +%s%3N)))
+	[ "$left" -le 0 ] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+}
+
 version_of() {
 	curl -sf "http://${ADMIN_OF[$1]}/status" |
 		sed -n 's/^ *"version": \([0-9]*\).*/\1/p' | head -1
