--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -261,6 +261,11 @@
 	grep '^executed ' "$WORK/backend-$1.out" | grep -c -- "${2:-}"
 }
 
+# executions_grow VM COUNT: whether more work than COUNT started there.
+executions_grow() {
+	[ "$(executions_at "$1")" -gt "$2" ]
+}
+
 # mark: remembers now; at SECONDS: waits until that long after the mark.
 mark() {
 	MARK=$(date +%s%3N)
--- a/tests/session_domain.sh
+++ b/tests/session_domain.sh
@@ -14,10 +14,7 @@
 	start_caller "$vm" "$vm" --key $KEY --rate 25 \
 		--path /catalogue/violins --duration-ms 60000
 done
-works_at_2() {
-	[ "$(executions_at catalogue-2)" -gt "$1" ]
-}
-wait_for 5 works_at_2 0 || fail "catalogue-2 gets no work before the change"
+wait_for 5 executions_grow catalogue-2 0 || fail "catalogue-2 gets no work before the change"
 
 set_state failure_domain shore-b out
 publish "$SET" 2
@@ -35,7 +32,7 @@
 
 set_state failure_domain shore-b in
 publish "$SET" 3
-wait_for 13 works_at_2 "$count" ||
+wait_for 13 executions_grow catalogue-2 "$count" ||
 	fail "a domain set in again gets no work within 13 s"
 echo "ok   a domain set in again gets work"
 for vm in catalogue-1 catalogue-2 catalogue-3 reservations-1; do
--- /dev/null
+++ b/tests/session_leaving.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# A VM that leaves by configuration, by the platform's list, by SIGTERM or by a
+# crash gets no new work 3 s later, and a planned stop cuts no request. Guards
+# against entries that act on one source only and stops that cut requests.
+BUILD=$1
+. "$(dirname "$0")/lib.sh"
+DAEMON_ARGS=(--drain-seconds 10)
+start_fleet "$(dirname "$0")/../examples/lakeshore" \
+	catalogue-1 catalogue-2 catalogue-3 catalogue-4 reservations-2
+KEY=bhk_ls1_example-secret-ls1
+put_vms
+ENTRIES=(catalogue-2 catalogue-4 reservations-2)
+for vm in "${ENTRIES[@]}"; do
+	start_caller "$vm" "$vm" --key $KEY --rate 30 \
+		--path /catalogue/violins --duration-ms 60000
+done
+# no_new_work TEXT VM: from 3 s to 5 s after the mark.
+no_new_work() {
+	local count
+	at 3
+	count=$(executions_at "$2")
+	at 5
+	expect "$1" "$(executions_at "$2")" "$count"
+}
+for vm in catalogue-1 catalogue-2 catalogue-3 catalogue-4; do
+	wait_for 5 executions_grow $vm 0 || fail "$vm gets no work at the start"
+done
+
+set_state vm catalogue-1 leaving
+publish "$SET" 2
+mark
+no_new_work "a VM leaving by configuration gets no work" catalogue-1
+
+put_vms catalogue-2
+mark
+no_new_work "a VM leaving by the platform's list gets no work" catalogue-2
+
+# Half of them enter at the daemon that stops, half only run at its backend.
+for i in 1 2 3 4 5 6; do
+	for vm in catalogue-3 reservations-2; do
+		start "long-$vm-$i" curl -s -m 15 -o /dev/null -w '%{http_code}\n' \
+			-H "Authorization: Bearer $KEY" \
+			"http://${CALLER_OF[$vm]}/catalogue/delay-1500"
+	done
+done
+runs_long() {
+	[ "$(executions_at catalogue-3 delay-1500)" -ge 3 ]
+}
+wait_for 3 runs_long || fail "catalogue-3 gets no long requests"
+kill -TERM "${PID_OF[daemon-catalogue-3]}"
+mark
+no_new_work "a VM that got SIGTERM gets no work" catalogue-3
+wait "${PID_OF[daemon-catalogue-3]}"
+expect "the stopped daemon ends with code 0" $? 0
+for i in 1 2 3 4 5 6; do
+	for vm in catalogue-3 reservations-2; do
+		expect "long request $i through $vm is answered whole" \
+			"$(cat "$WORK/long-$vm-$i.out")" 200
+	done
+done
+for vm in "${ENTRIES[@]}"; do
+	expect "planned leaving cut no request through $vm" \
+		"$(caller_count "$vm" failed)" 0
+	expect "planned leaving left no outcome unknown through $vm" \
+		"$(caller_count "$vm" outcome_unknown)" 0
+done
+
+put_vms
+set_state vm catalogue-1 active
+publish "$SET" 3
+wait_for 13 executions_grow catalogue-1 "$(executions_at catalogue-1)" ||
+	fail "a VM that is active again gets no work within 13 s"
+echo "ok   a VM that is active again gets work"
+kill -KILL "${PID_OF[daemon-catalogue-1]}"
+mark
+no_new_work "a VM whose daemon was killed gets no work" catalogue-1
+ok=$(caller_count reservations-2 ok)
+sleep 1
+[ "$(caller_count reservations-2 ok)" -gt "$ok" ] ||
+	fail "service does not go on after a daemon was killed"
+echo "ok   service goes on after a daemon was killed"
