Hand the platform's list of VMs from relays to their failure domain

Only relays watch the platform, and the control task handed the list to the data task of its own daemon alone. In a failure domain with more than two VMs the other daemons never learned that a VM leaves, and a list that came before the first configuration was dropped. Ruled out: the watch itself and the routing table, as relays did take the VM out in time.

Relays now send the list to the daemons of their domain that are linked to them: when it changes and when one connects. Each daemon keeps the newest list and applies it again to each new configuration.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -192,25 +192,32 @@
 	advance(c, now);
 }
 
+static void take_vm_list(struct control *c, struct base_str value,
+			 bool from_platform)
+{
+	struct data_message *msg = new_message(DATA_VM_LIST);
+	struct base_error err = { "" };
+
+	msg->vms = config_vm_list_parse(value, &err);
+	if (!msg->vms) {
+		count(c, "vm_list_malformed");
+		data_message_free(msg);
+		return;
+	}
+	if (from_platform)
+		base_buf_add_str(&msg->text, value);
+	post(c, msg);
+}
+
 static void on_platform_value(void *ctx, const char *key, bool found,
 			      struct base_str value)
 {
 	struct control *c = ctx;
 	int64_t now = base_now_us();
-	struct base_error err = { "" };
-	struct data_message *msg;
 
 	if (!strcmp(key, CONFIG_KEY_VMS)) {
-		if (!found)
-			return;
-		msg = new_message(DATA_VM_LIST);
-		msg->vms = config_vm_list_parse(value, &err);
-		if (msg->vms) {
-			post(c, msg);
-			return;
-		}
-		count(c, "vm_list_malformed");
-		data_message_free(msg);
+		if (found)
+			take_vm_list(c, value, true);
 	} else if (!strcmp(key, CONFIG_KEY_MANIFEST)) {
 		if (found)
 			take_manifest(c, value, false, now);
@@ -276,10 +283,13 @@
 static void on_peer_value(struct control *c, struct control_message *m,
 			  int64_t now)
 {
+	struct base_str key = base_buf_str(&m->key);
+
 	if (!m->found)
 		return;
-	if (base_str_equal(base_buf_str(&m->key),
-			   BASE_STR(CONFIG_KEY_MANIFEST))) {
+	if (base_str_equal(key, BASE_STR(CONFIG_KEY_VMS))) {
+		take_vm_list(c, base_buf_str(&m->value), false);
+	} else if (base_str_equal(key, BASE_STR(CONFIG_KEY_MANIFEST))) {
 		take_manifest(c, base_buf_str(&m->value), true, now);
 	} else if (c->candidate) {
 		candidate_add(c->candidate, base_buf_str(&m->value));
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -9,6 +9,7 @@
 #include "rate_link.h"
 #include "roster.h"
 #include "spans.h"
+#include "vm_list.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -122,6 +123,7 @@
 	guard_configure(node->guard, now);
 	claims_configure(node->claims, before, now);
 	rate_link_configure(node->rate_link, before, now);
+	vm_list_apply(node->vm_list);
 	membership_configure(node->membership, now);
 	config_snapshot_unref(before);
 	base_counter_set(base_counters_get(node->counters, "config_version"),
@@ -180,7 +182,7 @@
 		on_activated(node, msg);
 		break;
 	case DATA_VM_LIST:
-		membership_vm_list(node->membership, msg->vms);
+		vm_list_take(node->vm_list, msg);
 		break;
 	case DATA_FETCH:
 		membership_fetch(node->membership, base_buf_str(&msg->text));
@@ -403,6 +405,7 @@
 	node->entry = entry_create(node);
 	node->claims = claims_create(node, base_wall_ms(), now);
 	node->rate_link = rate_link_create(node, now);
+	node->vm_list = vm_list_create(node);
 	node->membership = membership_create(node);
 }
 
@@ -499,6 +502,7 @@
 	claims_destroy(node->claims);
 	rate_link_destroy(node->rate_link);
 	membership_destroy(node->membership);
+	vm_list_destroy(node->vm_list);
 	admin_destroy(node->admin);
 	onward_destroy(node->onward);
 	http_server_destroy(daemon->callers);
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -5,6 +5,7 @@
 #include "guard.h"
 #include "rate_link.h"
 #include "roster.h"
+#include "vm_list.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -45,6 +46,8 @@
 	char vm[65];
 	int64_t heard_at;
 	uint64_t version;
+	/** The list of VMs that was sent to it. */
+	uint64_t vm_list_serial;
 	UT_hash_handle hh;
 };
 
@@ -497,6 +500,7 @@
 		snprintf(r->vm, sizeof(r->vm), "%.*s",
 			 BASE_STR_ARG(msg->hello.vm));
 		r->version = msg->hello.version;
+		r->vm_list_serial = 0;
 		reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_HEARTBEAT) {
 		r->version = msg->heartbeat.version;
@@ -554,13 +558,31 @@
 	}
 }
 
+/* Daemons that do not read the platform have the list of VMs from a relay. */
+static void share_vm_list(struct membership *m, struct remote *r)
+{
+	struct node *node = m->node;
+	uint64_t serial = vm_list_serial(node->vm_list);
+	const struct config_vm *vm;
+
+	if (!m->is_relay || r->vm_list_serial == serial)
+		return;
+	vm = config_snapshot_find_vm(node->snapshot, base_str_from(r->vm));
+	if (!vm || vm->domain != node->self->domain)
+		return;
+	r->vm_list_serial = serial;
+	vm_list_send(node->vm_list, &r->handle);
+}
+
 static void tick_remotes(struct membership *m, int64_t now)
 {
 	struct remote *r, *next;
 
 	HASH_ITER (hh, m->remotes, r, next) {
-		if (now - r->heard_at < LINK_IDLE_US)
+		if (now - r->heard_at < LINK_IDLE_US) {
+			share_vm_list(m, r);
 			continue;
+		}
 		HASH_DEL(m->remotes, r);
 		free(r);
 	}
@@ -622,25 +644,6 @@
 	membership_announce(m, now);
 }
 
-void membership_vm_list(struct membership *m, const struct config_vm_list *list)
-{
-	const struct config_snapshot *s = m->node->snapshot;
-	size_t i;
-
-	for (i = 0; s && i < s->vm_count; i++) {
-		const struct config_vm_state *state =
-			config_vm_list_find(list, s->vms[i].name);
-		enum routing_platform platform = ROUTING_PLATFORM_UNKNOWN;
-
-		if (state)
-			platform = state->leaving ? ROUTING_PLATFORM_LEAVING
-						  : ROUTING_PLATFORM_LIVE;
-		routing_platform(m->node->routing,
-				 roster_vm_id(m->node->roster, s->vms[i].name),
-				 platform);
-	}
-}
-
 bool membership_ready(const struct membership *m)
 {
 	return !m->asking;
--- a/packages/daemon/membership.h
+++ b/packages/daemon/membership.h
@@ -28,9 +28,6 @@
 void membership_fetch(struct membership *m, struct base_str key);
 /** Tells all linked peers the state of this daemon at once. */
 void membership_announce(struct membership *m, int64_t now);
-/** The platform's list of VMs changed. */
-void membership_vm_list(struct membership *m,
-			const struct config_vm_list *list);
 /** Set once the fresh or woken daemon has asked its peers for the version. */
 bool membership_ready(const struct membership *m);
 /** The process was paused: ask the peers again before serving. */
--- a/packages/daemon/messages.h
+++ b/packages/daemon/messages.h
@@ -49,7 +49,8 @@
 enum data_message_type {
 	/** A snapshot came into force. */
 	DATA_ACTIVATED,
-	/** The platform's list of VMs changed. */
+	/** The platform's list of VMs; text has its bytes when it was read
+	   there. */
 	DATA_VM_LIST,
 	/** Fetch a value from a peer. */
 	DATA_FETCH,
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -27,6 +27,7 @@
 struct quarantine;
 struct rate_link;
 struct spans;
+struct vm_list;
 
 struct node {
 	const struct daemon_settings *settings;
@@ -58,6 +59,7 @@
 	struct retry_budget budget;
 
 	struct membership *membership;
+	struct vm_list *vm_list;
 	struct guard *guard;
 	struct entry *entry;
 	struct onward *onward;
