Report content that is replaced within the settle time

When another content of the same version came while the first one was still a candidate, the candidate was dropped without a word, so an operator did not learn that a publication had lost. Ruled out: the content in force, which was that of the last write on all daemons.

session_config, before: config_conflicts stayed unchanged on all daemons and no status showed the conflict. After: it is counted, logged and in the status.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -187,6 +187,10 @@
 		candidate_destroy(candidate);
 		return;
 	}
+	if (c->candidate &&
+	    candidate_version(c->candidate) == candidate_version(candidate))
+		report_conflict(c, candidate_version(candidate),
+				candidate_digest(c->candidate));
 	drop_candidate(c);
 	c->candidate = candidate;
 	advance(c, now);
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -8,6 +8,7 @@
 WORK=$(mktemp -d)
 SECRET=test-fleet-secret-0123456789
 PIDS=()
+BODY=
 declare -A PID_OF CALLER_OF ADMIN_OF ONWARD_OF BACKEND_OF PEER_OF SERVICE_OF DOMAIN_OF BACKEND_ARGS
 
 cleanup() {
@@ -86,14 +87,21 @@
 
 # publish FOLDER VERSION: renders a set and puts it to the platform.
 publish() {
-	local out=$WORK/published-$2 part
+	put_parts "$1" "$2"
+	put bilberryhinge/manifest "$WORK/published-$2/manifest"
+}
+
+# put_parts FOLDER VERSION: the same without the manifest.
+put_parts() {
+	local out=$WORK/published-$2 part puts=()
 	rm -rf "$out"
 	"$BIN/bilberryhinge" render --version "$2" --out "$out" "$1" \
 		>"$WORK/render.log" 2>&1 || fail "render: $(cat "$WORK/render.log")"
 	for part in "$out"/parts/*; do
-		put "bilberryhinge/parts/$(basename "$part")" "$part"
+		puts+=(--next -sf -X PUT --data-binary "@$part"
+			"http://$PLATFORM/v1/kv/bilberryhinge/parts/$(basename "$part")")
 	done
-	put bilberryhinge/manifest "$out/manifest"
+	curl --fail-early "${puts[@]:1}" >/dev/null || fail "put parts of $2"
 }
 
 put() {
