Get the configuration from seed peers while no roster is known

The daemon now links to the seed addresses until its first configuration is in force, takes the version that they report, fetches the manifest and the parts from the one with the highest version, and closes the links.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -8,6 +8,7 @@
 #include "onward.h"
 #include "rate_link.h"
 #include "roster.h"
+#include "seeds.h"
 #include "spans.h"
 #include "vm_list.h"
 
@@ -406,6 +407,7 @@
 	node->claims = claims_create(node, base_wall_ms(), now);
 	node->rate_link = rate_link_create(node, now);
 	node->vm_list = vm_list_create(node);
+	node->seeds = seeds_create(node);
 	node->membership = membership_create(node);
 }
 
@@ -502,6 +504,7 @@
 	claims_destroy(node->claims);
 	rate_link_destroy(node->rate_link);
 	membership_destroy(node->membership);
+	seeds_destroy(node->seeds);
 	vm_list_destroy(node->vm_list);
 	admin_destroy(node->admin);
 	onward_destroy(node->onward);
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -5,6 +5,7 @@
 #include "guard.h"
 #include "rate_link.h"
 #include "roster.h"
+#include "seeds.h"
 #include "vm_list.h"
 
 #include <inttypes.h>
@@ -439,13 +440,28 @@
 	control_post(m->node->control, msg);
 }
 
+/* Without a roster, only the configuration is of use. */
+static void on_seed_message(struct membership *m, struct peer_link *link,
+			    const struct peer_message *msg)
+{
+	const struct peer_heartbeat *beat = &msg->heartbeat;
+
+	if (msg->type == PEER_HEARTBEAT &&
+	    seeds_heard(m->node->seeds, link, beat->version))
+		post_version(m, beat->version, &beat->hash);
+	else if (msg->type == PEER_CONFIG_VALUE)
+		on_config_value(m, &msg->config_value);
+}
+
 void membership_on_link_message(struct membership *m, struct peer_link *link,
 				const struct peer_message *msg, int64_t now)
 {
 	struct member *member = peer_link_data(link);
 
-	if (!member)
+	if (!member) {
+		on_seed_message(m, link, msg);
 		return;
+	}
 	if (msg->type == PEER_HEARTBEAT)
 		on_heartbeat(m, member, &msg->heartbeat, now);
 	else if (msg->type == PEER_CONFIG_VALUE)
@@ -514,6 +530,7 @@
 
 void membership_fetch(struct membership *m, struct base_str key)
 {
+	struct peer_link *link = seeds_best(m->node->seeds);
 	struct member *member, *next, *best = NULL;
 	struct peer_message msg = {
 		.type = PEER_CONFIG_GET,
@@ -526,7 +543,9 @@
 		    (!best || member->version > best->version))
 			best = member;
 	if (best)
-		peer_transport_send(m->node->transport, best->link, &msg);
+		link = best->link;
+	if (link)
+		peer_transport_send(m->node->transport, link, &msg);
 }
 
 void membership_announce(struct membership *m, int64_t now)
@@ -613,6 +632,7 @@
 	int64_t now = base_now_us();
 
 	node_touch(m->node, now);
+	seeds_tick(m->node->seeds);
 	m->interval_us = heartbeat_interval(m);
 	if (m->node->snapshot)
 		update_relays(m, now);
@@ -629,6 +649,7 @@
 {
 	struct member *member, *next;
 
+	seeds_close(m->node->seeds);
 	HASH_ITER (hh, m->members, member, next) {
 		const struct config_vm *vm =
 			roster_vm(m->node->roster, member->vm);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -26,6 +26,7 @@
 struct roster;
 struct quarantine;
 struct rate_link;
+struct seeds;
 struct spans;
 struct vm_list;
 
@@ -59,6 +60,7 @@
 	struct retry_budget budget;
 
 	struct membership *membership;
+	struct seeds *seeds;
 	struct vm_list *vm_list;
 	struct guard *guard;
 	struct entry *entry;
