Keep the body of a form out of the query

When a request with a body of application/x-www-form-urlencoded has no query, evhtp puts the body in the place of the query once it has arrived. The server read the query at that time, so the guard sent a request line with the body behind a question mark. A binary body cut the line and the backend server closed the connection; a text one changed the request. Ruled out: the stand-in, which serves the same bodies when it is asked directly, their size, and whether head and body arrive together.

The query is now copied when the headers are complete.

The new Criterion test fails without the change.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -27,6 +27,8 @@
 	/* Start of the request that is arriving, 0 between requests. */
 	int64_t arriving_since;
 	int64_t idle_since;
+	/** Of the request that is arriving; evhtp overwrites its own copy. */
+	char *query;
 	bool malformed;
 };
 
@@ -99,6 +101,7 @@
 		}
 		notify_gone(ex);
 	}
+	free(c->query);
 	free(c);
 	return EVHTP_RES_OK;
 }
@@ -137,7 +140,14 @@
 			    void *arg)
 {
 	struct connection *c = arg;
-
+	const char *query = (const char *)req->uri->query_raw;
+
+	/*
+	 * When a request with a form as body has no query, evhtp puts the body
+	 * in the query's place after it has arrived.
+	 */
+	free(c->query);
+	c->query = base_str_dup(base_str_from(query ? query : ""));
 	/* Both framings in one request are a request smuggling attempt. */
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
@@ -207,7 +217,7 @@
 
 	r->method = own_str(htparser_get_methodstr_m(req->method));
 	r->path = own_str(req->uri->path ? req->uri->path->full : "/");
-	r->query = own_str((const char *)req->uri->query_raw);
+	r->query = own_str(ex->connection->query);
 	evhtp_headers_for_each(req->headers_in, copy_header, &r->headers);
 	evbuffer_remove(req->buffer_in, body, len);
 	r->body = (struct base_str){ body, len };
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -136,6 +136,30 @@
 	teardown(&f);
 }
 
+/* Guards against a form that evhtp puts in the place of the query. */
+Test(server, keeps_a_form_out_of_the_query)
+{
+	struct fixture f;
+	struct http_request request = {
+		.method = BASE_STR("POST"),
+		.path = BASE_STR("/a/b"),
+		.body = BASE_STR("name=value"),
+	};
+
+	setup(&f);
+	http_headers_add(&request.headers, BASE_STR("Content-Type"),
+			 BASE_STR("application/x-www-form-urlencoded"));
+	cr_assert(ne(ptr,
+		     http_client_send(f.client, &request, 0, on_result, &f),
+		     NULL));
+	event_base_dispatch(f.base);
+	cr_assert(eq(int, f.result, HTTP_RESULT_ANSWERED));
+	cr_assert(eq(str, f.seen.ptr, "POST /a/b? 10"));
+	cr_assert(eq(str, f.body.ptr, "name=value"));
+	http_headers_release(&request.headers);
+	teardown(&f);
+}
+
 /* Guards against a late reply that gets lost after the handler returned. */
 Test(server, replies_after_the_handler_returned)
 {
