--- a/bench/run.sh
+++ b/bench/run.sh
@@ -15,3 +15,6 @@
 printf '%s\n' "${runs[@]}" | nl -nrz -w3 | xargs -P 4 -L 1 bash -c \
 	'"$0" "$3" "$4" "$5" >"$1/$2"' "$build/bench/bench_overload" "$out"
 cat "$out"/*
+"$build/bench/rate_bench"
+# Latency over real processes last, when nothing else runs.
+bash "$(dirname "$0")/path.sh" "$build"
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -5,6 +5,8 @@
 #include "guard.h"
 #include "rate_link.h"
 #include "roster.h"
+#include "seeds.h"
+#include "vm_list.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -45,6 +47,8 @@
 	char vm[65];
 	int64_t heard_at;
 	uint64_t version;
+	/** The list of VMs that was sent to it. */
+	uint64_t vm_list_serial;
 	UT_hash_handle hh;
 };
 
@@ -436,13 +440,28 @@
 	control_post(m->node->control, msg);
 }
 
+/* Without a roster, only the configuration is of use. */
+static void on_seed_message(struct membership *m, struct peer_link *link,
+			    const struct peer_message *msg)
+{
+	const struct peer_heartbeat *beat = &msg->heartbeat;
+
+	if (msg->type == PEER_HEARTBEAT &&
+	    seeds_heard(m->node->seeds, link, beat->version))
+		post_version(m, beat->version, &beat->hash);
+	else if (msg->type == PEER_CONFIG_VALUE)
+		on_config_value(m, &msg->config_value);
+}
+
 void membership_on_link_message(struct membership *m, struct peer_link *link,
 				const struct peer_message *msg, int64_t now)
 {
 	struct member *member = peer_link_data(link);
 
-	if (!member)
+	if (!member) {
+		on_seed_message(m, link, msg);
 		return;
+	}
 	if (msg->type == PEER_HEARTBEAT)
 		on_heartbeat(m, member, &msg->heartbeat, now);
 	else if (msg->type == PEER_CONFIG_VALUE)
@@ -497,6 +516,7 @@
 		snprintf(r->vm, sizeof(r->vm), "%.*s",
 			 BASE_STR_ARG(msg->hello.vm));
 		r->version = msg->hello.version;
+		r->vm_list_serial = 0;
 		reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_HEARTBEAT) {
 		r->version = msg->heartbeat.version;
@@ -510,6 +530,7 @@
 
 void membership_fetch(struct membership *m, struct base_str key)
 {
+	struct peer_link *link = seeds_best(m->node->seeds);
 	struct member *member, *next, *best = NULL;
 	struct peer_message msg = {
 		.type = PEER_CONFIG_GET,
@@ -522,7 +543,9 @@
 		    (!best || member->version > best->version))
 			best = member;
 	if (best)
-		peer_transport_send(m->node->transport, best->link, &msg);
+		link = best->link;
+	if (link)
+		peer_transport_send(m->node->transport, link, &msg);
 }
 
 void membership_announce(struct membership *m, int64_t now)
@@ -554,13 +577,31 @@
 	}
 }
 
+/* Daemons that do not read the platform have the list of VMs from a relay. */
+static void share_vm_list(struct membership *m, struct remote *r)
+{
+	struct node *node = m->node;
+	uint64_t serial = vm_list_serial(node->vm_list);
+	const struct config_vm *vm;
+
+	if (!m->is_relay || r->vm_list_serial == serial)
+		return;
+	vm = config_snapshot_find_vm(node->snapshot, base_str_from(r->vm));
+	if (!vm || vm->domain != node->self->domain)
+		return;
+	r->vm_list_serial = serial;
+	vm_list_send(node->vm_list, &r->handle);
+}
+
 static void tick_remotes(struct membership *m, int64_t now)
 {
 	struct remote *r, *next;
 
 	HASH_ITER (hh, m->remotes, r, next) {
-		if (now - r->heard_at < LINK_IDLE_US)
+		if (now - r->heard_at < LINK_IDLE_US) {
+			share_vm_list(m, r);
 			continue;
+		}
 		HASH_DEL(m->remotes, r);
 		free(r);
 	}
@@ -591,6 +632,7 @@
 	int64_t now = base_now_us();
 
 	node_touch(m->node, now);
+	seeds_tick(m->node->seeds);
 	m->interval_us = heartbeat_interval(m);
 	if (m->node->snapshot)
 		update_relays(m, now);
@@ -607,6 +649,7 @@
 {
 	struct member *member, *next;
 
+	seeds_close(m->node->seeds);
 	HASH_ITER (hh, m->members, member, next) {
 		const struct config_vm *vm =
 			roster_vm(m->node->roster, member->vm);
@@ -622,25 +665,6 @@
 	membership_announce(m, now);
 }
 
-void membership_vm_list(struct membership *m, const struct config_vm_list *list)
-{
-	const struct config_snapshot *s = m->node->snapshot;
-	size_t i;
-
-	for (i = 0; s && i < s->vm_count; i++) {
-		const struct config_vm_state *state =
-			config_vm_list_find(list, s->vms[i].name);
-		enum routing_platform platform = ROUTING_PLATFORM_UNKNOWN;
-
-		if (state)
-			platform = state->leaving ? ROUTING_PLATFORM_LEAVING
-						  : ROUTING_PLATFORM_LIVE;
-		routing_platform(m->node->routing,
-				 roster_vm_id(m->node->roster, s->vms[i].name),
-				 platform);
-	}
-}
-
 bool membership_ready(const struct membership *m)
 {
 	return !m->asking;
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -26,7 +26,9 @@
 struct roster;
 struct quarantine;
 struct rate_link;
+struct seeds;
 struct spans;
+struct vm_list;
 
 struct node {
 	const struct daemon_settings *settings;
@@ -58,6 +60,8 @@
 	struct retry_budget budget;
 
 	struct membership *membership;
+	struct seeds *seeds;
+	struct vm_list *vm_list;
 	struct guard *guard;
 	struct entry *entry;
 	struct onward *onward;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -27,9 +27,9 @@
 	/* Start of the request that is arriving, 0 between requests. */
 	int64_t arriving_since;
 	int64_t idle_since;
-	bool malformed;
-	/* evhtp adds a form's body to the query of its URI, so it is kept. */
+	/** Of the request that is arriving; evhtp overwrites its own copy. */
 	char *query;
+	bool malformed;
 };
 
 struct exchange {
@@ -140,14 +140,18 @@
 			    void *arg)
 {
 	struct connection *c = arg;
+	const char *query = (const char *)req->uri->query_raw;
 
+	/*
+	 * When a request with a form as body has no query, evhtp puts the body
+	 * in the query's place after it has arrived.
+	 */
+	free(c->query);
+	c->query = base_str_dup(base_str_from(query ? query : ""));
 	/* Both framings in one request are a request smuggling attempt. */
 	if (evhtp_header_find(headers, "Transfer-Encoding") &&
 	    evhtp_header_find(headers, "Content-Length"))
 		c->malformed = true;
-	free(c->query);
-	c->query =
-		base_str_dup(base_str_from((const char *)req->uri->query_raw));
 	return EVHTP_RES_OK;
 }
 
