Share one test of waiting rate shares

The status field shares_ready and the gauge rate_shares_waiting both tell whether the shares of a daemon began, each with a condition of its own.

--- a/packages/daemon/rate_link.c
+++ b/packages/daemon/rate_link.c
@@ -195,7 +195,12 @@
 		holder_down(link, holder, now);
 }
 
-/* Shares that wait for confirmations or for grants of others to lapse. */
+/* Whether a share waits for confirmations or for grants of others to lapse. */
+static bool is_waiting(const struct rate_holder_state *state, int64_t now)
+{
+	return state->unconfirmed || state->ready_at > now;
+}
+
 static void update_gauges(struct rate_link *link, int64_t now)
 {
 	const struct rate_account_state *a = NULL;
@@ -206,7 +211,7 @@
 		if (!rate_holder_state(link->holder, a->id, now, &state))
 			continue;
 		shares++;
-		waiting += state.unconfirmed || state.ready_at > now;
+		waiting += is_waiting(&state, now);
 	}
 	base_counter_set(link->shares, shares);
 	base_counter_set(link->waiting, waiting);
@@ -563,7 +568,7 @@
 	while ((a = rate_accounts_next(link->accounts, a))) {
 		if (!rate_holder_state(link->holder, a->id, now, &state))
 			continue;
-		if (state.unconfirmed || state.ready_at > now)
+		if (is_waiting(&state, now))
 			return false;
 	}
 	return true;
