Try a lost server with one request at a time

After a loss the guard started as many requests as a cold server bears, all of which failed while the server was still down; for non-idempotent ones that is "outcome unknown". With all servers of a service restarting, non-idempotent work was also shed beside idempotent work that ran on another server.

Change: a lost server is tried again after 50 ms with one request; after its first answer the ramp begins. Until then idempotent work is refused as not run, so that another server may take it, and non-idempotent work waits. A loss is now told apart from a restart of the ramp by latency: work that started before the latter and is lost after it is a new loss.

--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -278,6 +278,7 @@
 	struct running *run;
 
 	if (guard->in_flight >= limit ||
+	    !overload_ramp_open(&guard->ramp, guard->now) ||
 	    !overload_queue_pop(guard->queue, guard->now, &work))
 		return false;
 	HASH_FIND(hh, guard->running, &work.id, sizeof(work.id), run);
@@ -291,6 +292,7 @@
 	guard->idempotent_in_flight += work.idempotent;
 	HASH_ADD(hh, guard->running, id, sizeof(run->id), run);
 	overload_cutoff_started(&guard->cutoff);
+	overload_ramp_started(&guard->ramp);
 	*action = (struct overload_action){ .type = OVERLOAD_ACTION_START,
 					    .id = work.id };
 	return true;
@@ -299,7 +301,8 @@
 /*
  * The queue is bounded by the limit. Of work at levels that are shed altogether
  * only as much waits as keeps the server busy: it would wait behind all other
- * work and occupy slots of the services before this one.
+ * work and occupy slots of the services before this one. Idempotent work does
+ * not wait for a lost server, as another one may take it.
  */
 static bool next_shed(struct overload_guard *guard,
 		      struct overload_action *action)
@@ -312,6 +315,8 @@
 
 	if (full && !idempotent_present(guard))
 		first = OVERLOAD_CLASS_ALL;
+	else if (guard->ramp.lost)
+		full = true;
 	else if (queued <= limit / SHED_DIVISOR)
 		return false;
 	else if (queued <= overload_cutoff_queue_bound(&guard->cutoff, limit))
@@ -373,9 +378,10 @@
 	HASH_DEL(guard->running, run);
 	guard->in_flight--;
 	guard->idempotent_in_flight -= run->idempotent;
+	overload_ramp_ended(&guard->ramp, run->started_at);
 	if (outcome != OVERLOAD_OUTCOME_SERVER_LOST)
 		learn(guard, run, outcome);
-	else if (run->started_at >= guard->ramp.restarted_at)
+	else if (run->started_at >= guard->ramp.lost_at)
 		overload_guard_server_lost(guard, now);
 	free(run);
 	return true;
@@ -401,7 +407,7 @@
 void overload_guard_server_lost(struct overload_guard *guard, int64_t now)
 {
 	now = advance(guard, now);
-	overload_ramp_restart(&guard->ramp, now);
+	overload_ramp_lost(&guard->ramp, now);
 	guard->limiter->ops->reset(guard->limiter, guard->now);
 }
 
--- a/packages/overload/ramp.c
+++ b/packages/overload/ramp.c
@@ -11,6 +11,8 @@
 #define SUDDEN_US (2 * BASE_SECOND_US)
 /* Above this multiple the long-term average is held. */
 #define HOLD_RISE 1.5
+/* A lost server is tried again after this long. */
+#define HOLD_US (50 * BASE_MS_US)
 #define RECENT_GAIN 0.05
 #define USUAL_GAIN 0.01
 #define MIN_SAMPLES 20
@@ -25,20 +27,46 @@
 	ramp->cold_us = config->cold_us;
 }
 
+/* The server is cold from here on. */
+static void restart(struct overload_ramp *ramp, int64_t now)
+{
+	ramp->restarted_at = now;
+	ramp->warming_since = -1;
+	ramp->samples = 0;
+	ramp->rising_since = -1;
+}
+
 void overload_ramp_init(struct overload_ramp *ramp,
 			const struct overload_guard_config *config, int64_t now)
 {
 	*ramp = (struct overload_ramp){ 0 };
 	overload_ramp_configure(ramp, config);
-	overload_ramp_restart(ramp, now);
+	restart(ramp, now);
 }
 
-void overload_ramp_restart(struct overload_ramp *ramp, int64_t now)
+void overload_ramp_lost(struct overload_ramp *ramp, int64_t now)
 {
-	ramp->restarted_at = now;
-	ramp->warming_since = -1;
-	ramp->samples = 0;
-	ramp->rising_since = -1;
+	restart(ramp, now);
+	ramp->lost = true;
+	ramp->trying = false;
+	ramp->lost_at = now;
+	ramp->held_until = now + HOLD_US;
+}
+
+bool overload_ramp_open(const struct overload_ramp *ramp, int64_t now)
+{
+	return !ramp->lost || (now >= ramp->held_until && !ramp->trying);
+}
+
+void overload_ramp_started(struct overload_ramp *ramp)
+{
+	ramp->trying = true;
+}
+
+void overload_ramp_ended(struct overload_ramp *ramp, int64_t started_at)
+{
+	if (started_at >= ramp->lost_at)
+		ramp->trying = false;
 }
 
 void overload_ramp_paused(struct overload_ramp *ramp, int64_t paused_us)
@@ -90,14 +118,16 @@
 {
 	if (sample->started_at <= ramp->restarted_at)
 		return false;
-	if (ramp->warming_since < 0 && !sample->failed)
+	if (ramp->warming_since < 0 && !sample->failed) {
 		ramp->warming_since = now;
+		ramp->lost = false;
+	}
 	if (overload_ramp_cold(ramp, now) || !sample->timed || sample->failed)
 		return false;
 	learn(ramp, (double)sample->latency_us, now);
 	if (ramp->samples < MIN_SAMPLES ||
 	    ramp->recent_us <= COLD_RISE * ramp->usual_us)
 		return false;
-	overload_ramp_restart(ramp, now);
+	restart(ramp, now);
 	return true;
 }
--- a/packages/overload/ramp.h
+++ b/packages/overload/ramp.h
@@ -12,6 +12,14 @@
 	int64_t restarted_at;
 	/* When it began to warm up; -1 until it has answered. */
 	int64_t warming_since;
+	/*
+	 * The server was lost and has not answered yet. One request at a time
+	 * finds out, the first at held_until.
+	 */
+	bool lost;
+	bool trying;
+	int64_t lost_at;
+	int64_t held_until;
 	/* Latency: long-term average, and the average of the recent samples. */
 	double usual_us;
 	double recent_us;
@@ -24,8 +32,14 @@
 			int64_t now);
 void overload_ramp_configure(struct overload_ramp *ramp,
 			     const struct overload_guard_config *config);
-/** The server is cold from here on. */
-void overload_ramp_restart(struct overload_ramp *ramp, int64_t now);
+/** The server ended or refuses connections; it is cold when it is back. */
+void overload_ramp_lost(struct overload_ramp *ramp, int64_t now);
+/** Work may be started, as far as a loss is concerned. */
+bool overload_ramp_open(const struct overload_ramp *ramp, int64_t now);
+/** Work was started; to be asked for with overload_ramp_open(). */
+void overload_ramp_started(struct overload_ramp *ramp);
+/** Work that started at @p started_at has ended in any way. */
+void overload_ramp_ended(struct overload_ramp *ramp, int64_t started_at);
 /**
  * Work has been answered.
  * @return true when its latency shows that the server has turned cold; the ramp
