Test the entry side with hand-made answers

The models check the bound and the share of refusals, not when an entry waits, asks elsewhere, returns or forgets. Nine tests do, and check the baselines.

--- /dev/null
+++ b/packages/rate/tests/test_entry.c
@@ -0,0 +1,250 @@
+/* Tests of the entry side with hand-made answers. */
+#include "base.h"
+#include "rate.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#define ACCOUNT 7
+#define ENTRY 5
+#define NOW (100 * BASE_SECOND_US)
+#define MS BASE_MS_US
+
+static const uint64_t holders[] = { 21, 22, 23 };
+
+static struct rate_entry *create(void)
+{
+	struct rate_entry *e = rate_entry_create(ENTRY);
+	struct rate_account spec = { 100, 30, holders, 3 };
+
+	rate_entry_set_account(e, ACCOUNT, &spec, NOW);
+	return e;
+}
+
+/* Takes the next action, which must be an ask to that holder. */
+static struct rate_ask expect_ask(struct rate_entry *e, uint64_t holder)
+{
+	struct rate_action a;
+
+	cr_assert(rate_entry_next_action(e, &a));
+	cr_assert(eq(int, (int)a.type, RATE_ACTION_ASK));
+	cr_assert(eq(u64, a.holder, holder));
+	return a.ask;
+}
+
+static struct rate_decision expect_decision(struct rate_entry *e,
+					    uint64_t request)
+{
+	struct rate_action a;
+
+	cr_assert(rate_entry_next_action(e, &a));
+	cr_assert(eq(int, (int)a.type, RATE_ACTION_DECIDED));
+	cr_assert(eq(u64, a.request, request));
+	return a.decision;
+}
+
+static void expect_nothing(struct rate_entry *e)
+{
+	struct rate_action a;
+
+	cr_assert(not(rate_entry_next_action(e, &a)));
+}
+
+static void answer(struct rate_entry *e, uint64_t holder,
+		   const struct rate_ask *ask, int64_t amount, int64_t now)
+{
+	struct rate_grant g = {
+		.account = ACCOUNT,
+		.entry = ask->entry,
+		.seq = ask->seq,
+		.holder = holder + 100,
+		.id = amount ? ask->seq : 0,
+		.amount_mt = amount,
+		.lifetime_us = 100 * MS,
+		.retry_us = 300 * MS,
+	};
+
+	rate_entry_on_grant(e, holder, &g, now);
+}
+
+static enum rate_result admit(struct rate_entry *e, uint64_t request,
+			      int64_t now)
+{
+	return rate_entry_admit(e, ACCOUNT, request, now).result;
+}
+
+/* Guards against use of a token past the lapse counted from the ask. */
+Test(entry, use_ends_one_lifetime_after_the_ask_was_sent)
+{
+	struct rate_entry *e = create();
+	struct rate_decision d;
+	struct rate_ask ask;
+
+	cr_assert(eq(int, (int)admit(e, 1, NOW), RATE_WAITING));
+	ask = expect_ask(e, 21);
+	cr_assert(eq(i64, ask.need_mt, 1000));
+	answer(e, 21, &ask, 2000, NOW + 3 * MS);
+	d = expect_decision(e, 1);
+	cr_assert(eq(int, (int)d.result, RATE_ADMITTED));
+	cr_assert(eq(i64, d.use_by, NOW + 100 * MS));
+	cr_assert(rate_decision_valid(&d, NOW + 100 * MS - 1));
+	cr_assert(not(rate_decision_valid(&d, NOW + 100 * MS)));
+	cr_assert(ne(int, (int)admit(e, 2, NOW + 100 * MS), RATE_ADMITTED));
+	rate_entry_destroy(e);
+}
+
+/* Guards against tokens from repeated answers or those to a former process. */
+Test(entry, repeated_and_foreign_answers_bring_nothing)
+{
+	struct rate_entry *e = create();
+	struct rate_ask ask, foreign;
+
+	admit(e, 1, NOW);
+	ask = expect_ask(e, 21);
+	foreign = ask;
+	foreign.entry = ENTRY + 1;
+	answer(e, 21, &foreign, 5000, NOW + MS);
+	answer(e, 22, &ask, 5000, NOW + MS);
+	expect_nothing(e);
+	answer(e, 21, &ask, 1000, NOW + MS);
+	cr_assert(eq(int, (int)expect_decision(e, 1).result, RATE_ADMITTED));
+	answer(e, 21, &ask, 1000, NOW + MS);
+	cr_assert(eq(int, (int)admit(e, 2, NOW + MS), RATE_WAITING));
+	rate_entry_destroy(e);
+}
+
+/* Guards against requests that wait longer, or without an answer at all. */
+Test(entry, waits_at_most_20_ms_and_says_when_to_retry)
+{
+	struct rate_entry *e = create();
+	struct rate_decision d;
+	int64_t now = NOW;
+
+	admit(e, 1, NOW);
+	expect_ask(e, 21);
+	while (now < NOW + 20 * MS) {
+		struct rate_action a;
+
+		now = rate_entry_next_tick(e);
+		rate_entry_tick(e, now);
+		if (now == NOW + 20 * MS)
+			break;
+		while (rate_entry_next_action(e, &a))
+			cr_assert(eq(int, (int)a.type, RATE_ACTION_ASK));
+	}
+	cr_assert(eq(i64, now, NOW + 20 * MS));
+	d = expect_decision(e, 1);
+	cr_assert(eq(int, (int)d.result, RATE_REFUSED));
+	cr_assert(gt(i64, d.retry_after_us, 0));
+	rate_entry_destroy(e);
+}
+
+/* Guards against refusals while other holders have parts of a token. */
+Test(entry, collects_parts_of_a_token_from_several_holders)
+{
+	struct rate_entry *e = create();
+	struct rate_ask ask;
+
+	admit(e, 1, NOW);
+	ask = expect_ask(e, 21);
+	answer(e, 21, &ask, 400, NOW + MS);
+	ask = expect_ask(e, 22);
+	cr_assert(eq(i64, ask.need_mt, 600));
+	answer(e, 22, &ask, 300, NOW + 2 * MS);
+	ask = expect_ask(e, 23);
+	answer(e, 23, &ask, 300, NOW + 3 * MS);
+	cr_assert(eq(int, (int)expect_decision(e, 1).result, RATE_ADMITTED));
+	rate_entry_destroy(e);
+}
+
+/* Guards against tokens that lapse at an entry that cannot use them. */
+Test(entry, returns_what_is_left_after_a_refusal)
+{
+	struct rate_entry *e = create();
+	struct rate_ask ask;
+
+	admit(e, 1, NOW);
+	ask = expect_ask(e, 21);
+	answer(e, 21, &ask, 400, NOW + MS);
+	ask = expect_ask(e, 22);
+	answer(e, 22, &ask, 0, NOW + 2 * MS);
+	ask = expect_ask(e, 23);
+	answer(e, 23, &ask, 0, NOW + 3 * MS);
+	cr_assert(eq(int, (int)expect_decision(e, 1).result, RATE_REFUSED));
+	ask = expect_ask(e, 21);
+	cr_assert(eq(i64, ask.need_mt + ask.ahead_mt, 0));
+	cr_assert(eq(u32, ask.report_count, 1));
+	cr_assert(eq(i64, ask.reports[0].returned_mt, 400));
+	cr_assert(eq(u64, ask.holder, 121));
+	rate_entry_destroy(e);
+}
+
+/* Guards against waiting for holders that are cut off or silent. */
+Test(entry, turns_to_other_holders_at_once)
+{
+	struct rate_entry *e = create();
+
+	admit(e, 1, NOW);
+	expect_ask(e, 21);
+	rate_entry_on_holder_unreachable(e, 21, NOW + MS);
+	expect_ask(e, 22);
+	rate_entry_tick(e, NOW + 5 * MS);
+	expect_ask(e, 23);
+	rate_entry_on_holder_unreachable(e, 22, NOW + 6 * MS);
+	rate_entry_on_holder_unreachable(e, 23, NOW + 6 * MS);
+	cr_assert(eq(int, (int)expect_decision(e, 1).result, RATE_REFUSED));
+	cr_assert(eq(int, (int)admit(e, 2, NOW + 7 * MS), RATE_REFUSED));
+	rate_entry_destroy(e);
+}
+
+/* Guards against memory that grows with waiting requests or idle accounts. */
+Test(entry, bounds_waiting_requests_and_forgets_idle_accounts)
+{
+	struct rate_entry *e = create();
+	int waiting = 0;
+	uint64_t i;
+
+	for (i = 0; i < 1000; i++)
+		waiting += admit(e, i, NOW) == RATE_WAITING;
+	cr_assert(eq(int, waiting, 256));
+	rate_entry_cancel(e, ACCOUNT, 0);
+	cr_assert(eq(int, (int)admit(e, 1000, NOW), RATE_WAITING));
+	for (i = 0; i < 200 && rate_entry_next_tick(e) != INT64_MAX; i++)
+		rate_entry_tick(e, rate_entry_next_tick(e));
+	cr_assert(eq(i64, rate_entry_next_tick(e), INT64_MAX));
+	rate_entry_destroy(e);
+}
+
+/* Guards against requests that are forgotten when their account goes. */
+Test(entry, removal_refuses_waiting_requests)
+{
+	struct rate_entry *e = create();
+
+	admit(e, 1, NOW);
+	expect_ask(e, 21);
+	rate_entry_remove_account(e, ACCOUNT);
+	cr_assert(eq(int, (int)expect_decision(e, 1).result, RATE_REFUSED));
+	cr_assert(eq(int, (int)admit(e, 2, NOW), RATE_UNKNOWN_ACCOUNT));
+	rate_entry_destroy(e);
+}
+
+/* Guards against a baseline that differs from what its name says. */
+Test(entry, baselines_admit_their_share)
+{
+	struct rate_account spec = { 100, 30, holders, 3 };
+	struct rate_entry *local = rate_entry_create_local_share(10);
+	struct rate_entry *all = rate_entry_create_unlimited();
+	int admitted = 0;
+	uint64_t i;
+
+	rate_entry_set_account(local, ACCOUNT, &spec, NOW);
+	rate_entry_set_account(all, ACCOUNT, &spec, NOW);
+	for (i = 0; i < 100; i++) {
+		admitted +=
+			admit(local, i, NOW + BASE_SECOND_US) == RATE_ADMITTED;
+		cr_assert(eq(int, (int)admit(all, i, NOW), RATE_ADMITTED));
+	}
+	cr_assert(eq(int, admitted, 3));
+	rate_entry_destroy(local);
+	rate_entry_destroy(all);
+}
