Reject malformed asks and grow the list of confirmers

Limits of messages and of missing confirmations were only asserted, and the release build has no asserts: a peer with too many reports, or several epochs in a row with many confirmers, could write past an array.

--- a/packages/rate/holder.c
+++ b/packages/rate/holder.c
@@ -43,7 +43,7 @@
 	struct rate_share target;
 	bool pending;
 	uint64_t epoch;
-	uint64_t confirmers[RATE_CONFIRMERS_MAX];
+	uint64_t *confirmers;
 	size_t unconfirmed;
 	int64_t ready_at;
 	/* Tokens accrue to those who were turned away until this time. */
@@ -74,6 +74,7 @@
 	struct asker *a, *next;
 
 	bucket_release(&h->bucket);
+	free(h->confirmers);
 	HASH_ITER (hh, h->askers, a, next) {
 		HASH_DEL(h->askers, a);
 		free(a);
@@ -136,7 +137,8 @@
 		if (h->confirmers[i] == confirmer)
 			return;
 	}
-	assert(h->unconfirmed < RATE_CONFIRMERS_MAX);
+	h->confirmers = base_realloc(
+		h->confirmers, (h->unconfirmed + 1) * sizeof(*h->confirmers));
 	h->confirmers[h->unconfirmed++] = confirmer;
 }
 
@@ -149,6 +151,7 @@
 {
 	size_t i;
 
+	assert(epoch->confirmer_count <= RATE_CONFIRMERS_MAX);
 	h->epoch = epoch->version;
 	h->pending = true;
 	h->ready_at = now + held_for(RATE_LIFETIME_MAX_US);
@@ -276,7 +279,6 @@
 
 	if (ask->holder != holder->incarnation)
 		return;
-	assert(ask->report_count <= RATE_REPORTS_MAX);
 	for (i = 0; i < ask->report_count; i++)
 		bucket_book(&h->bucket, ask->entry, &ask->reports[i]);
 }
@@ -360,6 +362,12 @@
 		     });
 }
 
+static bool is_well_formed(const struct rate_ask *ask)
+{
+	return ask->need_mt >= 0 && ask->ahead_mt >= 0 &&
+	       ask->report_count <= RATE_REPORTS_MAX;
+}
+
 bool rate_holder_ask(struct rate_holder *holder, const struct rate_ask *ask,
 		     int64_t now, struct rate_grant *out)
 {
@@ -374,6 +382,8 @@
 		.status = RATE_GRANT_NOT_HOLDER,
 		.retry_us = RETRY_MAX_US,
 	};
+	if (!is_well_formed(ask))
+		return false;
 	if (!h)
 		return ask->need_mt > 0 || ask->ahead_mt > 0;
 	settle(h, now);
--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -37,7 +37,7 @@
 #define RATE_HOLDERS_MAX 64
 /** Greatest number of grants that one ask reports on. */
 #define RATE_REPORTS_MAX 8
-/** Greatest number of peers whose confirmation a share waits for. */
+/** Greatest number of confirmers in one rate_epoch. */
 #define RATE_CONFIRMERS_MAX 64
 
 /**
@@ -185,8 +185,9 @@
 
 /**
  * Answers an ask and books its reports.
- * @return false when there is nothing to send: the ask only reported, or it is
- *         a late or repeated one
+ * @return false when there is nothing to send: the ask only reported, is a
+ *         late or repeated one, or is malformed (negative amounts, too many
+ *         reports) and was ignored
  */
 bool rate_holder_ask(struct rate_holder *holder, const struct rate_ask *ask,
 		     int64_t now, struct rate_grant *out);
--- a/packages/rate/tests/test_holder.c
+++ b/packages/rate/tests/test_holder.c
@@ -220,6 +220,23 @@
 	rate_holder_destroy(h);
 }
 
+/* Guards against malformed messages of a peer. */
+Test(holder, malformed_asks_change_nothing)
+{
+	struct rate_holder *h = ready_holder(2 * BASE_SECOND_US);
+	int64_t now = 2 * BASE_SECOND_US;
+	struct rate_ask bad = { .account = ACCOUNT, .entry = 5, .seq = 1 };
+	struct rate_grant g;
+
+	bad.need_mt = -1;
+	cr_assert(not(rate_holder_ask(h, &bad, now, &g)));
+	bad.need_mt = 1000;
+	bad.report_count = RATE_REPORTS_MAX + 1;
+	cr_assert(not(rate_holder_ask(h, &bad, now, &g)));
+	cr_assert(eq(i64, state(h, now).level_mt, 20000));
+	rate_holder_destroy(h);
+}
+
 /* Guards against memory that grows with entries that come and go. */
 Test(holder, forgets_entries_and_lapsed_grants)
 {
