Refuse a request whose rate tokens lapsed while a link was opened

A request admitted by its account's rate waited up to 300 ms for a link, longer than a grant lives (250 ms), and was then sent: an admission beyond the bound was possible. Its end of use is kept and checked before it is sent. Ruled out: asking for admission again, since the caller may do so with a new request.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -239,6 +239,7 @@
 			flow_refuse(f, &refusal, now);
 			return;
 		}
+		f->use_by = decision->use_by;
 		admit_by_pressure(f, now);
 		return;
 	case RATE_WAITING:
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -8,6 +8,8 @@
 /* A claim is not worth a reply of more than this; see the design page. */
 #define STORED_ANSWER_MAX 16384
 #define RETRY_AFTER_MS 1000
+/* The link is up by then, so a short wait is enough. */
+#define LAPSED_AFTER_MS 100
 
 static void release_headers(struct flow *f)
 {
@@ -438,7 +440,15 @@
 {
 	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
 
-	f->state = FLOW_SENT;
+	f->state = FLOW_LINKING;
+	if (now > f->use_by) {
+		refuse_plain(f, HTTP_REFUSAL_RATE_LIMITED, true,
+			     retry_after_ms(&f->node->rnd, LAPSED_AFTER_MS) *
+				     BASE_MS_US,
+			     "the rate's tokens lapsed while a link was opened",
+			     now);
+		return;
+	}
 	if (up && vm)
 		send_to(f, vm, now);
 	else
@@ -549,6 +559,7 @@
 	f->ex = ex;
 	f->started_at = now;
 	f->cutoff = OVERLOAD_CUTOFF_NONE;
+	f->use_by = INT64_MAX;
 	if (entry->node->snapshot)
 		f->snapshot = config_snapshot_ref(entry->node->snapshot);
 	HASH_ADD(hh, entry->flows, id, sizeof(f->id), f);
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -50,6 +50,8 @@
 	uint32_t depth;
 	struct event *timer;
 
+	/** When the tokens of the rate decision lapse; INT64_MAX without. */
+	int64_t use_by;
 	uint64_t claim_id;
 	bool claimed;
 
--- a/tests/session_answers.sh
+++ b/tests/session_answers.sh
@@ -97,6 +97,7 @@
 			fail "request $i got neither an answer nor a refusal"
 	fi
 done
+grep -h "^Bilberryhinge-Refusal" "$WORK"/head-* | sort | uniq -c
 # Two servers with 12 cold slots each bear 20 requests at a time.
 expect "each of $N concurrent requests got its own body back" $whole $N
 
