Charge elapsed time to the use before it and let the benchmark take a seed

The use of the limit was integrated with the work in flight after an event instead of before it. After an idle time, a burst counted as full use.

Tried and undone: bounding work in flight to twice what was lately answered at the usual latency, against servers that turn cold without a sign.

--- a/bench/overload.c
+++ b/bench/overload.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define SEED 20240601
+#define DEFAULT_SEED 1
 /* Share of the full rate that callers ask for in normal times. */
 #define NORMAL_LOAD 0.7
 #define SURGE_LOAD 3.0
@@ -36,12 +36,12 @@
 };
 
 static void create_world(struct world *world, const struct model *model,
-			 const struct policy *policy)
+			 const struct policy *policy, uint64_t seed)
 {
 	uint8_t s;
 	uint32_t i;
 
-	sim_init(&world->sim, SEED);
+	sim_init(&world->sim, seed);
 	world->model = model;
 	world->policy = policy;
 	world->slowdown = 1;
@@ -174,7 +174,7 @@
 static int usage(void)
 {
 	fputs("usage: bench_overload surge|flood|flood_large|cold_restart|cold_silent "
-	      "lakeshore|zawadzki ours|no_control|fixed_limits\n",
+	      "lakeshore|zawadzki ours|no_control|fixed_limits [SEED]\n",
 	      stderr);
 	return 2;
 }
@@ -184,10 +184,13 @@
 	const struct model *model = &model_lakeshore;
 	const struct policy *policy = NULL;
 	struct measure_label label;
+	int64_t seed = DEFAULT_SEED;
 	struct world *world;
 	size_t i;
 
-	if (argc != 4)
+	if (argc < 4 || argc > 5)
+		return usage();
+	if (argc == 5 && !base_str_to_i64(base_str_from(argv[4]), &seed))
 		return usage();
 	label = (struct measure_label){ argv[1], argv[2], argv[3] };
 	if (!strcmp(argv[2], "zawadzki"))
@@ -198,7 +201,7 @@
 	if (!policy)
 		return usage();
 	world = base_alloc(sizeof(*world));
-	create_world(world, model, policy);
+	create_world(world, model, policy, (uint64_t)seed);
 	if (!strcmp(argv[1], "surge"))
 		run_surge(world, &label);
 	else if (!strcmp(argv[1], "flood"))
--- a/packages/overload/cutoff.c
+++ b/packages/overload/cutoff.c
@@ -71,7 +71,7 @@
 	cutoff->started += 1;
 }
 
-static void decay(struct overload_cutoff *cutoff, double use, int64_t now)
+static void decay(struct overload_cutoff *cutoff, int64_t now)
 {
 	double dt = (double)(now - cutoff->updated_at);
 	double factor;
@@ -85,7 +85,7 @@
 	cutoff->offered_non_idempotent *= factor;
 	cutoff->started *= factor;
 	cutoff->time = (cutoff->time + dt) * factor;
-	cutoff->used = (cutoff->used + dt * use) * factor;
+	cutoff->used = (cutoff->used + dt * cutoff->use) * factor;
 	for (i = 0; i < OVERLOAD_LEVELS; i++)
 		cutoff->offered_at[i] *= factor;
 }
@@ -215,7 +215,8 @@
 {
 	double limit = load->limit;
 
-	decay(cutoff, load->in_flight / limit, now);
+	decay(cutoff, now);
+	cutoff->use = load->in_flight / limit;
 	if (load->queued > TARGET_FLOOR + TARGET_OVER * limit) {
 		update_over(cutoff, load->queued - TARGET * limit, now);
 	} else if (load->queued <= TARGET_UNDER * limit) {
--- a/packages/overload/cutoff.h
+++ b/packages/overload/cutoff.h
@@ -23,6 +23,8 @@
 	double offered_at[OVERLOAD_LEVELS];
 	double offered_non_idempotent;
 	double started;
+	/* Share of the limit in use since the last update. */
+	double use;
 	/* Decaying integrals of the time and of the use of the limit. */
 	double time;
 	double used;
