--- a/packages/overload/usage.c
+++ b/packages/overload/usage.c
@@ -6,7 +6,7 @@
 
 #define DECAY_US ((double)BASE_SECOND_US)
 /* Accounts may be over their share by this factor, as counts are noisy. */
-#define MARGIN 1.12
+#define MARGIN 1.2
 /* Accounts idle for this long are removed. */
 #define IDLE_US (10 * BASE_SECOND_US)
 
