Fetch the configuration from peers that link to a fresh daemon

A fresh daemon whose platform showed another content of the version in force dropped its candidate, as what is active goes before it, but had no link to fetch the active content over: links are opened from the roster. It stayed without a configuration as long as the platform kept that content. Ruled out: the version rule, which decided right, and the seed peers, which are optional.

The daemon now asks over the links that peers have to it, and a daemon answers such a question on its link.

--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -440,6 +440,34 @@
 	control_post(m->node->control, msg);
 }
 
+static struct peer_message value_message(const struct node *node,
+					 const struct peer_message *get)
+{
+	const struct publication *pub = node->publication;
+	struct peer_message out = {
+		.type = PEER_CONFIG_VALUE,
+		.id = get->id,
+		.config_value = { .key = get->config_get.key },
+	};
+
+	if (!pub)
+		return out;
+	out.config_value.version = (uint64_t)pub->version;
+	out.config_value.hash = pub->digest;
+	out.config_value.value = publication_value(pub, get->config_get.key);
+	out.config_value.found = out.config_value.value.ptr != NULL;
+	return out;
+}
+
+/* A peer that has no roster yet asks over the link that leads to it. */
+static void send_value(struct membership *m, struct peer_link *link,
+		       const struct peer_message *get)
+{
+	struct peer_message out = value_message(m->node, get);
+
+	peer_transport_send(m->node->transport, link, &out);
+}
+
 /* Without a roster, only the configuration is of use. */
 static void on_seed_message(struct membership *m, struct peer_link *link,
 			    const struct peer_message *msg)
@@ -469,6 +497,8 @@
 	else if (msg->type == PEER_CONFIG_ANNOUNCE)
 		post_version(m, msg->config_announce.version,
 			     &msg->config_announce.hash);
+	else if (msg->type == PEER_CONFIG_GET)
+		send_value(m, link, msg);
 }
 
 static struct remote *get_remote(struct membership *m,
@@ -485,26 +515,6 @@
 	return r;
 }
 
-static void answer_get(struct membership *m, const struct peer_remote *remote,
-		       const struct peer_message *msg)
-{
-	struct node *node = m->node;
-	struct peer_message out = {
-		.type = PEER_CONFIG_VALUE,
-		.id = msg->id,
-		.config_value = { .key = msg->config_get.key },
-	};
-
-	if (node->publication) {
-		out.config_value.version = (uint64_t)node->publication->version;
-		out.config_value.hash = node->publication->digest;
-		out.config_value.value = publication_value(node->publication,
-							   msg->config_get.key);
-		out.config_value.found = out.config_value.value.ptr != NULL;
-	}
-	peer_transport_reply(node->transport, remote, &out);
-}
-
 void membership_on_remote_message(struct membership *m,
 				  const struct peer_remote *remote,
 				  const struct peer_message *msg, int64_t now)
@@ -524,13 +534,29 @@
 		take_domains(m, &msg->heartbeat, now);
 		reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_CONFIG_GET) {
-		answer_get(m, remote, msg);
+		struct peer_message out = value_message(m->node, msg);
+
+		peer_transport_reply(m->node->transport, remote, &out);
+	} else if (msg->type == PEER_CONFIG_VALUE) {
+		on_config_value(m, &msg->config_value);
 	}
 }
 
+static const struct remote *best_remote(const struct membership *m)
+{
+	const struct remote *best = NULL;
+	const struct remote *r;
+
+	for (r = m->remotes; r; r = r->hh.next)
+		if (r->version && (!best || r->version > best->version))
+			best = r;
+	return best;
+}
+
 void membership_fetch(struct membership *m, struct base_str key)
 {
 	struct peer_link *link = seeds_best(m->node->seeds);
+	const struct remote *remote = best_remote(m);
 	struct member *member, *next, *best = NULL;
 	struct peer_message msg = {
 		.type = PEER_CONFIG_GET,
@@ -546,6 +572,8 @@
 		link = best->link;
 	if (link)
 		peer_transport_send(m->node->transport, link, &msg);
+	else if (remote)
+		peer_transport_reply(m->node->transport, &remote->handle, &msg);
 }
 
 void membership_announce(struct membership *m, int64_t now)
