Ask peers before the first activation of a candidate

Cause: a fresh daemon without seed peers activated the content that its platform showed, after the settle time, before any peer had linked to it; two contents of one version were then in force. Ruled out: the fetch over incoming links, which had been fixed before and worked whenever the peer was heard first.

--- a/packages/daemon/candidate.h
+++ b/packages/daemon/candidate.h
@@ -42,7 +42,7 @@
 /** Decides what comes next. @param err  set when the set is refused */
 enum candidate_state candidate_advance(struct candidate *c, int64_t now,
 				       struct base_error *err);
-/** Both are NULL before the state CANDIDATE_DUE was reached. */
+/** The snapshot is NULL until all parts are there and the set was checked. */
 struct publication *candidate_publication(const struct candidate *c);
 const struct config_snapshot *candidate_snapshot(const struct candidate *c);
 
--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -24,6 +24,8 @@
 	struct candidate *candidate;
 	struct publication *active;
 	struct base_digest refused;
+	/* When the peers were asked about the first candidate; 0 before. */
+	int64_t asked_at;
 	bool relay;
 	int64_t relay_heard_at;
 	bool platform_up;
@@ -95,6 +97,27 @@
 	drop_candidate(c);
 }
 
+/*
+ * Before its first activation a daemon asks the daemons of the candidate's
+ * roster: what is in force there goes before what was only published.
+ */
+static bool waits_for_peers(struct control *c, int64_t now)
+{
+	struct data_message *msg;
+
+	if (c->active || candidate_from_peer(c->candidate) ||
+	    !candidate_snapshot(c->candidate))
+		return false;
+	if (!c->asked_at) {
+		c->asked_at = now;
+		msg = new_message(DATA_CANDIDATE);
+		msg->snapshot =
+			config_snapshot_ref(candidate_snapshot(c->candidate));
+		post(c, msg);
+	}
+	return now - c->asked_at < CONTROL_SETTLE_US;
+}
+
 /* Asks for what the candidate lacks and activates it when it is due. */
 static void advance(struct control *c, int64_t now)
 {
@@ -113,6 +136,8 @@
 		base_buf_addf(&msg->text, "%s", key);
 		post(c, msg);
 	}
+	if (waits_for_peers(c, now))
+		return;
 	switch (candidate_advance(c->candidate, now, &err)) {
 	case CANDIDATE_WAITING:
 		break;
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -199,6 +199,9 @@
 	case DATA_CONFLICT:
 		on_conflict(node, msg);
 		break;
+	case DATA_CANDIDATE:
+		seeds_add_roster(node->seeds, msg->snapshot);
+		break;
 	case DATA_PLATFORM_STATE:
 		node->platform_up = msg->up;
 		break;
--- a/packages/daemon/messages.h
+++ b/packages/daemon/messages.h
@@ -59,6 +59,8 @@
 	/** Another content was published under a version in use. */
 	DATA_CONFLICT,
 
+	/** The first candidate; the daemons of its roster are asked. */
+	DATA_CANDIDATE,
 	/** Whether the platform answers. */
 	DATA_PLATFORM_STATE,
 };
--- a/packages/daemon/seeds.c
+++ b/packages/daemon/seeds.c
@@ -72,6 +72,21 @@
 	}
 }
 
+void seeds_add_roster(struct seeds *s, const struct config_snapshot *snapshot)
+{
+	struct base_str own = base_str_from(s->node->settings->vm);
+	const struct config_vm *ranked[SEEDS_MAX + 1];
+	size_t n, i;
+
+	if (s->node->snapshot)
+		return;
+	n = config_snapshot_rank_vms(snapshot, own, NULL, NULL, ranked,
+				     SEEDS_MAX + 1);
+	for (i = 0; i < n && s->count < SEEDS_MAX; i++)
+		if (!base_str_equal(ranked[i]->name, own))
+			open_seed(s, ranked[i]->address);
+}
+
 void seeds_close(struct seeds *s)
 {
 	size_t i;
--- a/packages/daemon/seeds.h
+++ b/packages/daemon/seeds.h
@@ -14,6 +14,8 @@
 void seeds_destroy(struct seeds *s);
 /** Opens the links while no configuration is in force. */
 void seeds_tick(struct seeds *s);
+/** Opens links to daemons of a roster that is not in force yet, too. */
+void seeds_add_roster(struct seeds *s, const struct config_snapshot *snapshot);
 /** A configuration is in force: the links are closed for good. */
 void seeds_close(struct seeds *s);
 /** @return false when the link is not to a seed peer */
