Connect peer links from the IP of the listen address

A peer, and the network between daemons, can now tell where a connection comes from. An unspecified listen address leaves the choice to the system.

--- a/packages/peer/link.c
+++ b/packages/peer/link.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <event2/event.h>
+#include <stdio.h>
 #include <string.h>
 #include <zmq.h>
 
@@ -166,11 +167,28 @@
 	watch_close(&link->dealer);
 }
 
+/* "tcp://SOURCE:0;DEST:PORT" tells ZeroMQ the source of a connection. */
+static bool link_endpoint(const struct peer_link *link, char *out, size_t size)
+{
+	const char *source = link->transport->source;
+	char dest[96];
+
+	if (!transport_endpoint(base_str_from(link->address), false, dest,
+				sizeof(dest)))
+		return false;
+	/* A source of the other address family could not connect. */
+	if (*source && (*source == '[') == (*link->address == '['))
+		snprintf(out, size, "tcp://%s:0;%s", source, link->address);
+	else
+		snprintf(out, size, "%s", dest);
+	return true;
+}
+
 static bool connect_link(struct peer_link *link)
 {
 	struct peer_transport *t = link->transport;
 	void *socket = open_dealer(t);
-	char endpoint[96];
+	char endpoint[160];
 
 	if (!socket)
 		return false;
@@ -180,8 +198,7 @@
 	if (monitor_open(&link->monitor, t->loop, t->zmq, socket, LINK_EVENTS,
 			 on_event, link) != PEER_OK)
 		goto fail;
-	if (!transport_endpoint(base_str_from(link->address), false, endpoint,
-				sizeof(endpoint)))
+	if (!link_endpoint(link, endpoint, sizeof(endpoint)))
 		goto fail;
 	if (zmq_connect(socket, endpoint))
 		goto fail;
--- a/packages/peer/tests/test_transport.c
+++ b/packages/peer/tests/test_transport.c
@@ -3,7 +3,10 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <arpa/inet.h>
 #include <event2/event.h>
+#include <event2/listener.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Guards against answers that do not find the way back, or in another order. */
@@ -79,6 +82,70 @@
 	event_base_free(loop);
 }
 
+struct accepted {
+	char ip[INET_ADDRSTRLEN];
+	int count;
+};
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int len, void *arg)
+{
+	const struct sockaddr_in *from = (const struct sockaddr_in *)addr;
+	struct accepted *accepted = arg;
+
+	(void)listener;
+	(void)len;
+	inet_ntop(AF_INET, &from->sin_addr, accepted->ip, sizeof(accepted->ip));
+	accepted->count++;
+	evutil_closesocket(fd);
+}
+
+/* The IP that a link comes from when its transport listens on @p listen. */
+static void find_source(struct base_str listen, struct accepted *accepted)
+{
+	struct event_base *loop = event_base_new();
+	struct node *a = node_open_at(loop, listen, SECRET);
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct evconnlistener *listener;
+	socklen_t len = sizeof(addr);
+	char address[32];
+	int i;
+
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	listener = evconnlistener_new_bind(loop, on_accept, accepted,
+					   LEV_OPT_CLOSE_ON_FREE, 16,
+					   (struct sockaddr *)&addr, len);
+	cr_assert(listener != NULL);
+	getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&addr,
+		    &len);
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+		 ntohs(addr.sin_port));
+	peer_transport_link(a->transport, base_str_from(address));
+	for (i = 0; i < 400 && !accepted->count; i++)
+		node_run_for(loop, 5 * BASE_MS_US);
+	evconnlistener_free(listener);
+	node_close(a);
+	event_base_free(loop);
+}
+
+/* Guards against daemons that cannot be told apart by where they call from. */
+Test(transport, links_come_from_the_listen_address)
+{
+	struct accepted accepted = { "", 0 };
+
+	find_source(BASE_STR("127.0.7.9:0"), &accepted);
+	cr_assert(eq(str, accepted.ip, "127.0.7.9"));
+}
+
+/* Guards against an unspecified address that is bound as a source. */
+Test(transport, links_of_an_unspecified_address_come_from_any)
+{
+	struct accepted accepted = { "", 0 };
+
+	find_source(BASE_STR("0.0.0.0:0"), &accepted);
+	cr_assert(eq(str, accepted.ip, "127.0.0.1"));
+}
+
 /* Guards against a link that gives up after its first attempts failed. */
 Test(transport, link_connects_to_a_remote_that_starts_later)
 {
--- a/packages/peer/transport.c
+++ b/packages/peer/transport.c
@@ -174,6 +174,26 @@
 	link_reap(arg);
 }
 
+/*
+ * Outgoing connections come from the IP of the listen address, so that remotes
+ * and the network between them can tell daemons apart.
+ */
+static void set_source(struct peer_transport *t)
+{
+	static const char mapped[] = "[::ffff:";
+	const char *ip = t->address;
+	size_t len = (size_t)(strrchr(ip, ':') - ip);
+
+	/* ZeroMQ reports IPv4 addresses in their IPv6 form. */
+	if (!strncmp(ip, mapped, strlen(mapped)) && strchr(ip, '.')) {
+		ip += strlen(mapped);
+		len -= strlen(mapped) + 1;
+	}
+	snprintf(t->source, sizeof(t->source), "%.*s", (int)len, ip);
+	if (!strcmp(t->source, "0.0.0.0") || !strcmp(t->source, "[::]"))
+		*t->source = '\0';
+}
+
 static enum peer_status open_zmq(struct peer_transport *t,
 				 struct base_error *err)
 {
@@ -219,6 +239,7 @@
 		peer_transport_destroy(t);
 		return status;
 	}
+	set_source(t);
 	*out = t;
 	return PEER_OK;
 }
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -74,6 +74,9 @@
 	/** Frees links that were closed, outside of their callbacks. */
 	struct event *reap;
 	char *address;
+	/** IP of outgoing connections; empty leaves the choice to the system.
+	 */
+	char source[64];
 	char *vm;
 	uint64_t incarnation;
 	uint64_t version;
