Test the fleet while a failure domain is cut off

A TCP forwarder stands for the network between daemons and cuts it by the addresses of both ends. The backend stand-in logs when a request ran and the caller when it was sent, so that every window of an account's admitted requests can be checked against rate x t + burst without a tolerance.

--- a/fakes/backend.c
+++ b/fakes/backend.c
@@ -147,7 +147,8 @@
 	e->count++;
 	if (!b->settings.log_executions)
 		return;
-	printf("executed label=%s path=%s\n", job->label, job->path);
+	printf("executed label=%s path=%s at=%lld\n", job->label, job->path,
+	       (long long)base_now_us());
 	fflush(stdout);
 }
 
--- a/fakes/caller.c
+++ b/fakes/caller.c
@@ -292,6 +292,9 @@
 		evbuffer_add(evhttp_request_get_output_buffer(req), c->body,
 			     (size_t)s->body_bytes);
 	count(c, "sent");
+	if (s->log_answers)
+		printf("sent label=%s at=%lld\n", call->label,
+		       (long long)base_now_us());
 	if (evhttp_make_request(call->conn, req, parse_method(s->method),
 				s->path))
 		on_answer(NULL, call);
@@ -400,7 +403,7 @@
 	{ "retry-delay-ms", OPT_RETRY_DELAY, "MS", 0, "Wait before a retry",
 	  0 },
 	{ "log-answers", OPT_LOG_ANSWERS, NULL, 0,
-	  "Print a line for each answer", 0 },
+	  "Print a line for each send and each answer", 0 },
 	{ 0 },
 };
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -9,6 +9,12 @@
 SECRET=test-fleet-secret-0123456789
 PIDS=()
 declare -A PID_OF CALLER_OF ADMIN_OF ONWARD_OF BACKEND_OF PEER_OF SERVICE_OF DOMAIN_OF BACKEND_ARGS
+# With PARTITIONS=1 each failure domain D has its own addresses 127.0.D.N, and
+# stand-ins for the network between the daemons and before the platform.
+PARTITIONS=${PARTITIONS:-0}
+declare -A NET_OF=() PLATFORM_OF=()
+LINK_ROUTES=()
+PLATFORM_ROUTES=()
 
 cleanup() {
 	local pid
@@ -70,7 +76,7 @@
 }
 
 has_address() {
-	grep -q '^listening=' "$WORK/$1.out"
+	grep -qs '^listening=' "$WORK/$1.out"
 }
 
 address_of() {
@@ -100,6 +106,19 @@
 		"http://$PLATFORM/v1/kv/$1" >/dev/null || fail "put $1"
 }
 
+# Gives a VM an address of its failure domain and a route from the address in
+# the configuration to the one on which its daemon listens.
+place_vm() {
+	local vm=$1 domain=$2 ip
+	[ -n "${NET_OF[$domain]:-}" ] ||
+		NET_OF[$domain]=127.0.$((${#NET_OF[@]} + 1)).
+	ip=${NET_OF[$domain]}$((${#VMS[@]} + 1))
+	PUBLISHED=$ip:$PORT
+	free_port
+	PEER_OF[$vm]=$ip:$PORT
+	LINK_ROUTES+=(--route "$PUBLISHED=${PEER_OF[$vm]}")
+}
+
 # load_set FOLDER: copies a set and gives each VM a free peer port.
 load_set() {
 	local line vm old
@@ -112,10 +131,12 @@
 		vm=$(sed 's/.*"name": "\([^"]*\)".*/\1/' <<<"$line")
 		old=$(sed 's/.*"peer_address": "\([^"]*\)".*/\1/' <<<"$line")
 		free_port
-		sed -i "s/\"$old\"/\"127.0.0.1:$PORT\"/" "$SET/topology.json"
-		PEER_OF[$vm]=127.0.0.1:$PORT
 		SERVICE_OF[$vm]=$(sed 's/.*"service": "\([^"]*\)".*/\1/' <<<"$line")
 		DOMAIN_OF[$vm]=$(sed 's/.*"failure_domain": "\([^"]*\)".*/\1/' <<<"$line")
+		PUBLISHED=127.0.0.1:$PORT
+		PEER_OF[$vm]=$PUBLISHED
+		[ "$PARTITIONS" = 0 ] || place_vm "$vm" "${DOMAIN_OF[$vm]}"
+		sed -i "s/\"$old\"/\"$PUBLISHED\"/" "$SET/topology.json"
 		VMS+=("$vm")
 	done < <(grep '"kind": "vm"' "$SET/topology.json")
 }
@@ -136,7 +157,8 @@
 		--onward-listen "${ONWARD_OF[$vm]}" \
 		--admin-listen "${ADMIN_OF[$vm]}" \
 		--peer-listen "${PEER_OF[$vm]}" \
-		--backend "${BACKEND_OF[$vm]}" --platform "$PLATFORM" \
+		--backend "${BACKEND_OF[$vm]}" \
+		--platform "${PLATFORM_OF[${DOMAIN_OF[$vm]}]:-$PLATFORM}" \
 		"${DAEMON_ARGS[@]}"
 }
 DAEMON_ARGS=(--drain-seconds 10)
@@ -178,11 +200,49 @@
 	done
 }
 
+# Starts the network between daemons, and one between them and the platform
+# that tells failure domains apart by the address on which they call it.
+start_links() {
+	local domain
+	for domain in "${!NET_OF[@]}"; do
+		free_port
+		PLATFORM_OF[$domain]=${NET_OF[$domain]}200:$PORT
+		PLATFORM_ROUTES+=(--route
+			"${PLATFORM_OF[$domain]}=$PLATFORM,${NET_OF[$domain]}200")
+	done
+	start link "$BIN/fake_link" "${LINK_ROUTES[@]}"
+	start platform-link "$BIN/fake_link" "${PLATFORM_ROUTES[@]}"
+	LINK=$(address_of link)
+	PLATFORM_LINK=$(address_of platform-link)
+}
+
+put_link() {
+	curl -sf -X PUT --data-binary "$2" "http://$1" >/dev/null ||
+		fail "$1 $2"
+}
+
+# cut_domain DOMAIN [MODE]: cuts it off from the other failure domains and from the platform.
+cut_domain() {
+	local net=${NET_OF[$1]} other
+	for other in "${NET_OF[@]}"; do
+		[ "$other" = "$net" ] || put_link "$LINK/v1/cut" \
+			"source=$net"$'\n'"dest=$other"$'\n'"mode=${2:-drop}"
+	done
+	put_link "$PLATFORM_LINK/v1/cut" \
+		"source=$net"$'\n'"dest=127.0.0."$'\n'"mode=${2:-drop}"
+}
+
+heal() {
+	put_link "$LINK/v1/heal" ""
+	put_link "$PLATFORM_LINK/v1/heal" ""
+}
+
 # start_fleet FOLDER: the platform, and a backend and a daemon for each VM.
 start_fleet() {
 	local vm
 	load_set "$1"
 	start_platform
+	[ "$PARTITIONS" = 0 ] || start_links
 	publish "$SET" 1
 	for vm in "${VMS[@]}"; do
 		start_vm "$vm"
--- /dev/null
+++ b/tests/session_rate.sh
@@ -0,0 +1,85 @@
+#!/usr/bin/env bash
+# One account at five times its rate over many entries while daemons are killed,
+# restarted and frozen. Guards against shares that are handed out twice and
+# against an account that takes the service of others.
+BUILD=$1
+FOLDER=$(dirname "$0")
+. "$FOLDER/lib.sh"
+. "$FOLDER/account_rate.sh"
+SEED=${SEED:-1}
+RANDOM=$SEED
+LOAD_S=${LOAD_S:-28}
+# Of the account mobile-branch.
+RATE=40
+BURST=80
+start_fleet "$FOLDER/../examples/lakeshore"
+
+targets=()
+for vm in "${VMS[@]}"; do
+	targets+=(--target "${CALLER_OF[$vm]}")
+done
+
+# load NAME KEY RATE ARGUMENTS...: to all entries in turn, in the background.
+load() {
+	local name=$1 key=$2 rate=$3
+	shift 3
+	start "$name" "$BIN/fake_caller" "${targets[@]}" --key "$key" \
+		--label "$name" --rate "$rate" --log-answers \
+		--duration-ms $((LOAD_S * 1000)) --drain-ms 12000 \
+		--timeout-ms 2000 --seed "$SEED" "$@"
+}
+
+load over bhk_ls6_example-secret-ls6 $((RATE * 5)) --path /catalogue/a
+# Inside their rates of 400, 60 and 20; callers go to the next entry when one
+# does not answer.
+others=(central harbour museum)
+load central bhk_ls1_example-secret-ls1 100 --path /catalogue/b \
+	--hard-retries 3 --retry-delay-ms 300
+load harbour bhk_ls4_example-secret-ls4 30 --path /returns/c \
+	--hard-retries 3 --retry-delay-ms 300
+load museum bhk_ls8_example-secret-ls8 10 --path /deposits/lookup/d \
+	--hard-retries 3 --retry-delay-ms 300
+
+restart_daemon() {
+	kill "-$2" "${PID_OF[daemon-$1]}"
+	wait "${PID_OF[daemon-$1]}" 2>/dev/null
+	start_daemon "$1"
+}
+
+freeze() {
+	kill -STOP "${PID_OF[$1]}"
+	sleep "$2"
+	kill -CONT "${PID_OF[$1]}"
+}
+
+faults=0
+end=$((SECONDS + LOAD_S))
+while [ "$SECONDS" -lt "$end" ]; do
+	vm=${VMS[$((RANDOM % ${#VMS[@]}))]}
+	case $((RANDOM % 4)) in
+	0) restart_daemon "$vm" KILL ;;
+	1) freeze "daemon-$vm" 0.4 ;;
+	2) freeze "daemon-$vm" 1.6 ;;
+	3) freeze "daemon-$vm" 4 ;;
+	esac
+	faults=$((faults + 1))
+	sleep 0.5
+done
+for name in over "${others[@]}"; do
+	wait_for 30 grep -q '^planned=' "$WORK/$name.out" ||
+		fail "$name runs on"
+done
+
+echo "seed=$SEED faults=$faults"
+expect_rate "$RATE" "$BURST" over
+ok=$(sed -n 's/^ok=//p' "$WORK/over.out")
+echo "over: ok=$ok of $(sed -n 's/^planned=//p' "$WORK/over.out")"
+for name in "${others[@]}"; do
+	planned=$(sed -n 's/^planned=//p' "$WORK/$name.out")
+	ok=$(sed -n 's/^ok=//p' "$WORK/$name.out")
+	echo "$name: ok=$ok of $planned"
+	grep -E '^(status|reason|failed|retries)' "$WORK/$name.out" | tr '\n' ' '
+	echo
+	[ $((ok * 100)) -ge $((planned * 99)) ] ||
+		fail "$name is inside its rate and is served less than 99%"
+done
