--- a/fakes/backend.c
+++ b/fakes/backend.c
@@ -150,8 +150,8 @@
 	e->count++;
 	if (!b->settings.log_executions)
 		return;
-	printf("executed label=%s path=%s call=%s\n", job->label, job->path,
-	       job->token);
+	printf("executed label=%s path=%s call=%s at=%lld\n", job->label,
+	       job->path, job->token, (long long)base_now_us());
 	fflush(stdout);
 }
 
