Log peer messages at level debug; let stand-ins print what they get

Need: golden files of whole sessions show the exchange on every interface, but nothing showed the messages on the peer interface, the requests as a backend server receives them, or the calls to the platform.

Weighed: a recorder between the daemons, which CURVE rules out, and a log line for each type written by hand, which would miss new fields.

--- a/fakes/backend.c
+++ b/fakes/backend.c
@@ -40,6 +40,7 @@
 	int64_t cold_slots;
 	int64_t cold_us;
 	bool log_executions;
+	bool log_requests;
 };
 
 struct execution {
@@ -365,6 +366,8 @@
 			(long long)b->in_flight);
 		_exit(EXIT_COLD);
 	}
+	if (b->settings.log_requests)
+		fake_print_request(req);
 	job->backend = b;
 	job->req = req;
 	job->path = base_str_dup(base_str_from(req->uri->path->full));
@@ -495,6 +498,7 @@
 	OPT_COLD_SLOTS = 'C',
 	OPT_COLD_MS = 'M',
 	OPT_LOG = 'x',
+	OPT_LOG_REQUESTS = 'r',
 };
 
 static const struct argp_option options[] = {
@@ -510,6 +514,8 @@
 	  0 },
 	{ "cold-ms", OPT_COLD_MS, "MS", 0, "Length of the cold start", 0 },
 	{ "log-executions", OPT_LOG, NULL, 0, "Print a line an execution", 0 },
+	{ "log-requests", OPT_LOG_REQUESTS, NULL, 0,
+	  "Print requests as received", 0 },
 	{ 0 },
 };
 
@@ -547,6 +553,9 @@
 	case OPT_LOG:
 		s->log_executions = true;
 		return 0;
+	case OPT_LOG_REQUESTS:
+		s->log_requests = true;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -101,6 +101,35 @@
 		base_buf_add(out, evbuffer_pullup(req->buffer_in, -1), len);
 }
 
+void fake_print_call(const char *event, evhtp_request_t *req)
+{
+	const unsigned char *query = req->uri->query_raw;
+	const char *method =
+		htparser_get_methodstr_m(evhtp_request_get_method(req));
+
+	printf("%s %s %s%s%s\n", event, method, req->uri->path->full,
+	       query ? "?" : "", query ? (const char *)query : "");
+	fflush(stdout);
+}
+
+static int print_header(evhtp_kv_t *kv, void *arg)
+{
+	(void)arg;
+	printf("  %s: %s\n", kv->key, kv->val);
+	return 0;
+}
+
+void fake_print_request(evhtp_request_t *req)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
+
+	fake_print_call("received", req);
+	evhtp_kvs_for_each(req->headers_in, print_header, NULL);
+	fake_body(req, &body);
+	printf("  body: %.*s\n", BASE_STR_ARG(base_buf_str(&body)));
+	fflush(stdout);
+}
+
 static void on_signal(evutil_socket_t signal_number, short what, void *arg)
 {
 	(void)signal_number;
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -31,6 +31,10 @@
 void fake_reply(evhtp_request_t *req, evhtp_res status, struct base_str body);
 /** Copies the body of a request to @p out. */
 void fake_body(evhtp_request_t *req, struct base_buf *out);
+/** Prints a line with the event, the method, the path and the query. */
+void fake_print_call(const char *event, evhtp_request_t *req);
+/** Prints a request as received, with its headers in order and its body. */
+void fake_print_request(evhtp_request_t *req);
 /** Ends the loop on SIGTERM and SIGINT and ignores SIGPIPE. */
 void fake_handle_signals(struct event_base *loop);
 
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -51,6 +51,7 @@
 	int64_t waiting;
 	int64_t waiting_max;
 	enum mode mode;
+	bool log_calls;
 };
 
 /** A read that waits for a change or for another mode. */
@@ -300,6 +301,8 @@
 	struct platform *p = arg;
 	size_t prefix = strlen(KV_PREFIX);
 
+	if (p->log_calls)
+		fake_print_call("called", req);
 	if (!strcmp(path, "/v1/control"))
 		control(p, req);
 	else if (!strcmp(path, "/v1/stats"))
@@ -317,6 +320,7 @@
 struct settings {
 	const char *listen;
 	enum mode mode;
+	bool log_calls;
 };
 
 static error_t parse_option(int key, char *arg, struct argp_state *state)
@@ -325,6 +329,8 @@
 
 	if (key == 'l')
 		s->listen = arg;
+	else if (key == 'c')
+		s->log_calls = true;
 	else if (key != 'm')
 		return ARGP_ERR_UNKNOWN;
 	else if (!parse_mode(base_str_from(arg), &s->mode))
@@ -335,6 +341,7 @@
 static const struct argp_option options[] = {
 	{ "listen", 'l', "IP:PORT", 0, "Address, default 127.0.0.1:0", 0 },
 	{ "mode", 'm', "MODE", 0, "normal, stale, refuse or hang", 0 },
+	{ "log-calls", 'c', NULL, 0, "Print a line a call", 0 },
 	{ 0 },
 };
 
@@ -352,6 +359,7 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &settings);
 	platform.loop = fake_loop();
 	platform.mode = settings.mode;
+	platform.log_calls = settings.log_calls;
 	fake_handle_signals(platform.loop);
 	platform.htp = fake_listen(platform.loop, settings.listen, on_request,
 				   &platform);
--- a/packages/peer/link.c
+++ b/packages/peer/link.c
@@ -38,7 +38,7 @@
 	struct peer_receipt receipt;
 	struct peer_message msg;
 
-	if (!transport_decode(t, bytes, &msg))
+	if (!transport_decode(t, link->address, bytes, &msg))
 		return;
 	receipt.received_at = base_now_us();
 	receipt.age_us = peer_link_clock_observe(&link->clock, msg.sent_at,
@@ -268,7 +268,7 @@
 	if (send_frame(link, &t->scratch) < 0)
 		status = errno == EAGAIN ? PEER_ERR_BUSY : PEER_ERR_UNREACHABLE;
 	if (status == PEER_OK)
-		transport_count_sent(t, msg->type);
+		transport_note_sent(t, link->address, msg);
 	else
 		base_counter_add(t->counters.send_failures, 1);
 	watch_look(&link->dealer);
--- a/packages/peer/remote.c
+++ b/packages/peer/remote.c
@@ -31,7 +31,7 @@
 	struct peer_message msg;
 	struct remote *remote;
 
-	if (!transport_decode(t, bytes, &msg))
+	if (!transport_decode(t, NULL, bytes, &msg))
 		return;
 	remote = remote_get(t, id);
 	receipt.received_at = base_now_us();
@@ -205,7 +205,7 @@
 		return status;
 	status = send_reply(t, remote);
 	if (status == PEER_OK)
-		transport_count_sent(t, msg->type);
+		transport_note_sent(t, NULL, msg);
 	else
 		base_counter_add(t->counters.send_failures, 1);
 	watch_look(&t->router);
--- a/packages/peer/transport.c
+++ b/packages/peer/transport.c
@@ -1,5 +1,6 @@
 /* Creation, settings and accounting of the transport. */
 #include "transport.h"
+#include "trace.h"
 
 #include <event2/event.h>
 #include <event2/util.h>
@@ -93,10 +94,13 @@
 	return status;
 }
 
-void transport_count_sent(struct peer_transport *t, enum peer_type type)
+void transport_note_sent(struct peer_transport *t, const char *address,
+			 const struct peer_message *msg)
 {
-	base_counter_add(t->counters.sent[type].messages, 1);
-	base_counter_add(t->counters.sent[type].bytes, (int64_t)t->scratch.len);
+	base_counter_add(t->counters.sent[msg->type].messages, 1);
+	base_counter_add(t->counters.sent[msg->type].bytes,
+			 (int64_t)t->scratch.len);
+	trace_message(t->log, "peer_message_sent", address, msg);
 }
 
 static void reject(struct peer_transport *t, enum peer_status status,
@@ -115,8 +119,8 @@
 	base_log_end(&line);
 }
 
-bool transport_decode(struct peer_transport *t, struct base_str bytes,
-		      struct peer_message *msg)
+bool transport_decode(struct peer_transport *t, const char *address,
+		      struct base_str bytes, struct peer_message *msg)
 {
 	struct base_error err;
 	enum peer_status status = peer_message_decode(bytes, msg, &err);
@@ -128,6 +132,7 @@
 	base_counter_add(t->counters.received[msg->type].messages, 1);
 	base_counter_add(t->counters.received[msg->type].bytes,
 			 (int64_t)bytes.len);
+	trace_message(t->log, "peer_message_received", address, msg);
 	return true;
 }
 
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -96,10 +96,15 @@
 /** Encodes into the scratch buffer with the time of sending. */
 enum peer_status transport_encode(struct peer_transport *t,
 				  struct peer_message *msg);
-void transport_count_sent(struct peer_transport *t, enum peer_type type);
-/** Decodes and counts; logs and counts what is not a message. */
-bool transport_decode(struct peer_transport *t, struct base_str bytes,
-		      struct peer_message *msg);
+/** Counts and logs a message; @p address is NULL for a reply. */
+void transport_note_sent(struct peer_transport *t, const char *address,
+			 const struct peer_message *msg);
+/**
+ * Decodes, counts and logs; @p address is NULL for a remote's connection.
+ * Logs and counts what is not a message.
+ */
+bool transport_decode(struct peer_transport *t, const char *address,
+		      struct base_str bytes, struct peer_message *msg);
 
 enum peer_status remote_open(struct peer_transport *t, struct base_str listen,
 			     struct base_error *err);
