Keep the own backend server in use between requests

Cause: a daemon sends no heartbeats to itself, but routing takes a server that got a request and was not heard of for 1.5 s as silent. So 1.5 s after a request that an entry gave to its own guard, that server was out for it.

Ruled out: a silent guard (the other daemons had the server as usable at the same time), a failed backend server (it saw no request). Exempting the own server from the rule of silence in the routing package was weighed; a report by each tick leaves the rule as it is and keeps load and limit fresh as well.

Change: the tick of the entry reports the own guard to routing.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -384,10 +384,27 @@
 			flow_on_link(f, true, now);
 }
 
+/*
+ * The own guard sends no heartbeats to its own daemon, so its server would
+ * count as silent 1.5 s after a request.
+ */
+static void report_own_guard(struct node *node, int64_t now)
+{
+	struct routing_report report;
+
+	if (!node->self)
+		return;
+	report = guard_report(node->guard, now);
+	routing_heartbeat(node->routing,
+			  roster_vm_id(node->roster, node->self->name), &report,
+			  ROUTING_HEARTBEAT_US, now);
+}
+
 void entry_tick(struct entry *entry, int64_t now)
 {
 	struct flow *f, *next;
 
+	report_own_guard(entry->node, now);
 	HASH_ITER (hh, entry->flows, f, next) {
 		const struct config_vm *vm;
 		struct peer_link *link;
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -21,7 +21,10 @@
 void entry_on_link_down(struct entry *entry, uint32_t vm);
 /** Requests that wait for the link to a VM go on. */
 void entry_on_link_up(struct entry *entry, uint32_t vm);
-/** Ends the wait for links that did not come up in time. */
+/**
+ * Ends the wait for links that did not come up in time, and reports the own
+ * guard to routing.
+ */
 void entry_tick(struct entry *entry, int64_t now);
 /** The rate decision of a waiting request. */
 void entry_on_rate_decision(struct entry *entry, uint64_t request,
