Tell a request out of time from a lost connection

Cause: the client of the backend interface reported its own timeout as a lost connection, and the guard told the two apart by now >= deadline. The timer can fire some microseconds early. The guard then took the timeout for the death of the server: the request became a suspect and the server a cold start.

Widening the comparison by a margin was weighed; it would only guess.

Change: the client reports HTTP_RESULT_TIMED_OUT, which the guard answers with deadline and unknown.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -233,7 +233,8 @@
 	if (result == HTTP_RESULT_TOO_LARGE)
 		return (struct failure){ HTTP_REFUSAL_ANSWER_TOO_LARGE,
 					 PEER_UNKNOWN, 0 };
-	if (out_of_time)
+	/* The timer of the call may fire some microseconds early. */
+	if (out_of_time || result == HTTP_RESULT_TIMED_OUT)
 		return (struct failure){ HTTP_REFUSAL_DEADLINE, PEER_UNKNOWN,
 					 0 };
 	return lost;
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -191,7 +191,7 @@
 
 	evhttp_cancel_request(call->req);
 	pooled_release(client, call->pooled, false);
-	finish(call, HTTP_RESULT_LOST, NULL);
+	finish(call, HTTP_RESULT_TIMED_OUT, NULL);
 }
 
 void http_call_cancel(struct http_call *call)
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -133,8 +133,10 @@
 	HTTP_RESULT_ANSWERED,
 	/** No connection was made, so nothing was sent. */
 	HTTP_RESULT_NOT_SENT,
-	/** The connection ended or timed out after sending began. */
+	/** The connection ended after sending began. */
 	HTTP_RESULT_LOST,
+	/** The time of the call ran out; it may have been sent. */
+	HTTP_RESULT_TIMED_OUT,
 	/** The answer was over the limit. */
 	HTTP_RESULT_TOO_LARGE,
 	/** The answer was not valid HTTP or its end was not marked. */
@@ -174,7 +176,7 @@
 /** Open calls are dropped without a callback. */
 void http_client_destroy(struct http_client *client);
 /**
- * @param timeout_us  ends the call as HTTP_RESULT_LOST; 0 for no limit
+ * @param timeout_us  ends the call as HTTP_RESULT_TIMED_OUT; 0 for no limit
  * @return NULL when all connections are in use or the method is unknown; the
  *         callback is not called then
  */
