--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -104,14 +104,14 @@
 	"$BIN/bilberryhinge" render --version "$2" --out "$out" "$1" \
 		>"$WORK/render.log" 2>&1 || fail "render: $(cat "$WORK/render.log")"
 	for part in "$out"/parts/*; do
-		puts+=(--next -sf -X PUT --data-binary "@$part"
+		puts+=(--next -sf -X PUT -H "Content-Type:" --data-binary "@$part"
 			"http://$PLATFORM/v1/kv/bilberryhinge/parts/$(basename "$part")")
 	done
 	curl --fail-early "${puts[@]:1}" >/dev/null || fail "put parts of $2"
 }
 
 put() {
-	curl -sf -X PUT --data-binary "@$2" \
+	curl -sf -X PUT --data-binary "@$2" -H "Content-Type:" \
 		"http://$PLATFORM/v1/kv/$1" >/dev/null || fail "put $1"
 }
 
