--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -1,66 +1,12 @@
 /* The guard: queue, start, cancel and answer work of the own backend server. */
-#include "guard.h"
+#include "guard_work.h"
 #include "death.h"
 #include "membership.h"
-#include "spans.h"
 
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
-#include <uthash.h>
-
-#define TOKEN_BYTES 16
-#define TOKEN_LEN (TOKEN_BYTES * 2)
-
-struct guard_work {
-	uint64_t id;
-	struct guard *guard;
-	struct base_buf bytes;
-	struct peer_message msg;
-	int64_t deadline;
-	int64_t submitted_at;
-	int64_t started_at;
-	guard_answer_cb cb;
-	void *ctx;
-	struct http_call *call;
-	char token[TOKEN_LEN + 1];
-	/* For cancel messages of remote entries. */
-	struct peer_remote remote;
-	uint64_t remote_id;
-	struct http_trace trace;
-	uint32_t onward_open;
-	int64_t onward_since;
-	int32_t cutoff;
-	bool retried;
-	bool abandoned;
-	bool idempotent;
-	/* By the quarantine; not offered yet. */
-	bool held;
-	guard_end_cb end_cb;
-	void *end_ctx;
-	UT_hash_handle hh;
-	UT_hash_handle hh_token;
-};
-
-struct guard {
-	struct node *node;
-	struct overload_guard *overload;
-	struct http_client *backend;
-	struct death_watch *death;
-	struct event *timer;
-	struct guard_work *works;
-	struct guard_work *by_token;
-	uint64_t next_id;
-	bool pumping;
-};
-
-/* What is reported when the answer does not come from the backend server. */
-struct failure {
-	enum http_refusal refusal;
-	enum peer_outcome outcome;
-	int64_t retry_after_us;
-};
 
 static struct overload_guard_config bounds_of(struct node *node)
 {
@@ -93,96 +39,6 @@
 	event_add(g->timer, &tv);
 }
 
-static void work_free(struct guard_work *w)
-{
-	struct guard *g = w->guard;
-
-	quarantine_forget(g->node->quarantine, w->id);
-	HASH_DELETE(hh, g->works, w);
-	if (w->token[0])
-		HASH_DELETE(hh_token, g->by_token, w);
-	if (w->end_cb)
-		w->end_cb(w->end_ctx, w);
-	peer_message_release(&w->msg);
-	base_buf_release(&w->bytes);
-	free(w);
-}
-
-static void record_span(struct guard_work *w, int status, const char *decision,
-			int64_t now)
-{
-	const struct peer_context *c = &w->msg.request.context;
-	struct http_trace parent = { 0 };
-	struct span span = {
-		.trace = w->trace,
-		.kind = "guard",
-		.started_at = w->submitted_at,
-		.duration_us = now - w->submitted_at,
-		.status = status,
-		.attempt = c->attempt,
-	};
-
-	if (http_trace_parse(c->traceparent, &parent))
-		memcpy(span.parent_id, parent.span_id, sizeof(span.parent_id));
-	snprintf(span.route, sizeof(span.route), "%.*s",
-		 BASE_STR_ARG(c->route));
-	snprintf(span.account, sizeof(span.account), "%.*s",
-		 BASE_STR_ARG(c->account));
-	snprintf(span.decision, sizeof(span.decision), "%s", decision);
-	snprintf(span.served_by, sizeof(span.served_by), "%s",
-		 w->guard->node->settings->vm);
-	spans_add(w->guard->node->spans, &span);
-}
-
-/* Adds the state of the guard, answers and frees the work. */
-static void deliver(struct guard_work *w, const struct peer_answer *bare,
-		    const char *decision, int64_t now)
-{
-	struct guard *g = w->guard;
-	struct node *node = g->node;
-	struct routing_report report = guard_report(g, now);
-	struct peer_answer answer = *bare;
-	struct peer_cutoff cutoff = {
-		.level = (uint32_t)overload_cutoff_stricter(w->cutoff,
-							    guard_cutoff(g)),
-	};
-
-	if (node->self)
-		cutoff.service = node->self->service->name;
-	answer.load = report.load;
-	answer.limit = report.limit;
-	answer.draining = report.draining;
-	answer.cold_full = report.cold_full;
-	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
-	answer.retried = w->retried;
-	record_span(w, (int)answer.status, decision, now);
-	if (!w->abandoned)
-		w->cb(w->ctx, &answer);
-	work_free(w);
-}
-
-static void fail(struct guard_work *w, const struct failure *failure,
-		 int64_t now)
-{
-	const char *name = http_refusal_name(failure->refusal);
-	struct peer_answer answer = {
-		.status = (uint32_t)http_refusal_code(failure->refusal),
-		.outcome = failure->outcome,
-		.reason = base_str_from(name),
-		.retry_after_ms = (uint32_t)(failure->retry_after_us / 1000),
-	};
-
-	deliver(w, &answer, name, now);
-}
-
-static void fail_not_run(struct guard_work *w, enum http_refusal refusal,
-			 int64_t retry_after_us, int64_t now)
-{
-	struct failure failure = { refusal, PEER_NOT_RUN, retry_after_us };
-
-	fail(w, &failure, now);
-}
-
 static struct guard_work *find_work(struct guard *g, uint64_t id)
 {
 	struct guard_work *w;
@@ -199,44 +55,22 @@
 	return status == 429 || status == 503 || status == 504;
 }
 
-static void answer_whole(struct guard_work *w, const struct http_answer *http,
-			 int64_t now)
-{
-	struct peer_header *items =
-		base_alloc_array(http->headers.count, sizeof(*items));
-	struct peer_answer answer = {
-		.status = (uint32_t)http->status,
-		.outcome = PEER_RAN,
-		.body = http->body,
-	};
-	size_t n = 0;
-	size_t i;
-
-	for (i = 0; i < http->headers.count && n < PEER_LIST_MAX; i++) {
-		const struct http_header *h = &http->headers.items[i];
-
-		if (!http_header_is_hop_by_hop(h->name))
-			items[n++] = (struct peer_header){ h->name, h->value };
-	}
-	answer.headers = (struct peer_headers){ items, n };
-	deliver(w, &answer, "answered", now);
-	free(items);
-}
-
-static struct failure failure_of(enum http_result result, bool out_of_time)
+static struct guard_failure failure_of(enum http_result result,
+				       bool out_of_time)
 {
-	struct failure lost = { HTTP_REFUSAL_CONNECTION_LOST, PEER_UNKNOWN, 0 };
+	struct guard_failure lost = { HTTP_REFUSAL_CONNECTION_LOST,
+				      PEER_UNKNOWN, 0 };
 
 	if (result == HTTP_RESULT_NOT_SENT)
-		return (struct failure){ HTTP_REFUSAL_NO_SERVER, PEER_NOT_RUN,
-					 BASE_SECOND_US };
+		return (struct guard_failure){ HTTP_REFUSAL_NO_SERVER,
+					       PEER_NOT_RUN, BASE_SECOND_US };
 	if (result == HTTP_RESULT_TOO_LARGE)
-		return (struct failure){ HTTP_REFUSAL_ANSWER_TOO_LARGE,
-					 PEER_UNKNOWN, 0 };
+		return (struct guard_failure){ HTTP_REFUSAL_ANSWER_TOO_LARGE,
+					       PEER_UNKNOWN, 0 };
 	/* The timer of the call may fire some microseconds early. */
 	if (out_of_time || result == HTTP_RESULT_TIMED_OUT)
-		return (struct failure){ HTTP_REFUSAL_DEADLINE, PEER_UNKNOWN,
-					 0 };
+		return (struct guard_failure){ HTTP_REFUSAL_DEADLINE,
+					       PEER_UNKNOWN, 0 };
 	return lost;
 }
 
@@ -247,7 +81,7 @@
 	struct guard *g = w->guard;
 	int64_t now = base_now_us();
 	enum overload_outcome outcome = OVERLOAD_OUTCOME_OK;
-	struct failure failure;
+	struct guard_failure failure;
 
 	w->call = NULL;
 	if (result == HTTP_RESULT_ANSWERED) {
@@ -256,7 +90,7 @@
 		overload_guard_finish(g->overload, w->id, outcome, now);
 		quarantine_succeeded(g->node->quarantine, w->id,
 				     &w->msg.request, now);
-		answer_whole(w, http, now);
+		guard_work_answer(w, http, now);
 		pump(g, now);
 		return;
 	}
@@ -269,15 +103,15 @@
 	outcome = result == HTTP_RESULT_NOT_SENT ? OVERLOAD_OUTCOME_SERVER_LOST
 						 : OVERLOAD_OUTCOME_FAILED;
 	overload_guard_finish(g->overload, w->id, outcome, now);
-	fail(w, &failure, now);
+	guard_work_fail(w, &failure, now);
 	pump(g, now);
 }
 
 static void fail_each(struct guard *g, const uint64_t *ids, size_t count,
 		      enum overload_outcome outcome, int64_t now)
 {
-	struct failure failure = { HTTP_REFUSAL_CONNECTION_LOST, PEER_UNKNOWN,
-				   0 };
+	struct guard_failure failure = { HTTP_REFUSAL_CONNECTION_LOST,
+					 PEER_UNKNOWN, 0 };
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -286,7 +120,7 @@
 		if (!w)
 			continue;
 		overload_guard_finish(g->overload, w->id, outcome, now);
-		fail(w, &failure, now);
+		guard_work_fail(w, &failure, now);
 	}
 	pump(g, now);
 }
@@ -391,7 +225,8 @@
 	if (w->call)
 		return;
 	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
-	fail_not_run(w, HTTP_REFUSAL_OVERLOADED, BASE_SECOND_US, now);
+	guard_work_fail_not_run(w, HTTP_REFUSAL_OVERLOADED, BASE_SECOND_US,
+				now);
 }
 
 static enum http_refusal refusal_of(enum overload_reason reason)
@@ -422,8 +257,8 @@
 		if (action.type == OVERLOAD_ACTION_START)
 			start(w, now);
 		else
-			fail_not_run(w, refusal_of(action.reason),
-				     action.retry_after_us, now);
+			guard_work_fail_not_run(w, refusal_of(action.reason),
+						action.retry_after_us, now);
 	}
 	g->pumping = false;
 	schedule(g, now);
@@ -469,33 +304,6 @@
 	overload_guard_offer(w->guard->overload, &work, now);
 }
 
-static void answer_remote(void *ctx, const struct peer_answer *answer)
-{
-	struct guard_work *w = ctx;
-	struct node *node = w->guard->node;
-	struct peer_message msg = {
-		.type = PEER_ANSWER,
-		.id = w->remote_id,
-		.answer = *answer,
-	};
-	enum peer_status status =
-		peer_transport_reply(node->transport, &w->remote, &msg);
-
-	if (status == PEER_ERR_TOO_LARGE) {
-		msg.answer = (struct peer_answer){
-			.status = 502,
-			.outcome = PEER_UNKNOWN,
-			.reason = BASE_STR("answer_too_large"),
-			.load = answer->load,
-			.limit = answer->limit,
-		};
-		status =
-			peer_transport_reply(node->transport, &w->remote, &msg);
-	}
-	if (status != PEER_OK)
-		node_count(node, "guard_answers_undeliverable");
-}
-
 /* Starts the decision about a work whose origin is filled in. */
 static struct guard_work *submit(struct guard_work *w,
 				 const struct peer_request *request,
@@ -511,7 +319,7 @@
 	w->cutoff = OVERLOAD_CUTOFF_NONE;
 	HASH_ADD(hh, guard->works, id, sizeof(w->id), w);
 	if (!copy_request(w, request)) {
-		fail_not_run(w, HTTP_REFUSAL_BAD_REQUEST, 0, now);
+		guard_work_fail_not_run(w, HTTP_REFUSAL_BAD_REQUEST, 0, now);
 		return NULL;
 	}
 	if (http_trace_parse(request->context.traceparent, &parent))
@@ -519,7 +327,8 @@
 	else
 		http_trace_start(&w->trace);
 	if (!guard->overload || !membership_ready(guard->node->membership)) {
-		fail_not_run(w, HTTP_REFUSAL_NOT_READY, BASE_SECOND_US, now);
+		guard_work_fail_not_run(w, HTTP_REFUSAL_NOT_READY,
+					BASE_SECOND_US, now);
 		return NULL;
 	}
 	switch (quarantine_check(guard->node->quarantine, id, &w->msg.request,
@@ -532,7 +341,7 @@
 		pump(guard, now);
 		return find_work(guard, id);
 	default:
-		fail_not_run(w, HTTP_REFUSAL_SUSPECT, 0, now);
+		guard_work_fail_not_run(w, HTTP_REFUSAL_SUSPECT, 0, now);
 		return NULL;
 	}
 }
@@ -547,11 +356,11 @@
 		return;
 	w->held = false;
 	if (verdict != QUARANTINE_RUN) {
-		fail_not_run(w,
-			     verdict == QUARANTINE_REFUSE
-				     ? HTTP_REFUSAL_SUSPECT
-				     : HTTP_REFUSAL_DEADLINE,
-			     0, now);
+		guard_work_fail_not_run(w,
+					verdict == QUARANTINE_REFUSE
+						? HTTP_REFUSAL_SUSPECT
+						: HTTP_REFUSAL_DEADLINE,
+					0, now);
 		return;
 	}
 	w->deadline = deadline;
@@ -584,7 +393,7 @@
 	w->guard = guard;
 	w->remote = *remote;
 	w->remote_id = msg->id;
-	w->cb = answer_remote;
+	w->cb = guard_work_answer_remote;
 	w->ctx = w;
 	submit(w, &msg->request, now + left, now);
 }
@@ -594,7 +403,7 @@
 	if (work->held ||
 	    overload_guard_cancel(guard->overload, work->id, now)) {
 		node_count(guard->node, "guard_cancelled_queued");
-		work_free(work);
+		guard_work_free(work);
 		pump(guard, now);
 		return;
 	}
@@ -606,8 +415,8 @@
 	http_call_cancel(work->call);
 	overload_guard_finish(guard->overload, work->id, OVERLOAD_OUTCOME_OK,
 			      now);
-	record_span(work, 499, "cancelled", now);
-	work_free(work);
+	guard_work_record_span(work, 499, "cancelled", now);
+	guard_work_free(work);
 	pump(guard, now);
 }
 
@@ -617,7 +426,7 @@
 	struct guard_work *w, *next;
 
 	HASH_ITER (hh, guard->works, w, next) {
-		if (w->cb != answer_remote || w->remote_id != id ||
+		if (w->cb != guard_work_answer_remote || w->remote_id != id ||
 		    !peer_remote_equal(&w->remote, remote))
 			continue;
 		guard_cancel(guard, w, base_now_us());
@@ -625,53 +434,6 @@
 	}
 }
 
-struct guard_work *guard_find_token(struct guard *guard, struct base_str token)
-{
-	struct guard_work *w = NULL;
-
-	if (token.len != TOKEN_LEN)
-		return NULL;
-	HASH_FIND(hh_token, guard->by_token, token.ptr, TOKEN_LEN, w);
-	return w;
-}
-
-const struct peer_context *guard_work_context(const struct guard_work *work)
-{
-	return &work->msg.request.context;
-}
-
-int64_t guard_work_deadline(const struct guard_work *work)
-{
-	return work->deadline;
-}
-
-const struct http_trace *guard_work_trace(const struct guard_work *work)
-{
-	return &work->trace;
-}
-
-void guard_work_onward_started(struct guard_work *work, int64_t now)
-{
-	if (!work->onward_open++)
-		work->onward_since = now;
-}
-
-void guard_work_onward_ended(struct guard_work *work, int32_t cutoff,
-			     bool retried, int64_t now)
-{
-	work->cutoff = overload_cutoff_stricter(work->cutoff, cutoff);
-	work->retried = work->retried || retried;
-	if (!--work->onward_open)
-		overload_guard_onward(work->guard->overload, work->id,
-				      now - work->onward_since);
-}
-
-void guard_work_set_end_cb(struct guard_work *work, guard_end_cb cb, void *ctx)
-{
-	work->end_cb = cb;
-	work->end_ctx = ctx;
-}
-
 struct routing_report guard_report(const struct guard *guard, int64_t now)
 {
 	struct routing_report report = { 0 };
@@ -754,7 +516,7 @@
 	if (!guard)
 		return;
 	HASH_ITER (hh, guard->works, w, next)
-		work_free(w);
+		guard_work_free(w);
 	http_client_destroy(guard->backend);
 	death_watch_destroy(guard->death);
 	overload_guard_destroy(guard->overload);
--- /dev/null
+++ b/packages/daemon/guard_answer.c
@@ -0,0 +1,150 @@
+/* How work of the guard ends: answers, refusals and spans. */
+#include "guard_work.h"
+#include "quarantine.h"
+#include "spans.h"
+
+#include <stdio.h>
+#include <string.h>
+
+void guard_work_free(struct guard_work *w)
+{
+	struct guard *g = w->guard;
+
+	quarantine_forget(g->node->quarantine, w->id);
+	HASH_DELETE(hh, g->works, w);
+	if (w->token[0])
+		HASH_DELETE(hh_token, g->by_token, w);
+	if (w->end_cb)
+		w->end_cb(w->end_ctx, w);
+	peer_message_release(&w->msg);
+	base_buf_release(&w->bytes);
+	free(w);
+}
+
+void guard_work_record_span(struct guard_work *w, int status,
+			    const char *decision, int64_t now)
+{
+	const struct peer_context *c = &w->msg.request.context;
+	struct http_trace parent = { 0 };
+	struct span span = {
+		.trace = w->trace,
+		.kind = "guard",
+		.started_at = w->submitted_at,
+		.duration_us = now - w->submitted_at,
+		.status = status,
+		.attempt = c->attempt,
+	};
+
+	if (http_trace_parse(c->traceparent, &parent))
+		memcpy(span.parent_id, parent.span_id, sizeof(span.parent_id));
+	snprintf(span.route, sizeof(span.route), "%.*s",
+		 BASE_STR_ARG(c->route));
+	snprintf(span.account, sizeof(span.account), "%.*s",
+		 BASE_STR_ARG(c->account));
+	snprintf(span.decision, sizeof(span.decision), "%s", decision);
+	snprintf(span.served_by, sizeof(span.served_by), "%s",
+		 w->guard->node->settings->vm);
+	spans_add(w->guard->node->spans, &span);
+}
+
+/* Adds the state of the guard, answers and frees the work. */
+static void guard_work_deliver(struct guard_work *w,
+			       const struct peer_answer *bare,
+			       const char *decision, int64_t now)
+{
+	struct guard *g = w->guard;
+	struct node *node = g->node;
+	struct routing_report report = guard_report(g, now);
+	struct peer_answer answer = *bare;
+	struct peer_cutoff cutoff = {
+		.level = (uint32_t)overload_cutoff_stricter(w->cutoff,
+							    guard_cutoff(g)),
+	};
+
+	if (node->self)
+		cutoff.service = node->self->service->name;
+	answer.load = report.load;
+	answer.limit = report.limit;
+	answer.draining = report.draining;
+	answer.cold_full = report.cold_full;
+	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
+	answer.retried = w->retried;
+	guard_work_record_span(w, (int)answer.status, decision, now);
+	if (!w->abandoned)
+		w->cb(w->ctx, &answer);
+	guard_work_free(w);
+}
+
+void guard_work_fail(struct guard_work *w, const struct guard_failure *failure,
+		     int64_t now)
+{
+	const char *name = http_refusal_name(failure->refusal);
+	struct peer_answer answer = {
+		.status = (uint32_t)http_refusal_code(failure->refusal),
+		.outcome = failure->outcome,
+		.reason = base_str_from(name),
+		.retry_after_ms = (uint32_t)(failure->retry_after_us / 1000),
+	};
+
+	guard_work_deliver(w, &answer, name, now);
+}
+
+void guard_work_fail_not_run(struct guard_work *w, enum http_refusal refusal,
+			     int64_t retry_after_us, int64_t now)
+{
+	struct guard_failure failure = { refusal, PEER_NOT_RUN,
+					 retry_after_us };
+
+	guard_work_fail(w, &failure, now);
+}
+
+void guard_work_answer(struct guard_work *w, const struct http_answer *http,
+		       int64_t now)
+{
+	struct peer_header *items =
+		base_alloc_array(http->headers.count, sizeof(*items));
+	struct peer_answer answer = {
+		.status = (uint32_t)http->status,
+		.outcome = PEER_RAN,
+		.body = http->body,
+	};
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < http->headers.count && n < PEER_LIST_MAX; i++) {
+		const struct http_header *h = &http->headers.items[i];
+
+		if (!http_header_is_hop_by_hop(h->name))
+			items[n++] = (struct peer_header){ h->name, h->value };
+	}
+	answer.headers = (struct peer_headers){ items, n };
+	guard_work_deliver(w, &answer, "answered", now);
+	free(items);
+}
+
+void guard_work_answer_remote(void *ctx, const struct peer_answer *answer)
+{
+	struct guard_work *w = ctx;
+	struct node *node = w->guard->node;
+	struct peer_message msg = {
+		.type = PEER_ANSWER,
+		.id = w->remote_id,
+		.answer = *answer,
+	};
+	enum peer_status status =
+		peer_transport_reply(node->transport, &w->remote, &msg);
+
+	if (status == PEER_ERR_TOO_LARGE) {
+		msg.answer = (struct peer_answer){
+			.status = 502,
+			.outcome = PEER_UNKNOWN,
+			.reason = BASE_STR("answer_too_large"),
+			.load = answer->load,
+			.limit = answer->limit,
+		};
+		status =
+			peer_transport_reply(node->transport, &w->remote, &msg);
+	}
+	if (status != PEER_OK)
+		node_count(node, "guard_answers_undeliverable");
+}
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -1,5 +1,5 @@
 /* Links to peers, heartbeats, relays and versions reported by peers. */
-#include "membership.h"
+#include "members.h"
 #include "claims.h"
 #include "entry.h"
 #include "guard.h"
@@ -10,15 +10,10 @@
 
 #include <inttypes.h>
 #include <string.h>
-#include <uthash.h>
 
 #define TICK_US (100 * BASE_MS_US)
-/* Bytes of a heartbeat with its reply on the wire, encryption included. */
-#define HEARTBEAT_BYTES 300
-#define HEARTBEAT_BYTES_PER_S 6000
-#define RELAYS_PER_DOMAIN 2
-/* A relay that is not up after this time is passed over. */
-#define RELAY_CONNECT_US (2 * BASE_SECOND_US)
+/* Ranking all VMs of nine domains takes a millisecond at 930 VMs. */
+#define RELAY_CHECK_US (500 * BASE_MS_US)
 /* Requests wait this long for a link that was just opened. */
 #define LINK_WAIT_US (300 * BASE_MS_US)
 #define LINK_IDLE_US (30 * BASE_SECOND_US)
@@ -27,282 +22,6 @@
 #define PROBES_PER_TICK 4
 #define ASK_WAIT_US BASE_SECOND_US
 
-/* An outgoing link, by the VM's number. */
-struct member {
-	uint32_t vm;
-	struct peer_link *link;
-	int64_t opened_at;
-	int64_t used_at;
-	int64_t heard_at;
-	int64_t sent_at;
-	uint64_t version;
-	bool relay;
-	bool asked;
-	UT_hash_handle hh;
-};
-
-/* A daemon that has a link to this one. */
-struct remote {
-	struct peer_remote handle;
-	char vm[65];
-	int64_t heard_at;
-	uint64_t version;
-	/** The list of VMs that was sent to it. */
-	uint64_t vm_list_serial;
-	UT_hash_handle hh;
-};
-
-struct domain_version {
-	char name[65];
-	uint64_t version;
-	UT_hash_handle hh;
-};
-
-struct membership {
-	struct node *node;
-	struct event *tick;
-	struct member *members;
-	struct remote *remotes;
-	struct domain_version *domains;
-	uint64_t highest_heard;
-	int64_t ask_until;
-	bool asking;
-	bool is_relay;
-	int64_t relay_since;
-	int64_t interval_us;
-};
-
-static int64_t heartbeat_interval(const struct membership *m)
-{
-	size_t links = HASH_COUNT(m->members) + HASH_COUNT(m->remotes);
-	int64_t us = (int64_t)links * HEARTBEAT_BYTES * BASE_SECOND_US /
-		     HEARTBEAT_BYTES_PER_S;
-
-	return us > ROUTING_HEARTBEAT_US ? us : ROUTING_HEARTBEAT_US;
-}
-
-static void fill_heartbeat(struct membership *m, struct peer_message *msg,
-			   struct peer_domain_version *domains, int64_t now)
-{
-	struct node *node = m->node;
-	struct routing_report report = guard_report(node->guard, now);
-	struct domain_version *d, *next;
-	size_t n = 0;
-
-	*msg = (struct peer_message){
-		.type = PEER_HEARTBEAT,
-		.heartbeat = {
-			.load = report.load,
-			.limit = report.limit,
-			.cold_full = report.cold_full,
-			.draining = report.draining,
-		},
-	};
-	if (node->snapshot) {
-		msg->heartbeat.version = (uint64_t)node->snapshot->version;
-		msg->heartbeat.hash = node->snapshot->digest;
-	}
-	HASH_ITER (hh, m->domains, d, next) {
-		if (n == PEER_LIST_MAX)
-			break;
-		domains[n++] =
-			(struct peer_domain_version){ base_str_from(d->name),
-						      d->version };
-	}
-	msg->heartbeat.domains = (struct peer_domain_versions){ domains, n };
-}
-
-static void send_heartbeat(struct membership *m, struct member *member,
-			   int64_t now)
-{
-	struct peer_domain_version domains[PEER_LIST_MAX];
-	struct peer_message msg;
-
-	fill_heartbeat(m, &msg, domains, now);
-	msg.id = 1;
-	member->sent_at = now;
-	peer_transport_send(m->node->transport, member->link, &msg);
-}
-
-static void reply_heartbeat(struct membership *m,
-			    const struct peer_remote *remote, int64_t now)
-{
-	struct peer_domain_version domains[PEER_LIST_MAX];
-	struct peer_message msg;
-
-	fill_heartbeat(m, &msg, domains, now);
-	peer_transport_reply(m->node->transport, remote, &msg);
-}
-
-static struct member *find_member(struct membership *m, uint32_t vm)
-{
-	struct member *member;
-
-	HASH_FIND(hh, m->members, &vm, sizeof(vm), member);
-	return member;
-}
-
-static struct member *open_member(struct membership *m,
-				  const struct config_vm *vm, int64_t now)
-{
-	uint32_t id = roster_vm_id(m->node->roster, vm->name);
-	struct member *member = find_member(m, id);
-	struct peer_link *link;
-
-	if (member)
-		return member;
-	link = peer_transport_link(m->node->transport, vm->address);
-	if (!link)
-		return NULL;
-	member = base_alloc(sizeof(*member));
-	member->vm = id;
-	member->link = link;
-	member->opened_at = now;
-	member->used_at = now;
-	peer_link_set_data(link, member);
-	HASH_ADD(hh, m->members, vm, sizeof(member->vm), member);
-	return member;
-}
-
-static void close_member(struct membership *m, struct member *member)
-{
-	HASH_DEL(m->members, member);
-	peer_transport_unlink(m->node->transport, member->link);
-	free(member);
-}
-
-struct peer_link *node_link(struct node *node, const struct config_vm *vm)
-{
-	struct member *member =
-		open_member(node->membership, vm, base_now_us());
-
-	return member ? member->link : NULL;
-}
-
-void membership_used(struct membership *m, struct peer_link *link, int64_t now)
-{
-	struct member *member = peer_link_data(link);
-
-	(void)m;
-	if (member)
-		member->used_at = now;
-}
-
-/* Whether a VM may act as relay, as far as this daemon can tell. */
-static bool may_relay(struct membership *m, const struct config_vm *vm,
-		      int64_t now)
-{
-	struct member *member;
-
-	if (vm->leaving)
-		return false;
-	if (node_is_self(m->node, vm))
-		return !m->node->draining;
-	member = open_member(m, vm, now);
-	if (!member)
-		return false;
-	member->relay = true;
-	return peer_link_is_up(member->link) ||
-	       now - member->opened_at < RELAY_CONNECT_US;
-}
-
-/* Keeps links to the relays of a domain; tells whether this VM is one. */
-static bool link_relays(struct membership *m, const struct config_domain *d,
-			int64_t now)
-{
-	const struct config_snapshot *s = m->node->snapshot;
-	const struct config_vm **ranked =
-		base_alloc_array(s->vm_count, sizeof(*ranked));
-	size_t n = config_snapshot_rank_vms(s, BASE_STR("relay"), d, NULL,
-					    ranked, s->vm_count);
-	bool self = false;
-	size_t found = 0;
-	size_t i;
-
-	for (i = 0; i < n && found < RELAYS_PER_DOMAIN; i++) {
-		if (!may_relay(m, ranked[i], now))
-			continue;
-		found++;
-		self = self || node_is_self(m->node, ranked[i]);
-	}
-	free(ranked);
-	return self;
-}
-
-static void post_role(struct membership *m, bool relay)
-{
-	struct control_message *msg = base_alloc(sizeof(*msg));
-
-	msg->type = CONTROL_ROLE;
-	msg->relay = relay;
-	control_post(m->node->control, msg);
-}
-
-static void update_relays(struct membership *m, int64_t now)
-{
-	struct node *node = m->node;
-	struct member *member, *next;
-	bool relay;
-	size_t i;
-
-	if (!node->self)
-		return;
-	HASH_ITER (hh, m->members, member, next)
-		member->relay = false;
-	relay = link_relays(m, node->self->domain, now);
-	for (i = 0; relay && i < node->snapshot->domain_count; i++)
-		if (&node->snapshot->domains[i] != node->self->domain)
-			link_relays(m, &node->snapshot->domains[i], now);
-	if (relay == m->is_relay)
-		return;
-	m->is_relay = relay;
-	m->relay_since = now;
-	post_role(m, relay);
-}
-
-static void set_domain_version(struct membership *m, struct base_str name,
-			       uint64_t version, int64_t now)
-{
-	struct domain_version *d;
-
-	if (name.len >= sizeof(d->name))
-		return;
-	HASH_FIND(hh, m->domains, name.ptr, name.len, d);
-	if (!d) {
-		d = base_alloc(sizeof(*d));
-		memcpy(d->name, name.ptr, name.len);
-		HASH_ADD(hh, m->domains, name[0], name.len, d);
-	}
-	if (version <= d->version)
-		return;
-	d->version = version;
-	claims_on_domain_version(m->node->claims, name, version, now);
-	rate_link_on_domain_version(m->node->rate_link, name, version, now);
-}
-
-/* A relay reports the oldest version that its domain's daemons have. */
-static void report_own_domain(struct membership *m, int64_t now)
-{
-	struct node *node = m->node;
-	struct remote *r, *next;
-	uint64_t oldest;
-
-	if (!m->is_relay || !node->self ||
-	    now - m->relay_since < 3 * m->interval_us)
-		return;
-	oldest = (uint64_t)node->snapshot->version;
-	HASH_ITER (hh, m->remotes, r, next) {
-		const struct config_vm *vm = config_snapshot_find_vm(
-			node->snapshot, base_str_from(r->vm));
-
-		if (vm && vm->domain == node->self->domain &&
-		    now - r->heard_at < 3 * m->interval_us &&
-		    r->version < oldest)
-			oldest = r->version;
-	}
-	set_domain_version(m, node->self->domain->name, oldest, now);
-}
-
 static void post_version(struct membership *m, uint64_t version,
 			 const struct base_digest *hash)
 {
@@ -319,16 +38,6 @@
 	control_post(m->node->control, msg);
 }
 
-static void take_domains(struct membership *m,
-			 const struct peer_heartbeat *beat, int64_t now)
-{
-	size_t i;
-
-	for (i = 0; i < beat->domains.count; i++)
-		set_domain_version(m, beat->domains.items[i].domain,
-				   beat->domains.items[i].version, now);
-}
-
 static void end_asking(struct membership *m, int64_t now)
 {
 	struct node *node = m->node;
@@ -366,12 +75,12 @@
 
 		if (node_is_self(m->node, ranked[i]))
 			continue;
-		member = open_member(m, ranked[i], now);
+		member = members_open(m, ranked[i], now);
 		if (!member)
 			continue;
 		member->asked = true;
 		if (peer_link_is_up(member->link))
-			send_heartbeat(m, member, now);
+			members_send_heartbeat(m, member, now);
 	}
 }
 
@@ -393,7 +102,7 @@
 	if (!member)
 		return;
 	vm = member->vm;
-	send_heartbeat(m, member, base_now_us());
+	members_send_heartbeat(m, member, base_now_us());
 	entry_on_link_up(m->node->entry, vm);
 }
 
@@ -424,7 +133,7 @@
 	if (beat->draining)
 		routing_drain_notice(m->node->routing, member->vm, now);
 	post_version(m, beat->version, &beat->hash);
-	take_domains(m, beat, now);
+	relays_take_domains(m, beat, now);
 	end_asking(m, now);
 }
 
@@ -527,12 +236,12 @@
 			 BASE_STR_ARG(msg->hello.vm));
 		r->version = msg->hello.version;
 		r->vm_list_serial = 0;
-		reply_heartbeat(m, remote, now);
+		members_reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_HEARTBEAT) {
 		r->version = msg->heartbeat.version;
 		post_version(m, msg->heartbeat.version, &msg->heartbeat.hash);
-		take_domains(m, &msg->heartbeat, now);
-		reply_heartbeat(m, remote, now);
+		relays_take_domains(m, &msg->heartbeat, now);
+		members_reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_CONFIG_GET) {
 		struct peer_message out = value_message(m->node, msg);
 
@@ -583,9 +292,9 @@
 
 	HASH_ITER (hh, m->members, member, next)
 		if (peer_link_is_up(member->link))
-			send_heartbeat(m, member, now);
+			members_send_heartbeat(m, member, now);
 	HASH_ITER (hh, m->remotes, r, next_remote)
-		reply_heartbeat(m, &r->handle, now);
+		members_reply_heartbeat(m, &r->handle, now);
 }
 
 static void tick_members(struct membership *m, int64_t now)
@@ -596,12 +305,12 @@
 		bool active = now - member->used_at < LINK_IDLE_US;
 
 		if (!active && !member->relay) {
-			close_member(m, member);
+			members_close(m, member);
 			continue;
 		}
 		if (peer_link_is_up(member->link) &&
 		    now - member->sent_at >= m->interval_us)
-			send_heartbeat(m, member, now);
+			members_send_heartbeat(m, member, now);
 	}
 }
 
@@ -648,9 +357,9 @@
 		struct member *member = NULL;
 
 		if (vm && !node_is_self(m->node, vm))
-			member = open_member(m, vm, now);
+			member = members_open(m, vm, now);
 		if (member && peer_link_is_up(member->link))
-			send_heartbeat(m, member, now);
+			members_send_heartbeat(m, member, now);
 	}
 }
 
@@ -673,13 +382,13 @@
 
 	node_touch(m->node, now);
 	seeds_tick(m->node->seeds);
-	m->interval_us = heartbeat_interval(m);
-	if (m->node->snapshot)
-		update_relays(m, now);
+	m->interval_us = members_heartbeat_interval(m);
+	if (m->node->snapshot && now - m->relays_checked_at >= RELAY_CHECK_US)
+		relays_update(m, now);
 	tick_members(m, now);
 	tick_remotes(m, now);
 	if (m->node->snapshot)
-		report_own_domain(m, now);
+		relays_report_own_domain(m, now);
 	end_asking(m, now);
 	report_self(m, now);
 	send_probes(m, now);
@@ -698,9 +407,9 @@
 		/* A VM that moved or was removed needs another link. */
 		if (!vm || !base_str_equal(vm->address,
 					   peer_link_address(member->link)))
-			close_member(m, member);
+			members_close(m, member);
 	}
-	update_relays(m, now);
+	relays_update(m, now);
 	if (m->asking)
 		start_asking(m, now);
 	membership_announce(m, now);
@@ -716,15 +425,6 @@
 	start_asking(m, now);
 }
 
-uint64_t membership_domain_version(const struct membership *m,
-				   struct base_str domain)
-{
-	struct domain_version *d;
-
-	HASH_FIND(hh, m->domains, domain.ptr, domain.len, d);
-	return d ? d->version : 0;
-}
-
 size_t membership_links_up(const struct membership *m)
 {
 	struct member *member, *next;
@@ -756,7 +456,7 @@
 	if (!m)
 		return;
 	HASH_ITER (hh, m->members, member, next)
-		close_member(m, member);
+		members_close(m, member);
 	HASH_ITER (hh, m->remotes, r, next_remote) {
 		HASH_DEL(m->remotes, r);
 		free(r);
--- a/tests/session_identity.sh
+++ b/tests/session_identity.sh
@@ -41,7 +41,7 @@
 	[ "$(executions_at reservations-1 delay-1500)" = 1 ]
 }
 wait_for 3 runs || fail "the long request does not run"
-token=$(sed -n 's/.*delay-1500 call=//p' "$WORK/backend-reservations-1.out")
+token=$(sed -n 's/.*delay-1500 call=\([^ ]*\).*/\1/p' "$WORK/backend-reservations-1.out")
 [ ${#token} -ge 32 ] || fail "the call token '$token' is short"
 # The key of another account does not change who the call runs for.
 onward /returns/42 -H "Bilberryhinge-Call: $token" \
