Start no work after a pause before callers that hung up are seen

Cause: the wake handler drained the peer sockets and then started work at once; connections of callers that had closed meanwhile were reported one turn of the loop later. It passed when the tick happened to run before the sockets. Ruled out: late cancels of peers, which are drained. The loop now runs 10 ms between the drain and the first start, so each hang-up cancels its queued work.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -24,6 +24,11 @@
 #define CALLER_IDLE_US (120 * BASE_SECOND_US)
 /* The loop runs at least this often, so a longer gap was a pause. */
 #define PAUSE_US BASE_SECOND_US
+/*
+ * After a pause the loop runs this long before work starts, so that it sees
+ * which callers hung up meanwhile.
+ */
+#define WAKE_CALLERS_US (10 * BASE_MS_US)
 #define DRAIN_POLL_US (20 * BASE_MS_US)
 /* Peers and callers learn of the stop before the daemon may end. */
 #define DRAIN_MIN_US BASE_SECOND_US
@@ -71,27 +76,44 @@
 	return node->paused_us != 0;
 }
 
-/* Runs after the callback that noticed the pause. */
+static void end_wake(struct node *node)
+{
+	int64_t paused_us = node->paused_us;
+	int64_t now = base_now_us();
+
+	node->touched_at = now;
+	node->paused_us = 0;
+	node->wake_drained = false;
+	guard_woke(node->guard, paused_us, now);
+}
+
+/*
+ * Runs after the callback that noticed the pause, and once more when the loop
+ * has seen which callers hung up meanwhile.
+ */
 static void on_wake(evutil_socket_t fd, short events, void *arg)
 {
 	struct node *node = arg;
-	int64_t paused_us = node->paused_us;
+	struct timeval callers = { .tv_usec = WAKE_CALLERS_US };
 	struct base_log_line line;
 	int64_t now;
 
+	if (node->wake_drained) {
+		end_wake(node);
+		return;
+	}
 	node_count(node, "pauses");
 	line = base_log_begin(node->log, BASE_LOG_WARN, "process_paused");
-	base_log_int(&line, "paused_ms", paused_us / 1000);
+	base_log_int(&line, "paused_ms", node->paused_us / 1000);
 	base_log_end(&line);
 	claims_woke(node->claims, base_now_us());
 	peer_transport_receive_pending(node->transport);
 	now = base_now_us();
-	node->touched_at = now;
-	node->paused_us = 0;
 	routing_woke(node->routing, now);
 	membership_woke(node->membership, now);
 	quarantine_woke(node->quarantine, now);
-	guard_woke(node->guard, paused_us, now);
+	node->wake_drained = true;
+	event_add(node->wake_event, &callers);
 }
 
 static bool same_routes(const struct config_snapshot *a,
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -44,6 +44,8 @@
 	/** The end of a pause was seen and the sockets are not drained yet. */
 	int64_t paused_us;
 	struct event *wake_event;
+	/** The peer sockets were drained; callers that hung up are next. */
+	bool wake_drained;
 
 	/** In force; NULL until the first activation. */
 	const struct config_snapshot *snapshot;
