Remove what nothing uses and share one loop of the transport tests

The tests keep their assertions. Left as they are: pairs that are alike in shape only, such as tables and vtables.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -213,7 +213,6 @@
 	size_t i;
 
 	make_token(w);
-	w->started_at = now;
 	split_target(r->path, &request);
 	for (i = 0; i < r->headers.count; i++)
 		http_headers_add(&request.headers, r->headers.items[i].name,
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -16,7 +16,6 @@
 	struct peer_message msg;
 	int64_t deadline;
 	int64_t submitted_at;
-	int64_t started_at;
 	guard_answer_cb cb;
 	void *ctx;
 	struct http_call *call;
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -425,16 +425,6 @@
 	start_asking(m, now);
 }
 
-size_t membership_links_up(const struct membership *m)
-{
-	struct member *member, *next;
-	size_t n = 0;
-
-	HASH_ITER (hh, m->members, member, next)
-		n += peer_link_is_up(member->link);
-	return n;
-}
-
 struct membership *membership_create(struct node *node)
 {
 	struct membership *m = base_alloc(sizeof(*m));
--- a/packages/daemon/membership.h
+++ b/packages/daemon/membership.h
@@ -35,6 +35,5 @@
 /** Oldest version reported by a failure domain; 0 when none was. */
 uint64_t membership_domain_version(const struct membership *m,
 				   struct base_str domain);
-size_t membership_links_up(const struct membership *m);
 
 #endif
--- a/packages/daemon/onward.c
+++ b/packages/daemon/onward.c
@@ -75,8 +75,3 @@
 {
 	return http_server_address(onward->server);
 }
-
-void onward_stop_accepting(struct onward *onward)
-{
-	http_server_stop_accepting(onward->server);
-}
--- a/packages/daemon/onward.h
+++ b/packages/daemon/onward.h
@@ -7,6 +7,5 @@
 struct onward *onward_create(struct node *node, struct base_error *err);
 void onward_destroy(struct onward *onward);
 const char *onward_address(const struct onward *onward);
-void onward_stop_accepting(struct onward *onward);
 
 #endif
--- a/packages/peer/tests/test_transport.c
+++ b/packages/peer/tests/test_transport.c
@@ -9,6 +9,18 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Runs two loops in turn until the node has seen the event or 10 s passed. */
+static void run_both_until(struct event_base *loop, struct event_base *other,
+			   struct node *node, const char *event)
+{
+	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
+
+	while (!node_saw(node, event) && base_now_us() < end) {
+		node_run_for(loop, 5 * BASE_MS_US);
+		node_run_for(other, 5 * BASE_MS_US);
+	}
+}
+
 /* Guards against answers that do not find the way back, or in another order. */
 Test(transport, replies_reach_the_sender_in_order)
 {
@@ -205,13 +217,9 @@
 	struct node *b = node_open(other);
 	struct peer_link *link = peer_transport_link(
 		a->transport, peer_transport_address(b->transport));
-	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
 
 	b->echo = true;
-	while (!node_saw(a, "u") && base_now_us() < end) {
-		node_run_for(loop, 5 * BASE_MS_US);
-		node_run_for(other, 5 * BASE_MS_US);
-	}
+	run_both_until(loop, other, a, "u");
 	node_send_request(a, link, 1);
 	node_send_request(a, link, 2);
 	node_run_until(b, "hmm");
@@ -236,12 +244,8 @@
 	struct node *b = node_open(other);
 	struct peer_link *link = peer_transport_link(
 		a->transport, peer_transport_address(b->transport));
-	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
 
-	while (!node_saw(b, "h") && base_now_us() < end) {
-		node_run_for(loop, 5 * BASE_MS_US);
-		node_run_for(other, 5 * BASE_MS_US);
-	}
+	run_both_until(loop, other, b, "h");
 	node_close(b);
 	node_run_for(other, 100 * BASE_MS_US);
 	cr_assert(peer_link_is_up(link));
@@ -266,13 +270,9 @@
 	struct peer_link *link = peer_transport_link(
 		a->transport, peer_transport_address(b->transport));
 	struct peer_message cancel = { .type = PEER_CANCEL, .id = 299 };
-	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
 	uint64_t i;
 
-	while (!node_saw(b, "h") && base_now_us() < end) {
-		node_run_for(loop, 5 * BASE_MS_US);
-		node_run_for(paused, 5 * BASE_MS_US);
-	}
+	run_both_until(loop, paused, b, "h");
 	for (i = 0; i < 300; i++)
 		cr_assert(eq(int, node_send_request(a, link, i), PEER_OK));
 	peer_transport_send(a->transport, link, &cancel);
@@ -299,14 +299,10 @@
 		a->transport, peer_transport_address(b->transport));
 	struct peer_message msg = { .type = PEER_REQUEST };
 	char *body = base_alloc(65536);
-	int64_t end = base_now_us() + 10 * BASE_SECOND_US;
 	enum peer_status status = PEER_OK;
 	int sent = 0;
 
-	while (!node_saw(b, "h") && base_now_us() < end) {
-		node_run_for(loop, 5 * BASE_MS_US);
-		node_run_for(stuck, 5 * BASE_MS_US);
-	}
+	run_both_until(loop, stuck, b, "h");
 	msg.request.body = (struct base_str){ body, 65536 };
 	while (status == PEER_OK && sent < 5000) {
 		status = peer_transport_send(a->transport, link, &msg);
