--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -11,6 +11,9 @@
 
 # bh_tests(NAME): one Criterion program from tests/*.c of the folder.
 function(bh_tests name)
+	if(NOT BH_TESTS)
+		return()
+	endif()
 	file(GLOB sources CONFIGURE_DEPENDS
 		${CMAKE_CURRENT_SOURCE_DIR}/tests/*.c)
 	add_executable(test_${name} ${sources})
--- a/packages/cli/command_explain.c
+++ b/packages/cli/command_explain.c
@@ -36,8 +36,9 @@
 	const char *colon = strchr(route, ':');
 	struct base_str method = { route, (size_t)(colon - route) };
 
-	x->route = config_snapshot_match_route(x->snapshot, method,
-					       base_str_from(colon + 1));
+	/* Routes of a set have no host. */
+	x->route = config_snapshot_match_route(
+		x->snapshot, BASE_STR_NONE, method, base_str_from(colon + 1));
 	if (!x->route)
 		fprintf(stderr, "%s: no route matches %.*s %s\n", program,
 			BASE_STR_ARG(method), colon + 1);
--- a/packages/config/build.c
+++ b/packages/config/build.c
@@ -116,7 +116,7 @@
 }
 
 /* Groups the VMs by service; each group is in the order of names. */
-static void link_service_vms(struct snapshot *s)
+void snapshot_link_vms(struct snapshot *s)
 {
 	struct config_service *services =
 		(struct config_service *)s->pub.services;
@@ -258,7 +258,7 @@
 	build_domains(s, set);
 	build_services(s, set);
 	build_vms(s, set);
-	link_service_vms(s);
+	snapshot_link_vms(s);
 	build_accounts(s, set);
 	build_keys(s, set);
 	build_priorities(s, set);
@@ -278,6 +278,7 @@
 	free((void *)s->pub.priorities);
 	free((void *)s->pub.routes);
 	free(s->service_vms);
+	free(s->splits);
 	free(s->keys_by_id);
 	free(s->routes_by_path);
 	free(s->texts);
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -203,6 +203,19 @@
 	 * "[v6]:port"; NUL-terminated. */
 	struct base_str address;
 	bool leaving;
+	/**
+	 * Identity of the running backend server, which it confirms for each
+	 * request; empty when the platform has none.
+	 */
+	struct base_str instance;
+	/** IP address and port of the backend server; empty when not known. */
+	struct base_str backend;
+	/** Requests that this backend server runs at once; 0 as its service. */
+	int64_t slots;
+	/** Time for which the backend server said that it stays cold. */
+	int64_t cold_left_us;
+	/** When the backend server started, milliseconds since 1970, or 0. */
+	int64_t started_ms;
 };
 
 struct config_service {
@@ -216,6 +229,10 @@
 	int64_t cold_slots;
 	/** Time from a cold start to full capacity, microseconds. */
 	int64_t cold_us;
+	/** Requests a second that a cold server bears; 0 to go by slots. */
+	double cold_rate;
+	/** Path of the backend server's own health check; empty for none. */
+	struct base_str health_path;
 	/** In the order of names. */
 	const struct config_vm *const *vms;
 	size_t vm_count;
@@ -230,6 +247,8 @@
 	int64_t burst;
 	int64_t weight;
 	bool cancelled;
+	/** Goes before the priority of the route; NULL for none. */
+	const struct config_priority *priority;
 };
 
 struct config_key {
@@ -249,21 +268,46 @@
 	uint32_t level;
 };
 
+/** One of several services that share the requests of a route. */
+struct config_split {
+	const struct config_service *service;
+	/** Share of the requests, relative to the other weights. */
+	int64_t weight;
+};
+
 struct config_route {
 	size_t index;
 	struct base_str name;
+	/** Without characters for any host. */
+	struct base_str host;
 	/** Without characters for any method. */
 	struct base_str method;
 	struct base_str path_prefix;
+	/** The only one, or the first of @p splits. */
 	const struct config_service *service;
+	const struct config_split *splits;
+	/** 0 when all requests go to @p service. */
+	size_t split_count;
 	const struct config_priority *priority;
 	bool idempotent;
+	/** Servers that one request may be sent to; 0 for no bound. */
+	int64_t max_attempts;
+	/** An answer within this time has its full worth; 0 when not known. */
+	int64_t target_us;
 	/** Runs without a key. */
 	bool open;
 	int64_t timeout_us;
 	int64_t max_body_bytes;
 };
 
+/** Bounds of what callers may send. A value of 0 sets no bound. */
+struct config_limits {
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
+};
+
 /**
  * One version of the configuration. Immutable: any thread may read it while it
  * holds a reference. Arrays are in the order of names, priorities from the
@@ -289,6 +333,7 @@
 	size_t priority_count;
 	const struct config_route *routes;
 	size_t route_count;
+	struct config_limits limits;
 };
 
 /**
@@ -313,6 +358,15 @@
 		       config_part_cb fetch, void *ctx,
 		       struct config_report *report, enum config_status *status,
 		       struct base_error *err);
+/**
+ * Copies a snapshot that another source than a manifest assembled. Its arrays
+ * are sorted by name, priorities by level; each index is the position in the
+ * array, and references point into the arrays of @p draft. The vms of services
+ * are filled in here.
+ * @return a snapshot with one reference that shares nothing with @p draft
+ */
+const struct config_snapshot *
+config_snapshot_copy(const struct config_snapshot *draft);
 /** Any thread that holds a reference. Returns @p snapshot. */
 const struct config_snapshot *
 config_snapshot_ref(const struct config_snapshot *snapshot);
@@ -322,13 +376,15 @@
 /**
  * Returns the route with the longest path prefix that ends on a segment
  * boundary of @p path; of equal prefixes the one with the exact method goes
- * before the one for any method. A route whose method does not fit is passed
- * over. Bytes are compared as they are; a query after '?' is ignored.
+ * before the one for any method. A route whose host or method does not fit is
+ * passed over. Bytes are compared as they are; a query after '?' is ignored.
+ * @param host  as the caller sent it, without the port
  * @return NULL when there is none
  */
 const struct config_route *
 config_snapshot_match_route(const struct config_snapshot *snapshot,
-			    struct base_str method, struct base_str path);
+			    struct base_str host, struct base_str method,
+			    struct base_str path);
 /** The following return NULL when there is none of that name or id. */
 const struct config_key *
 config_snapshot_find_key(const struct config_snapshot *snapshot,
--- a/packages/config/lookup.c
+++ b/packages/config/lookup.c
@@ -156,29 +156,44 @@
 	return low;
 }
 
+/* A named host goes before any host, then a method before any method. */
+static int specificity(const struct config_route *route, struct base_str host,
+		       struct base_str method)
+{
+	if (route->host.len && !base_str_equal_nocase(route->host, host))
+		return 0;
+	if (route->method.len && !base_str_equal(route->method, method))
+		return 0;
+	return 1 + 2 * (route->host.len != 0) + (route->method.len != 0);
+}
+
 static const struct config_route *match_prefix(const struct snapshot *s,
+					       struct base_str host,
 					       struct base_str method,
 					       struct base_str prefix)
 {
-	const struct config_route *any = NULL;
+	const struct config_route *best = NULL;
+	int most = 0;
 	size_t i;
 
 	for (i = first_route(s, prefix); i < s->pub.route_count; i++) {
 		const struct config_route *route = s->routes_by_path[i];
+		int fit = specificity(route, host, method);
 
 		if (!base_str_equal(route->path_prefix, prefix))
 			break;
-		if (!route->method.len)
-			any = route;
-		else if (base_str_equal(route->method, method))
-			return route;
+		if (fit <= most)
+			continue;
+		most = fit;
+		best = route;
 	}
-	return any;
+	return best;
 }
 
 const struct config_route *
 config_snapshot_match_route(const struct config_snapshot *snapshot,
-			    struct base_str method, struct base_str path)
+			    struct base_str host, struct base_str method,
+			    struct base_str path)
 {
 	const struct snapshot *s = (const struct snapshot *)snapshot;
 	const char *query = path.len ? memchr(path.ptr, '?', path.len) : NULL;
@@ -189,16 +204,17 @@
 	for (; len > 1; len--) {
 		struct base_str prefix = { path.ptr, len };
 		bool boundary = len == path.len || path.ptr[len] == '/' ||
-				path.ptr[len] == '?';
+				path.ptr[len] == '?' ||
+				path.ptr[len - 1] == '/';
 		const struct config_route *route;
 
 		if (len > s->longest_prefix || !boundary)
 			continue;
-		route = match_prefix(s, method, prefix);
+		route = match_prefix(s, host, method, prefix);
 		if (route)
 			return route;
 	}
-	return match_prefix(s, method, BASE_STR("/"));
+	return match_prefix(s, host, method, BASE_STR("/"));
 }
 
 struct ranked {
--- a/packages/config/snapshot.h
+++ b/packages/config/snapshot.h
@@ -14,6 +14,8 @@
 	size_t texts_len;
 	/** VMs grouped by service; services point into it. */
 	const struct config_vm **service_vms;
+	/** Splits of all routes; routes point into it. */
+	struct config_split *splits;
 	/** By id. */
 	const struct config_key **keys_by_id;
 	/** By path prefix, then method with "any" first. */
@@ -25,6 +27,8 @@
 void snapshot_index(struct snapshot *snapshot);
 /** Builds the arrays from a set that passed the check. */
 struct snapshot *snapshot_build(const struct config_set *set);
+/** Groups the VMs by service. */
+void snapshot_link_vms(struct snapshot *snapshot);
 void snapshot_free(struct snapshot *snapshot);
 
 const struct config_region *
--- a/packages/config/tests/test_snapshot.c
+++ b/packages/config/tests/test_snapshot.c
@@ -67,7 +67,8 @@
 
 	for (i = 0; i < BASE_ARRAY_SIZE(cases); i++) {
 		const struct config_route *route = config_snapshot_match_route(
-			s, base_str_from(cases[i].method),
+			s, BASE_STR("shop.example"),
+			base_str_from(cases[i].method),
 			base_str_from(cases[i].path));
 
 		if (cases[i].route)
--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -18,6 +18,8 @@
 struct admin {
 	struct node *node;
 	struct http_server *server;
+	/** Asked by the platform; NULL without an address of its own. */
+	struct http_server *ready;
 };
 
 static json_t *text_json(const struct base_buf *buf)
@@ -116,8 +118,10 @@
 	} else if (base_str_equal(path, BASE_STR("/spans"))) {
 		spans_render(node->spans, &body);
 		type = BASE_STR("application/x-ndjson");
-	} else if (base_str_equal(path, BASE_STR("/ready"))) {
-		if (!membership_ready(node->membership) || node->draining)
+	} else if (base_str_equal(
+			   path, base_str_from(node->dialect->ready_path))) {
+		if (!node->snapshot || !membership_ready(node->membership) ||
+		    node->draining)
 			status = 503;
 		base_buf_addf(&body, "%s\n", status == 200 ? "ok" : "no");
 	} else {
@@ -143,11 +147,16 @@
 	};
 
 	admin->node = node;
-	if (http_server_create(node->base, &settings, &admin->server, err)) {
-		free(admin);
-		return NULL;
-	}
-	return admin;
+	if (http_server_create(node->base, &settings, &admin->server, err))
+		goto fail;
+	if (!*node->settings->ready_listen)
+		return admin;
+	settings.listen = base_str_from(node->settings->ready_listen);
+	if (!http_server_create(node->base, &settings, &admin->ready, err))
+		return admin;
+fail:
+	admin_destroy(admin);
+	return NULL;
 }
 
 void admin_destroy(struct admin *admin)
@@ -155,6 +164,7 @@
 	if (!admin)
 		return;
 	http_server_destroy(admin->server);
+	http_server_destroy(admin->ready);
 	free(admin);
 }
 
--- /dev/null
+++ b/packages/daemon/backend_health.c
@@ -0,0 +1,103 @@
+/* Health checks of the own backend server. */
+#include "backend_health.h"
+
+/* A health check waits for a slot like any other request. */
+#define CHECK_TIMEOUT_US BASE_SECOND_US
+/* A server that is down is back after some seconds; checks have a price. */
+#define CHECK_AGAIN_US (150 * BASE_MS_US)
+
+struct backend_health {
+	struct node *node;
+	struct http_client *client;
+	struct http_call *call;
+	struct event *timer;
+	backend_health_cb cb;
+	void *ctx;
+};
+
+static struct base_str find(const struct http_answer *answer, const char *name)
+{
+	if (!name)
+		return BASE_STR_NONE;
+	return http_headers_find(&answer->headers, base_str_from(name));
+}
+
+static void again(struct backend_health *h)
+{
+	struct timeval tv = { .tv_usec = CHECK_AGAIN_US };
+
+	event_add(h->timer, &tv);
+}
+
+static void on_answer(void *ctx, enum http_result result,
+		      const struct http_answer *answer)
+{
+	struct backend_health *h = ctx;
+	const struct dialect_headers *names = &h->node->dialect->headers;
+	struct backend_health_report report = { 0 };
+	int64_t cold_ms = 0;
+
+	h->call = NULL;
+	if (result != HTTP_RESULT_ANSWERED) {
+		again(h);
+		return;
+	}
+	report.instance = find(answer, names->instance);
+	if (base_str_to_i64(find(answer, names->cold_ms), &cold_ms))
+		report.cold_us = cold_ms * BASE_MS_US;
+	/* One that does not say who it is has rejected the check. */
+	if ((names->instance && !report.instance.len) ||
+	    !h->cb(h->ctx, &report))
+		again(h);
+}
+
+static void start(struct backend_health *h)
+{
+	struct node *node = h->node;
+	struct http_request request = { .method = BASE_STR("GET") };
+
+	if (h->call || !node->self)
+		return;
+	request.path = node->self->service->health_path;
+	node_count(node, "backend_checks");
+	h->call = http_client_send(h->client, &request, CHECK_TIMEOUT_US,
+				   on_answer, h);
+	if (!h->call)
+		again(h);
+}
+
+static void on_timer(evutil_socket_t fd, short events, void *arg)
+{
+	start(arg);
+}
+
+void backend_health_check(struct backend_health *h, int64_t now)
+{
+	(void)now;
+	if (!evtimer_pending(h->timer, NULL))
+		start(h);
+}
+
+struct backend_health *backend_health_create(struct node *node,
+					     struct http_client *client,
+					     backend_health_cb cb, void *ctx)
+{
+	struct backend_health *h = base_alloc(sizeof(*h));
+
+	h->node = node;
+	h->client = client;
+	h->cb = cb;
+	h->ctx = ctx;
+	h->timer = evtimer_new(node->base, on_timer, h);
+	return h;
+}
+
+void backend_health_destroy(struct backend_health *h)
+{
+	if (!h)
+		return;
+	if (h->call)
+		http_call_cancel(h->call);
+	event_free(h->timer);
+	free(h);
+}
--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -1,6 +1,7 @@
 /* The control task: platform watches, candidates, activation. */
 #include "control.h"
 #include "candidate.h"
+#include "registry_task.h"
 #include "watch.h"
 
 #include <event2/event.h>
@@ -16,6 +17,8 @@
 	struct base_mailbox *outbox;
 	struct base_log *log;
 	struct base_counters *counters;
+	/** Of a platform with a registry; the fields below are unused then. */
+	struct registry_task *registry;
 	struct watch *manifest_watch;
 	struct watch *vms_watch;
 	struct watch_source *platform;
@@ -344,14 +347,22 @@
 
 	switch (m->type) {
 	case CONTROL_PEER_VERSION:
-		on_peer_version(c, m, now);
+		if (c->registry)
+			registry_task_on_peer_version(c->registry, m->version,
+						      now);
+		else
+			on_peer_version(c, m, now);
 		break;
 	case CONTROL_PEER_VALUE:
-		on_peer_value(c, m, now);
+		if (c->registry)
+			registry_task_on_peer_value(c->registry, m, now);
+		else
+			on_peer_value(c, m, now);
 		break;
 	case CONTROL_ROLE:
 		c->relay = m->relay;
-		choose_watches(c, now);
+		if (!c->registry)
+			choose_watches(c, now);
 		break;
 	case CONTROL_STOP:
 		event_base_loopbreak(c->base);
@@ -372,6 +383,10 @@
 	struct control *c = arg;
 	int64_t now = base_now_us();
 
+	if (c->registry) {
+		registry_task_tick(c->registry, now);
+		return;
+	}
 	choose_watches(c, now);
 	advance(c, now);
 }
@@ -391,6 +406,7 @@
 	watch_destroy(c->manifest_watch);
 	watch_destroy(c->vms_watch);
 	watch_source_destroy(c->platform);
+	registry_task_destroy(c->registry);
 	if (c->inbox_event)
 		event_free(c->inbox_event);
 	if (c->tick)
@@ -400,7 +416,38 @@
 	free(c);
 }
 
+static bool open_platform(struct control *c,
+			  const struct daemon_settings *settings,
+			  const struct daemon_dialect *dialect,
+			  struct base_error *err)
+{
+	struct registry_task_settings registry = {
+		.platform = settings->platform,
+		.peer_listen = settings->peer_listen,
+		.region = settings->region,
+		.codec = dialect->registry,
+		.outbox = c->outbox,
+		.log = c->log,
+		.counters = c->counters,
+	};
+
+	if (dialect->registry) {
+		c->registry = registry_task_create(c->base, &registry, err);
+		return c->registry != NULL;
+	}
+	c->platform = watch_source_create(c->base, settings->platform,
+					  on_platform_value, on_platform_state,
+					  c, err);
+	if (!c->platform)
+		return false;
+	c->manifest_watch = watch_create(c->platform, CONFIG_KEY_MANIFEST);
+	c->vms_watch = watch_create(c->platform, CONFIG_KEY_VMS);
+	choose_watches(c, base_now_us());
+	return true;
+}
+
 struct control *control_create(const struct daemon_settings *settings,
+			       const struct daemon_dialect *dialect,
 			       struct base_mailbox *out_box,
 			       struct base_log *log,
 			       struct base_counters *counters,
@@ -413,17 +460,15 @@
 	c->log = log;
 	c->counters = counters;
 	c->inbox = base_mailbox_create();
-	c->platform = watch_source_create(c->base, settings->platform,
-					  on_platform_value, on_platform_state,
-					  c, err);
-	c->manifest_watch = watch_create(c->platform, CONFIG_KEY_MANIFEST);
-	c->vms_watch = watch_create(c->platform, CONFIG_KEY_VMS);
+	if (!open_platform(c, settings, dialect, err)) {
+		release(c);
+		return NULL;
+	}
 	c->inbox_event = event_new(c->base, base_mailbox_fd(c->inbox),
 				   EV_READ | EV_PERSIST, on_inbox, c);
 	event_add(c->inbox_event, NULL);
 	c->tick = event_new(c->base, -1, EV_PERSIST, on_tick, c);
 	event_add(c->tick, &(struct timeval){ .tv_usec = TICK_US });
-	choose_watches(c, base_now_us());
 	if (pthread_create(&c->thread, NULL, run, c)) {
 		base_error_set(err, "cannot start the control task");
 		release(c);
--- a/packages/daemon/control.h
+++ b/packages/daemon/control.h
@@ -3,6 +3,7 @@
 #define CONTROL_H
 
 #include "daemon.h"
+#include "dialect.h"
 #include "messages.h"
 
 /** A new manifest waits this long for competing publications. */
@@ -17,6 +18,7 @@
  * @param out_box  receives struct data_message; outlives the control task
  */
 struct control *control_create(const struct daemon_settings *settings,
+			       const struct daemon_dialect *dialect,
 			       struct base_mailbox *out_box,
 			       struct base_log *log,
 			       struct base_counters *counters,
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -148,8 +148,10 @@
 			node->pressure, (uint32_t)node->snapshot->route_count);
 	peer_transport_set_version(node->transport, (uint64_t)msg->version);
 	guard_configure(node->guard, now);
-	claims_configure(node->claims, before, now);
-	rate_link_configure(node->rate_link, before, now);
+	if (node->dialect->idempotency_keys)
+		claims_configure(node->claims, before, now);
+	if (node->dialect->granted_rates)
+		rate_link_configure(node->rate_link, before, now);
 	vm_list_apply(node->vm_list);
 	membership_configure(node->membership, now);
 	quarantine_configure(node->quarantine, now);
@@ -494,6 +496,7 @@
 }
 
 enum daemon_status daemon_create(const struct daemon_settings *settings,
+				 const struct daemon_dialect *dialect,
 				 struct daemon **out, struct base_error *err)
 {
 	struct daemon *d = base_alloc(sizeof(*d));
@@ -501,6 +504,7 @@
 	enum daemon_status status;
 
 	node->settings = settings;
+	node->dialect = dialect;
 	if (sodium_init() < 0) {
 		base_error_set(err, "libsodium cannot be initialised");
 		free(d);
@@ -518,7 +522,7 @@
 				   EV_READ | EV_PERSIST, on_inbox, node);
 	event_add(d->inbox_event, NULL);
 	log_start(d);
-	node->control = control_create(settings, node->inbox, node->log,
+	node->control = control_create(settings, dialect, node->inbox, node->log,
 				       node->counters, err);
 	if (!node->control) {
 		daemon_destroy(d);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -29,9 +29,16 @@
 struct daemon_settings {
 	char *vm;
 	char *domain;
+	char *region;
+	/** Of the own backend server; empty to go by the configuration. */
+	char *service;
+	/** "native" or "platform". */
+	char *dialect;
 	char *caller_listen;
 	char *onward_listen;
 	char *admin_listen;
+	/** Readiness for the platform; empty to have it on admin_listen only. */
+	char *ready_listen;
 	char *peer_listen;
 	char *backend;
 	char *platform;
@@ -60,8 +67,11 @@
 
 struct daemon;
 
+struct daemon_dialect;
+
 /** Binds all interfaces and starts the control task. */
 enum daemon_status daemon_create(const struct daemon_settings *settings,
+				 const struct daemon_dialect *dialect,
 				 struct daemon **out, struct base_error *err);
 /** Serves until SIGTERM or SIGINT, then drains and returns. */
 void daemon_run(struct daemon *daemon);
--- /dev/null
+++ b/packages/daemon/dialect.c
@@ -0,0 +1,72 @@
+/* The native dialect. */
+#include "dialect.h"
+
+#include <string.h>
+
+#define OWN_PREFIX "Bilberryhinge-"
+
+static bool split_native(struct base_str authorization,
+			 char id_buf[CONFIG_CREDENTIAL_ID_LEN + 1],
+			 struct base_str *id, struct base_str *secret)
+{
+	static const struct base_str scheme = { "Bearer ", 7 };
+
+	(void)id_buf;
+	if (!base_str_starts_with(authorization, scheme))
+		return false;
+	authorization.ptr += scheme.len;
+	authorization.len -= scheme.len;
+	return config_credential_split(authorization, id, secret);
+}
+
+static const struct daemon_dialect native = {
+	.name = "native",
+	.headers = {
+		.timeout_ms = OWN_PREFIX "Timeout-Ms",
+		.account = OWN_PREFIX "Account",
+		.call_token = OWN_PREFIX "Call",
+		.served_by = OWN_PREFIX "Served-By",
+	},
+	.ready_path = "/ready",
+	.idempotency_keys = true,
+	.granted_rates = true,
+	.trace_context = true,
+	.credential = split_native,
+};
+
+const struct daemon_dialect *dialect_native(void)
+{
+	return &native;
+}
+
+void dialect_derive_key_id(struct base_str secret,
+			   char id[CONFIG_CREDENTIAL_ID_LEN + 1])
+{
+	struct base_digest digest = base_digest_of(secret);
+	char hex[2 * BASE_DIGEST_SIZE + 1];
+
+	base_digest_hex(&digest, hex);
+	memcpy(id, hex, CONFIG_CREDENTIAL_ID_LEN);
+	id[CONFIG_CREDENTIAL_ID_LEN] = '\0';
+}
+
+static bool is_named(struct base_str name, const char *header)
+{
+	return header && base_str_equal_nocase(name, base_str_from(header));
+}
+
+bool dialect_is_reserved(const struct daemon_dialect *dialect,
+			 struct base_str name)
+{
+	const struct dialect_headers *h = &dialect->headers;
+	size_t prefix = sizeof(OWN_PREFIX) - 1;
+
+	return is_named(name, "Authorization") || is_named(name, "traceparent") ||
+	       is_named(name, "Idempotency-Key") ||
+	       is_named(name, h->timeout_ms) || is_named(name, h->account) ||
+	       is_named(name, h->caller_service) ||
+	       is_named(name, h->expect_instance) ||
+	       is_named(name, h->call_token) ||
+	       (name.len >= prefix &&
+		!strncasecmp(name.ptr, OWN_PREFIX, prefix));
+}
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -30,26 +30,16 @@
 
 static struct base_str header(const struct flow *f, const char *name)
 {
+	if (!name)
+		return BASE_STR_NONE;
 	return http_headers_find(&f->ex->request.headers, base_str_from(name));
 }
 
 /* Headers that the system sets itself, or that could carry a key. */
-static bool is_reserved(const struct http_header *h)
+static bool is_reserved(const struct flow *f, const struct http_header *h)
 {
-	static const char *const names[] = {
-		"Authorization",
-		"traceparent",
-		"Idempotency-Key",
-	};
-	size_t i;
-
-	for (i = 0; i < BASE_ARRAY_SIZE(names); i++)
-		if (base_str_equal_nocase(h->name, base_str_from(names[i])))
-			return true;
-	if (h->name.len >= 14 &&
-	    !strncasecmp(h->name.ptr, "Bilberryhinge-", 14))
-		return true;
-	return memmem(h->value.ptr, h->value.len, CONFIG_CREDENTIAL_PREFIX,
+	return dialect_is_reserved(f->node->dialect, h->name) ||
+	       memmem(h->value.ptr, h->value.len, CONFIG_CREDENTIAL_PREFIX,
 		      sizeof(CONFIG_CREDENTIAL_PREFIX) - 1) != NULL;
 }
 
@@ -66,9 +56,14 @@
 	for (i = 0; i < r->headers.count; i++) {
 		const struct http_header *h = &r->headers.items[i];
 
-		if (!is_reserved(h) && !http_header_is_hop_by_hop(h->name))
+		if (!is_reserved(f, h) && !http_header_is_hop_by_hop(h->name) &&
+		    !http_headers_names_connection(&r->headers, h->name))
 			http_headers_add(&f->headers, h->name, h->value);
 	}
+	if (f->node->dialect->forwards_host)
+		http_headers_add(&f->headers, BASE_STR("Host"),
+				 header(f, "Host"));
+	f->request_id = header(f, f->node->dialect->headers.request_id);
 }
 
 static void start_trace(struct flow *f)
@@ -79,7 +74,8 @@
 		parent = *guard_work_trace(f->parent);
 		http_trace_child(&parent, &f->trace);
 		memcpy(f->parent_span, parent.span_id, sizeof(f->parent_span));
-	} else if (http_trace_parse(header(f, "traceparent"), &parent)) {
+	} else if (f->node->dialect->trace_context &&
+		   http_trace_parse(header(f, "traceparent"), &parent)) {
 		http_trace_child(&parent, &f->trace);
 		memcpy(f->parent_span, parent.span_id, sizeof(f->parent_span));
 	} else {
@@ -89,7 +85,8 @@
 
 static bool set_deadline(struct flow *f, int64_t now)
 {
-	struct base_str text = header(f, "Bilberryhinge-Timeout-Ms");
+	struct base_str text =
+		header(f, f->node->dialect->headers.timeout_ms);
 	int64_t us = f->route->timeout_us;
 	int64_t ms;
 	struct timeval tv;
@@ -113,16 +110,12 @@
 /* Each failed check looks the same, so that ids cannot be probed. */
 static bool authenticate(struct flow *f)
 {
-	static const struct base_str scheme = { "Bearer ", 7 };
-	struct base_str text = header(f, "Authorization");
+	char id_buf[CONFIG_CREDENTIAL_ID_LEN + 1];
 	struct base_str id, secret;
 	const struct config_key *key;
 
-	if (!base_str_starts_with(text, scheme))
-		return false;
-	text.ptr += scheme.len;
-	text.len -= scheme.len;
-	if (!config_credential_split(text, &id, &secret))
+	if (!f->node->dialect->credential(header(f, "Authorization"), id_buf,
+					  &id, &secret))
 		return false;
 	key = config_snapshot_find_key(f->snapshot, id);
 	if (!key || !config_credential_verify(key, secret) || key->withdrawn)
@@ -136,6 +129,8 @@
 	struct base_str text = header(f, "Idempotency-Key");
 	struct retry_key key;
 
+	if (!f->node->dialect->idempotency_keys)
+		return true;
 	if (!text.ptr) {
 		if (f->route->idempotent)
 			return true;
@@ -171,13 +166,42 @@
 	}
 	if (!set_deadline(f, now)) {
 		refuse(f, HTTP_REFUSAL_BAD_REQUEST,
-		       "Bilberryhinge-Timeout-Ms is not a positive number",
+		       "the time that the caller waits is not a positive "
+		       "number",
 		       now);
 		return false;
 	}
 	return check_idempotency_key(f, now);
 }
 
+/* One of the services that share the route, by weight. */
+static const struct config_service *choose_service(struct flow *f)
+{
+	const struct config_route *route = f->route;
+	int64_t total = 0;
+	int64_t drawn;
+	size_t i;
+
+	for (i = 0; i < route->split_count; i++)
+		total += route->splits[i].weight;
+	if (total <= 0)
+		return route->service;
+	drawn = (int64_t)base_rand_below(&f->node->rnd, (uint32_t)total);
+	for (i = 0; drawn >= route->splits[i].weight; i++)
+		drawn -= route->splits[i].weight;
+	return route->splits[i].service;
+}
+
+static struct base_str host_of(const struct flow *f)
+{
+	struct base_str host = header(f, "Host");
+	const char *colon = host.len ? memchr(host.ptr, ':', host.len) : NULL;
+
+	if (colon)
+		host.len = (size_t)(colon - host.ptr);
+	return host;
+}
+
 static bool match_route(struct flow *f, int64_t now)
 {
 	const struct http_request *r = &f->ex->request;
@@ -187,9 +211,13 @@
 		       "no configuration is in force yet", now);
 		return false;
 	}
-	f->route = config_snapshot_match_route(f->snapshot, r->method, r->path);
-	if (f->route)
+	f->route = config_snapshot_match_route(f->snapshot, host_of(f),
+					       r->method, r->path);
+	if (f->route) {
+		f->service = choose_service(f);
+		f->priority = f->route->priority;
 		return true;
+	}
 	refuse(f, HTTP_REFUSAL_NO_ROUTE, "no route has this method and path",
 	       now);
 	return false;
@@ -199,7 +227,7 @@
 {
 	struct overload_request request = {
 		.route = (uint32_t)f->route->index,
-		.level = (uint8_t)f->route->priority->level,
+		.level = (uint8_t)f->priority->level,
 		.idempotent = f->route->idempotent,
 		.account =
 			f->account ? (uint32_t)f->account->index : UINT32_MAX,
@@ -257,7 +285,7 @@
 	struct rate_link *link = f->node->rate_link;
 	struct rate_decision decision;
 
-	if (f->onward || !f->account) {
+	if (f->onward || !f->account || !f->node->dialect->granted_rates) {
 		admit_by_pressure(f, now);
 		return;
 	}
@@ -303,6 +331,11 @@
 		       "no key, or one that is not in force", now);
 		return;
 	}
+	if (f->account && f->account->priority)
+		f->priority = f->account->priority;
+	/* Calls of backend servers come without a key on routes open to all. */
+	if (!f->node->dialect->headers.call_token && !f->account)
+		f->onward = true;
 	if (f->account && f->account->cancelled) {
 		refuse(f, HTTP_REFUSAL_FORBIDDEN,
 		       "the client account is cancelled", now);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -147,12 +147,14 @@
 		.refusal = refusal->refusal,
 		.not_run = refusal->not_run,
 		.retry_after_us = refusal->retry_after_us,
+		.status_promises = f->node->dialect->status_promises,
 		.detail = base_str_from(refusal->detail),
 	};
-	int code = http_refusal_code(refusal->refusal);
+	int code;
 
 	if (f->may_have_run)
 		details.not_run = false;
+	code = http_refusal_status(&details);
 	count_refusal(f, refusal->refusal);
 	record_span(f, code, http_refusal_name(refusal->refusal), now);
 	end_claim(f, NULL, details.not_run, now);
@@ -185,9 +187,11 @@
 	for (i = 0; i < answer->headers.count; i++)
 		http_headers_add(&headers, answer->headers.items[i].name,
 				 answer->headers.items[i].value);
-	if (vm && f->tries)
-		http_headers_add(&headers, BASE_STR("Bilberryhinge-Served-By"),
-				 vm->name);
+	if (vm && f->tries && f->node->dialect->headers.served_by)
+		http_headers_add(
+			&headers,
+			base_str_from(f->node->dialect->headers.served_by),
+			vm->name);
 	node_count(f->node, "answers");
 	if (f->ex)
 		http_exchange_reply(f->ex, (int)answer->status, &headers,
@@ -360,13 +364,17 @@
 		.context = {
 			.account = account_name(f),
 			.route = f->route->name,
-			.priority = f->route->priority->level,
+			.priority = f->priority->level,
 			.attempt = f->attempt,
 			.idempotency_key = base_buf_str(&f->key),
 			.traceparent = base_str_from(traceparent),
 			.remaining_us = f->deadline - now,
 			.depth = f->depth,
 			.open = f->route->open,
+			.service = f->service->name,
+			.caller_service =
+				base_str_from(f->node->settings->service),
+			.idempotent = f->route->idempotent,
 		},
 	};
 }
@@ -466,8 +474,7 @@
 	struct node *node = f->node;
 	const struct config_vm *vm;
 	struct routing_query query = {
-		.service = roster_service_id(node->roster,
-					     f->route->service->name),
+		.service = roster_service_id(node->roster, f->service->name),
 		.excluded = f->tried,
 		.excluded_len = f->tries,
 		.avoid_trial = !f->route->idempotent,
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -31,6 +31,10 @@
 	/** Keeps route and account valid over configuration changes. */
 	const struct config_snapshot *snapshot;
 	const struct config_route *route;
+	/** The one of the route that runs this request. */
+	const struct config_service *service;
+	/** Of the account, else of the route. */
+	const struct config_priority *priority;
 	/** NULL on open routes. */
 	const struct config_account *account;
 	/** NULL once the caller has gone. */
@@ -38,6 +42,8 @@
 	/** Work that made this onward call; NULL for callers and when ended. */
 	struct guard_work *parent;
 	bool onward;
+	/** As the caller named it; empty when the dialect has no such name. */
+	struct base_str request_id;
 	enum flow_state state;
 
 	struct base_buf target;
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -1,5 +1,6 @@
 /* The guard: queue, start, cancel and answer work of the own backend server. */
 #include "guard_work.h"
+#include "backend_health.h"
 #include "death.h"
 #include "membership.h"
 
@@ -8,17 +9,33 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Some backend servers slow down when more of their slots are in use. */
+#define SLOTS_USED 0.94
+
+/* A backend server that has rejected a request is full for a moment. */
+#define BACKEND_REJECTED_RETRY_US (200 * BASE_MS_US)
+
+static uint32_t at_least_1(int64_t value)
+{
+	return value > 1 ? (uint32_t)value : 1;
+}
+
 static struct overload_guard_config bounds_of(struct node *node)
 {
-	const struct config_service *s = node->self->service;
+	const struct config_vm *vm = node->self;
+	const struct config_service *s = vm->service;
 	struct overload_guard_config config = {
-		.slots = (uint32_t)s->slots,
-		.connections = (uint32_t)s->connections,
-		.cold_slots = (uint32_t)s->cold_slots,
+		.slots = at_least_1(s->slots),
+		.connections = at_least_1(s->connections),
+		.cold_slots = at_least_1(s->cold_slots),
 		.cold_us = s->cold_us,
+		.cold_rate = s->cold_rate,
 		.seed = node->incarnation,
 	};
 
+	if (vm->slots)
+		config.slots = at_least_1((int64_t)(SLOTS_USED *
+						    (double)vm->slots));
 	return config;
 }
 
@@ -49,6 +66,54 @@
 
 static void pump(struct guard *g, int64_t now);
 
+/* Nothing is sent before the backend server has said who it is. */
+static void hold(struct guard *g, const char *why, int64_t now)
+{
+	struct base_log_line line;
+
+	if (!g->overload || !g->node->dialect->headers.instance)
+		return;
+	if (!overload_guard_is_held(g->overload)) {
+		line = base_log_begin(g->node->log, BASE_LOG_INFO,
+				      "backend_held");
+		base_log_cstr(&line, "why", why);
+		base_log_str(&line, "instance", base_buf_str(&g->instance));
+		base_log_end(&line);
+	}
+	overload_guard_hold(g->overload, now);
+	backend_health_check(g->health, now);
+}
+
+/* The platform's list may lag behind a restart, or be out of reach. */
+static bool is_own_instance(const struct guard *g, struct base_str instance)
+{
+	const struct node *node = g->node;
+
+	return !node->platform_up ||
+	       base_str_equal(node->self->instance, instance);
+}
+
+static bool on_health(void *ctx, const struct backend_health_report *report)
+{
+	struct guard *g = ctx;
+	struct node *node = g->node;
+	int64_t now = base_now_us();
+	struct base_log_line line;
+
+	if (!g->overload || !node->self ||
+	    !is_own_instance(g, report->instance))
+		return false;
+	base_buf_reset(&g->instance);
+	base_buf_add_str(&g->instance, report->instance);
+	overload_guard_ready(g->overload, report->cold_us, now);
+	line = base_log_begin(node->log, BASE_LOG_INFO, "backend_ready");
+	base_log_str(&line, "instance", report->instance);
+	base_log_int(&line, "cold_ms", report->cold_us / BASE_MS_US);
+	base_log_end(&line);
+	pump(g, now);
+	return true;
+}
+
 /* The backend server says by these that it could not take the work. */
 static bool is_overload_status(int status)
 {
@@ -74,6 +139,38 @@
 	return lost;
 }
 
+/* Another backend server has the address. */
+#define STATUS_MISDIRECTED 421
+
+/* The backend server says that it has not run the request. */
+static bool proves_not_run(const struct guard *g, const struct http_answer *http)
+{
+	const char *name = g->node->dialect->headers.not_run;
+
+	if (!name)
+		return false;
+	return http->status == STATUS_MISDIRECTED ||
+	       http_headers_find(&http->headers, base_str_from(name)).ptr;
+}
+
+static void on_not_run(struct guard_work *w, const struct http_answer *http,
+		       int64_t now)
+{
+	struct guard *g = w->guard;
+	bool misdirected = http->status == STATUS_MISDIRECTED;
+
+	node_count(g->node, misdirected ? "backend_misdirected"
+					: "backend_rejected");
+	if (misdirected)
+		hold(g, "another server has the address", now);
+	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
+	guard_work_fail_not_run(w,
+				misdirected ? HTTP_REFUSAL_NO_SERVER
+					    : HTTP_REFUSAL_OVERLOADED,
+				BACKEND_REJECTED_RETRY_US, now);
+	pump(g, now);
+}
+
 static void on_backend(void *ctx, enum http_result result,
 		       const struct http_answer *http)
 {
@@ -84,6 +181,10 @@
 	struct guard_failure failure;
 
 	w->call = NULL;
+	if (result == HTTP_RESULT_ANSWERED && proves_not_run(g, http)) {
+		on_not_run(w, http, now);
+		return;
+	}
 	if (result == HTTP_RESULT_ANSWERED) {
 		if (is_overload_status(http->status))
 			outcome = OVERLOAD_OUTCOME_FAILED;
@@ -102,6 +203,8 @@
 	}
 	outcome = result == HTTP_RESULT_NOT_SENT ? OVERLOAD_OUTCOME_SERVER_LOST
 						 : OVERLOAD_OUTCOME_FAILED;
+	if (result == HTTP_RESULT_NOT_SENT)
+		hold(g, "no connection", now);
 	overload_guard_finish(g->overload, w->id, outcome, now);
 	guard_work_fail(w, &failure, now);
 	pump(g, now);
@@ -146,6 +249,7 @@
 	}
 	node_count(g->node, "backend_deaths");
 	overload_guard_server_lost(g->overload, now);
+	hold(g, "the server died", now);
 	lost = base_alloc_array(count, sizeof(*lost));
 	for (i = 0; i < count; i++) {
 		struct guard_work *w = find_work(g, ids[i]);
@@ -172,9 +276,19 @@
 	request->query.len = target.len - request->path.len - 1;
 }
 
+/* A header that the dialect may not have, or a value that may be empty. */
+static void add_header(struct http_headers *headers, const char *name,
+		       struct base_str value)
+{
+	if (name && value.len)
+		http_headers_add(headers, base_str_from(name), value);
+}
+
 static void add_own_headers(struct guard_work *w, struct http_headers *headers,
 			    int64_t now)
 {
+	const struct daemon_dialect *dialect = w->guard->node->dialect;
+	const struct dialect_headers *names = &dialect->headers;
 	const struct peer_context *c = &w->msg.request.context;
 	char traceparent[HTTP_TRACEPARENT_LEN + 1];
 	char remaining[24];
@@ -182,15 +296,15 @@
 	http_trace_format(&w->trace, traceparent);
 	snprintf(remaining, sizeof(remaining), "%" PRId64,
 		 (w->deadline - now) / 1000);
-	http_headers_add(headers, BASE_STR("traceparent"),
-			 base_str_from(traceparent));
-	http_headers_add(headers, BASE_STR("Bilberryhinge-Call"),
-			 base_str_from(w->token));
-	http_headers_add(headers, BASE_STR("Bilberryhinge-Timeout-Ms"),
-			 base_str_from(remaining));
-	if (c->account.len)
-		http_headers_add(headers, BASE_STR("Bilberryhinge-Account"),
-				 c->account);
+	if (dialect->trace_context)
+		http_headers_add(headers, BASE_STR("traceparent"),
+				 base_str_from(traceparent));
+	add_header(headers, names->call_token, base_str_from(w->token));
+	add_header(headers, names->timeout_ms, base_str_from(remaining));
+	add_header(headers, names->account, c->account);
+	add_header(headers, names->caller_service, c->caller_service);
+	add_header(headers, names->expect_instance,
+		   base_buf_str(&w->guard->instance));
 	if (c->idempotency_key.len)
 		http_headers_add(headers, BASE_STR("Idempotency-Key"),
 				 c->idempotency_key);
@@ -298,11 +412,26 @@
 	};
 
 	/* A route that is not known here is protected like the last shed. */
-	w->idempotent = route && route->idempotent;
+	w->idempotent = c->service.len ? c->idempotent
+				       : route && route->idempotent;
 	work.idempotent = w->idempotent;
 	overload_guard_offer(w->guard->overload, &work, now);
 }
 
+/*
+ * Entries may not know yet that the backend server leaves, that its failure
+ * domain is out, or that the address serves another service now.
+ */
+static bool takes_work(const struct guard *g, const struct peer_context *c)
+{
+	const struct config_vm *self = g->node->self;
+
+	if (!c->service.len)
+		return true;
+	return self && base_str_equal(self->service->name, c->service) &&
+	       !self->leaving && !self->domain->out;
+}
+
 /* Starts the decision about a work whose origin is filled in. */
 static struct guard_work *submit(struct guard_work *w,
 				 const struct peer_request *request,
@@ -330,6 +459,11 @@
 					BASE_SECOND_US, now);
 		return NULL;
 	}
+	if (!takes_work(guard, &w->msg.request.context)) {
+		guard_work_fail_not_run(w, HTTP_REFUSAL_NO_SERVER,
+					BASE_SECOND_US, now);
+		return NULL;
+	}
 	switch (quarantine_check(guard->node->quarantine, id, &w->msg.request,
 				 deadline, now)) {
 	case QUARANTINE_HOLD:
@@ -473,17 +607,41 @@
 	pump(guard, now);
 }
 
+static struct overload_guard *
+create_overload(const struct overload_guard_config *config,
+		const struct config_vm *self, int64_t now)
+{
+	/* Its latency holds the calls that it makes, which nobody reports. */
+	struct overload_limiter *limiter =
+		self->instance.len ? overload_limiter_fixed_create(config->slots)
+				   : NULL;
+
+	return overload_guard_create(config, limiter, now);
+}
+
 void guard_configure(struct guard *guard, int64_t now)
 {
+	struct node *node = guard->node;
+	const struct config_vm *self = node->self;
 	struct overload_guard_config config;
+	bool back;
 
-	if (!guard->node->self)
+	if (!self)
 		return;
-	config = bounds_of(guard->node);
+	config = bounds_of(node);
 	if (guard->overload)
 		overload_guard_reconfigure(guard->overload, &config, now);
 	else
-		guard->overload = overload_guard_create(&config, NULL, now);
+		guard->overload = create_overload(&config, self, now);
+	/* Backend servers may have turned cold while the domain was out. */
+	back = guard->domain_out && !self->domain->out;
+	guard->domain_out = self->domain->out;
+	if (!base_str_equal(base_buf_str(&guard->instance), self->instance))
+		hold(guard, "another instance is listed", now);
+	else if (back)
+		hold(guard, "the failure domain is back", now);
+	else if (self->cold_left_us)
+		overload_guard_ready(guard->overload, self->cold_left_us, now);
 	pump(guard, now);
 }
 
@@ -504,6 +662,7 @@
 	}
 	g->death = death_watch_create(node->base, node->settings->backend,
 				      on_verdict, g);
+	g->health = backend_health_create(node, g->backend, on_health, g);
 	g->timer = evtimer_new(node->base, on_timer, g);
 	return g;
 }
@@ -516,7 +675,9 @@
 		return;
 	HASH_ITER (hh, guard->works, w, next)
 		guard_work_free(w);
+	backend_health_destroy(guard->health);
 	http_client_destroy(guard->backend);
+	base_buf_release(&guard->instance);
 	death_watch_destroy(guard->death);
 	overload_guard_destroy(guard->overload);
 	event_free(guard->timer);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -43,6 +43,11 @@
 	struct overload_guard *overload;
 	struct http_client *backend;
 	struct death_watch *death;
+	struct backend_health *health;
+	/** Identity of the backend server that work is sent to. */
+	struct base_buf instance;
+	/** The own failure domain was out at the last configuration. */
+	bool domain_out;
 	struct event *timer;
 	struct guard_work *works;
 	struct guard_work *by_token;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -1,7 +1,16 @@
 /* Program bilberryhinged. */
 #include "daemon.h"
+#include "platform.h"
 
 #include <stdio.h>
+#include <string.h>
+
+static const struct daemon_dialect *
+find_dialect(const struct daemon_settings *settings)
+{
+	return strcmp(settings->dialect, "platform") ? dialect_native()
+						     : platform_dialect();
+}
 
 int main(int argc, char **argv)
 {
@@ -12,7 +21,8 @@
 		daemon_settings_parse(argc, argv, &settings, &err);
 
 	if (status == DAEMON_OK)
-		status = daemon_create(&settings, &daemon, &err);
+		status = daemon_create(&settings, find_dialect(&settings),
+				       &daemon, &err);
 	if (status != DAEMON_OK) {
 		fprintf(stderr, "bilberryhinged: %s: %s\n",
 			daemon_strerror(status), err.message);
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -54,7 +54,8 @@
 	    now < m->ask_until + ASK_WAIT_US)
 		return;
 	m->asking = false;
-	claims_configure(node->claims, node->snapshot, now);
+	if (node->dialect->idempotency_keys)
+		claims_configure(node->claims, node->snapshot, now);
 }
 
 /* Asks peers for their version before serving. */
@@ -422,7 +423,8 @@
 
 void membership_woke(struct membership *m, int64_t now)
 {
-	start_asking(m, now);
+	if (!m->node->dialect->registry)
+		start_asking(m, now);
 }
 
 struct membership *membership_create(struct node *node)
@@ -430,7 +432,8 @@
 	struct membership *m = base_alloc(sizeof(*m));
 
 	m->node = node;
-	m->asking = true;
+	/* A registry is read at its newest, a published set may be stale. */
+	m->asking = !node->dialect->registry;
 	m->interval_us = ROUTING_HEARTBEAT_US;
 	m->tick = event_new(node->base, -1, EV_PERSIST, on_tick, m);
 	event_add(m->tick, &(struct timeval){ .tv_usec = TICK_US });
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -7,6 +7,7 @@
 
 #include "control.h"
 #include "daemon.h"
+#include "dialect.h"
 #include "http.h"
 #include "messages.h"
 #include "overload.h"
@@ -32,6 +33,7 @@
 
 struct node {
 	const struct daemon_settings *settings;
+	const struct daemon_dialect *dialect;
 	struct event_base *base;
 	struct base_log *log;
 	struct base_counters *counters;
--- a/packages/daemon/quarantine.c
+++ b/packages/daemon/quarantine.c
@@ -300,6 +300,7 @@
 					 const struct peer_request *request,
 					 int64_t deadline, int64_t now)
 {
+	struct retry_suspect_news known;
 	enum retry_suspicion state;
 	struct held *h;
 	struct base_digest fp;
@@ -308,12 +309,13 @@
 		return QUARANTINE_RUN;
 	fp = suspect_fingerprint(request);
 	state = retry_suspects_check(q->suspects, q->peers.service, &fp, now,
-				     NULL);
+				     &known);
 	if (state == RETRY_SUSPICION_CONVICTED) {
 		node_count(q->node, "suspects_refused");
 		return QUARANTINE_REFUSE;
 	}
-	if (state != RETRY_SUSPICION_SUSPECT)
+	if (state != RETRY_SUSPICION_SUSPECT ||
+	    known.round <= q->node->dialect->free_suspect_rounds)
 		return QUARANTINE_RUN;
 	node_count(q->node, "suspects_held");
 	h = base_alloc(sizeof(*h));
--- /dev/null
+++ b/packages/daemon/registry.c
@@ -0,0 +1,391 @@
+/* Mirror of a platform's registry. */
+#include "registry.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Larger values travel between peers as parts of their own. */
+#define INLINE_MAX 4096
+
+struct mirrored {
+	char *key;
+	struct base_buf value;
+	int64_t revision;
+	int64_t created;
+	/* Removed at the platform, but kept until then; 0 when it is there. */
+	int64_t lapses_at;
+	/* Revision of that removal. */
+	int64_t removed_revision;
+	/* Named by the reload that is under way. */
+	bool seen;
+	UT_hash_handle hh;
+};
+
+struct registry {
+	const struct registry_codec *codec;
+	struct registry_view *view;
+	struct base_log *log;
+	struct mirrored *items;
+	struct base_buf part;
+	int64_t revision;
+	int64_t reload_revision;
+	int64_t back_at;
+	/* Removals of servers since the first of the present group. */
+	int64_t removals_since;
+	size_t removals;
+	bool changed;
+};
+
+struct registry *registry_create(const struct registry_codec *codec,
+				 const struct registry_view_settings *settings,
+				 struct base_log *log)
+{
+	struct registry *r = base_alloc(sizeof(*r));
+
+	r->codec = codec;
+	r->log = log;
+	r->view = codec->view_create(settings);
+	r->back_at = -REGISTRY_LAPSE_US;
+	r->removals_since = -REGISTRY_LAPSE_GATHER_US;
+	return r;
+}
+
+static void forget(struct registry *r, struct mirrored *m)
+{
+	HASH_DEL(r->items, m);
+	free(m->key);
+	base_buf_release(&m->value);
+	free(m);
+}
+
+void registry_destroy(struct registry *r)
+{
+	struct mirrored *m, *next;
+
+	if (!r)
+		return;
+	HASH_ITER (hh, r->items, m, next)
+		forget(r, m);
+	r->codec->view_destroy(r->view);
+	base_buf_release(&r->part);
+	free(r);
+}
+
+int64_t registry_revision(const struct registry *r)
+{
+	return r->revision;
+}
+
+static struct mirrored *find(const struct registry *r, struct base_str key)
+{
+	struct mirrored *m;
+
+	HASH_FIND(hh, r->items, key.ptr, key.len, m);
+	return m;
+}
+
+static void log_item(struct registry *r, const char *event,
+		     const struct registry_item *item, const char *problem)
+{
+	struct base_log_line line = base_log_begin(
+		r->log, problem ? BASE_LOG_WARN : BASE_LOG_INFO, event);
+
+	base_log_str(&line, "key", item->key);
+	base_log_int(&line, "revision", item->revision);
+	if (problem)
+		base_log_cstr(&line, "problem", problem);
+	base_log_end(&line);
+}
+
+static void put(struct registry *r, const struct registry_item *item)
+{
+	struct mirrored *m = find(r, item->key);
+	struct base_error err = { "" };
+
+	if (!m) {
+		m = base_alloc(sizeof(*m));
+		m->key = base_str_dup(item->key);
+		HASH_ADD_KEYPTR(hh, r->items, m->key, item->key.len, m);
+	}
+	m->revision = item->revision;
+	m->created = item->created;
+	m->lapses_at = 0;
+	m->seen = true;
+	base_buf_reset(&m->value);
+	base_buf_add_str(&m->value, item->value);
+	r->changed = true;
+	if (r->codec->view_put(r->view, item, &err))
+		log_item(r, "registry_item_changed", item, NULL);
+	else
+		log_item(r, "registry_item_unreadable", item, err.message);
+}
+
+static size_t count_servers(const struct registry *r)
+{
+	struct mirrored *m, *next;
+	size_t n = 0;
+
+	HASH_ITER (hh, r->items, m, next)
+		n += r->codec->is_server(base_str_from(m->key));
+	return n;
+}
+
+/* Whether the platform may have lost the entry while its server lives. */
+static bool may_lapse(struct registry *r, const struct registry_item *item,
+		      int64_t now)
+{
+	if (!r->codec->is_server(item->key))
+		return false;
+	if (now - r->removals_since > REGISTRY_LAPSE_GATHER_US) {
+		r->removals_since = now;
+		r->removals = 0;
+	}
+	r->removals++;
+	return now - r->back_at < REGISTRY_LAPSE_US ||
+	       (double)r->removals >
+		       REGISTRY_LAPSE_SHARE * (double)count_servers(r) + 1;
+}
+
+static void drop(struct registry *r, struct mirrored *m, const char *event)
+{
+	struct registry_item item = {
+		.key = base_str_from(m->key),
+		.revision = m->removed_revision,
+	};
+
+	log_item(r, event, &item, NULL);
+	r->codec->view_remove(r->view, item.key);
+	r->changed = true;
+	forget(r, m);
+}
+
+static void remove_item(struct registry *r, const struct registry_item *item,
+			int64_t now)
+{
+	struct mirrored *m = find(r, item->key);
+
+	if (!m || m->lapses_at)
+		return;
+	m->removed_revision = item->revision;
+	if (!may_lapse(r, item, now)) {
+		drop(r, m, "registry_item_removed");
+		return;
+	}
+	m->lapses_at = now + REGISTRY_LAPSE_US;
+	log_item(r, "registry_item_lapsed", item, NULL);
+}
+
+void registry_apply(struct registry *r, const struct registry_item *item,
+		    int64_t now)
+{
+	struct mirrored *m = find(r, item->key);
+
+	if (item->revision > r->revision)
+		r->revision = item->revision;
+	if (m && m->revision >= item->revision) {
+		m->seen = true;
+		return;
+	}
+	if (item->removed)
+		remove_item(r, item, now);
+	else
+		put(r, item);
+}
+
+void registry_begin_reload(struct registry *r, int64_t revision)
+{
+	struct mirrored *m, *next;
+
+	r->reload_revision = revision;
+	HASH_ITER (hh, r->items, m, next)
+		m->seen = false;
+}
+
+void registry_end_reload(struct registry *r, int64_t now)
+{
+	struct mirrored *m, *next;
+
+	HASH_ITER (hh, r->items, m, next) {
+		struct registry_item item = {
+			.key = base_str_from(m->key),
+			.revision = r->reload_revision,
+			.removed = true,
+		};
+
+		if (!m->seen && m->revision <= r->reload_revision)
+			remove_item(r, &item, now);
+	}
+	if (r->reload_revision > r->revision)
+		r->revision = r->reload_revision;
+}
+
+void registry_platform_back(struct registry *r, int64_t now)
+{
+	r->back_at = now;
+}
+
+void registry_tick(struct registry *r, int64_t now)
+{
+	struct mirrored *m, *next;
+
+	HASH_ITER (hh, r->items, m, next)
+		if (m->lapses_at && now >= m->lapses_at)
+			drop(r, m, "registry_item_removed");
+}
+
+bool registry_take_changed(struct registry *r)
+{
+	bool changed = r->changed;
+
+	r->changed = false;
+	return changed;
+}
+
+const struct config_snapshot *
+registry_snapshot(const struct registry *r, const struct base_digest *digest)
+{
+	return r->codec->view_assemble(r->view, r->revision, digest);
+}
+
+int64_t registry_config_version(const struct registry *r)
+{
+	return r->codec->view_version(r->view);
+}
+
+static json_t *item_json(const struct mirrored *m, struct publication *pub)
+{
+	struct base_str value = base_buf_str(&m->value);
+	json_t *json = json_pack("{s:s,s:I,s:I}", "key", m->key, "revision",
+				 (json_int_t)m->revision, "created",
+				 (json_int_t)m->created);
+	struct config_published_part *part;
+	json_t *text;
+	char hex[2 * BASE_DIGEST_SIZE + 1];
+
+	if (value.len <= INLINE_MAX) {
+		text = json_stringn(value.ptr ? value.ptr : "", value.len);
+		json_object_set_new(json, "value", text ? text : json_string(""));
+		return json;
+	}
+	part = &pub->parts[pub->part_count++];
+	part->part.digest = base_digest_of(value);
+	part->part.size = value.len;
+	base_buf_add_str(&part->bytes, value);
+	base_digest_hex(&part->part.digest, hex);
+	json_object_set_new(json, "part", json_string(hex));
+	return json;
+}
+
+struct publication *registry_publish(const struct registry *r)
+{
+	struct publication *pub = base_alloc(sizeof(*pub));
+	json_t *items = json_array();
+	struct mirrored *m, *next;
+	json_t *json;
+	char *text;
+
+	atomic_init(&pub->references, 1);
+	pub->version = r->revision;
+	pub->parts = base_alloc_array(HASH_COUNT(r->items),
+				      sizeof(*pub->parts));
+	HASH_ITER (hh, r->items, m, next)
+		if (!m->lapses_at)
+			json_array_append_new(items, item_json(m, pub));
+	json = json_pack("{s:I,s:o}", "revision", (json_int_t)r->revision,
+			 "items", items);
+	text = json_dumps(json, JSON_COMPACT);
+	base_buf_addf(&pub->manifest, "%s", text);
+	pub->digest = base_digest_of(base_buf_str(&pub->manifest));
+	free(text);
+	json_decref(json);
+	return pub;
+}
+
+static bool read_item(const json_t *json, struct registry_item *item)
+{
+	const json_t *value = json_object_get(json, "value");
+
+	item->key = base_str_from(
+		json_string_value(json_object_get(json, "key")));
+	item->revision = json_integer_value(json_object_get(json, "revision"));
+	item->created = json_integer_value(json_object_get(json, "created"));
+	item->value = (struct base_str){ json_string_value(value),
+					 json_string_length(value) };
+	return item->key.len && item->revision > 0;
+}
+
+/* Fills in the value of an item that is a part; false when it is missing. */
+static bool resolve_part(const struct registry *r, const json_t *json,
+			 struct registry_item *item,
+			 char wanted[2 * BASE_DIGEST_SIZE + 1])
+{
+	const char *hex = json_string_value(json_object_get(json, "part"));
+	const struct mirrored *m = find(r, item->key);
+	struct base_digest digest;
+
+	if (!hex || (m && m->revision >= item->revision))
+		return true;
+	digest = base_digest_of(base_buf_str(&r->part));
+	base_digest_hex(&digest, wanted);
+	if (!strcmp(wanted, hex)) {
+		item->value = base_buf_str(&r->part);
+		return true;
+	}
+	snprintf(wanted, 2 * BASE_DIGEST_SIZE + 1, "%s", hex);
+	return false;
+}
+
+static bool parts_present(struct registry *r, const json_t *items,
+			  char wanted[2 * BASE_DIGEST_SIZE + 1])
+{
+	struct registry_item item = { 0 };
+	const json_t *json;
+	size_t i;
+
+	json_array_foreach (items, i, json)
+		if (read_item(json, &item) &&
+		    !resolve_part(r, json, &item, wanted))
+			return false;
+	return true;
+}
+
+bool registry_take_manifest(struct registry *r, struct base_str manifest,
+			    char wanted[2 * BASE_DIGEST_SIZE + 1], int64_t now)
+{
+	json_t *root = json_loadb(manifest.ptr ? manifest.ptr : "",
+				  manifest.len, 0, NULL);
+	int64_t revision =
+		json_integer_value(json_object_get(root, "revision"));
+	const json_t *items = json_object_get(root, "items");
+	char ignored[2 * BASE_DIGEST_SIZE + 1];
+	bool ok = json_is_array(items) && revision > r->revision;
+	const json_t *json;
+	size_t i;
+
+	wanted[0] = '\0';
+	if (ok && !parts_present(r, items, wanted)) {
+		json_decref(root);
+		return false;
+	}
+	if (ok)
+		registry_begin_reload(r, revision);
+	json_array_foreach (ok ? items : NULL, i, json) {
+		struct registry_item item = { 0 };
+
+		if (read_item(json, &item) &&
+		    resolve_part(r, json, &item, ignored))
+			registry_apply(r, &item, now);
+	}
+	if (ok)
+		registry_end_reload(r, now);
+	wanted[0] = '\0';
+	json_decref(root);
+	return ok;
+}
+
+void registry_add_part(struct registry *r, struct base_str bytes)
+{
+	base_buf_reset(&r->part);
+	base_buf_add_str(&r->part, bytes);
+}
--- /dev/null
+++ b/packages/daemon/registry_client.h
@@ -0,0 +1,38 @@
+/*
+ * Reads and watches a platform's registry over HTTP into its mirror.
+ */
+#ifndef REGISTRY_CLIENT_H
+#define REGISTRY_CLIENT_H
+
+#include "registry.h"
+
+struct registry_client;
+struct event_base;
+
+/** The mirror may have changed. */
+typedef void (*registry_client_cb)(void *ctx);
+/** Whether the platform answers. */
+typedef void (*registry_client_state_cb)(void *ctx, bool up);
+
+struct registry_client_settings {
+	/** "IP:PORT" of the platform. */
+	const char *address;
+	const struct registry_codec *codec;
+	struct registry *registry;
+	struct base_log *log;
+	struct base_counters *counters;
+	registry_client_cb on_change;
+	registry_client_state_cb on_state;
+	void *ctx;
+};
+
+/** Starts with a read of everything. */
+struct registry_client *
+registry_client_create(struct event_base *base,
+		       const struct registry_client_settings *settings,
+		       struct base_error *err);
+void registry_client_destroy(struct registry_client *c);
+/** A peer knows a newer revision: the present watch may be dead. */
+void registry_client_hurry(struct registry_client *c, int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/daemon/registry_task.c
@@ -0,0 +1,196 @@
+/* The control task's work on a platform with a registry. */
+#include "registry_task.h"
+#include "registry_client.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* The own watch gets this long to bring what a peer knows already. */
+#define BEHIND_US (250 * BASE_MS_US)
+/* A peer's mirror is asked for again after this time. */
+#define FETCH_AGAIN_US (400 * BASE_MS_US)
+
+struct registry_task {
+	struct registry *registry;
+	struct registry_client *client;
+	struct base_mailbox *outbox;
+	struct base_log *log;
+	/* Newest revision heard of, and since when it is missing here. */
+	int64_t heard;
+	int64_t behind_since;
+	int64_t fetched_at;
+	/* A peer's manifest that waits for a part. */
+	struct base_buf manifest;
+	int64_t config_version;
+};
+
+static struct data_message *new_message(enum data_message_type type)
+{
+	struct data_message *msg = base_alloc(sizeof(*msg));
+
+	msg->type = type;
+	return msg;
+}
+
+static void log_config(struct registry_task *t)
+{
+	int64_t version = registry_config_version(t->registry);
+	struct base_log_line line;
+
+	if (version == t->config_version)
+		return;
+	t->config_version = version;
+	line = base_log_begin(t->log, BASE_LOG_INFO, "operator_config_taken");
+	base_log_int(&line, "config_version", version);
+	base_log_int(&line, "revision", registry_revision(t->registry));
+	base_log_end(&line);
+}
+
+static void activate(struct registry_task *t)
+{
+	struct data_message *msg;
+	struct publication *pub;
+
+	if (!registry_take_changed(t->registry))
+		return;
+	pub = registry_publish(t->registry);
+	msg = new_message(DATA_ACTIVATED);
+	msg->publication = pub;
+	msg->version = pub->version;
+	msg->digest = pub->digest;
+	msg->snapshot = registry_snapshot(t->registry, &pub->digest);
+	if (!msg->snapshot) {
+		data_message_free(msg);
+		return;
+	}
+	log_config(t);
+	base_mailbox_post(t->outbox, msg);
+}
+
+static void on_change(void *ctx)
+{
+	activate(ctx);
+}
+
+static void on_state(void *ctx, bool up)
+{
+	struct registry_task *t = ctx;
+	struct data_message *msg = new_message(DATA_PLATFORM_STATE);
+
+	msg->up = up;
+	base_mailbox_post(t->outbox, msg);
+}
+
+static void fetch(struct registry_task *t, const char *key)
+{
+	struct data_message *msg = new_message(DATA_FETCH);
+
+	base_buf_addf(&msg->text, "%s", key);
+	base_mailbox_post(t->outbox, msg);
+}
+
+void registry_task_on_peer_version(struct registry_task *t, int64_t revision,
+				   int64_t now)
+{
+	if (revision <= registry_revision(t->registry) || revision <= t->heard)
+		return;
+	if (t->heard <= registry_revision(t->registry))
+		t->behind_since = now;
+	t->heard = revision;
+}
+
+static void take_manifest(struct registry_task *t, int64_t now)
+{
+	char wanted[2 * BASE_DIGEST_SIZE + 1];
+	char key[sizeof(CONFIG_KEY_PART_PREFIX) + sizeof(wanted)];
+
+	if (registry_take_manifest(t->registry, base_buf_str(&t->manifest),
+				   wanted, now)) {
+		struct base_log_line line = base_log_begin(
+			t->log, BASE_LOG_INFO, "registry_taken_from_peer");
+
+		base_log_int(&line, "revision", registry_revision(t->registry));
+		base_log_end(&line);
+		activate(t);
+	} else if (wanted[0]) {
+		snprintf(key, sizeof(key), "%s%s", CONFIG_KEY_PART_PREFIX,
+			 wanted);
+		fetch(t, key);
+	}
+}
+
+void registry_task_on_peer_value(struct registry_task *t,
+				 const struct control_message *m, int64_t now)
+{
+	if (!m->found)
+		return;
+	if (base_str_equal(base_buf_str(&m->key),
+			   BASE_STR(CONFIG_KEY_MANIFEST))) {
+		base_buf_reset(&t->manifest);
+		base_buf_add_str(&t->manifest, base_buf_str(&m->value));
+	} else {
+		registry_add_part(t->registry, base_buf_str(&m->value));
+	}
+	take_manifest(t, now);
+}
+
+void registry_task_tick(struct registry_task *t, int64_t now)
+{
+	registry_tick(t->registry, now);
+	activate(t);
+	if (t->heard <= registry_revision(t->registry) ||
+	    now - t->behind_since < BEHIND_US ||
+	    now - t->fetched_at < FETCH_AGAIN_US)
+		return;
+	t->fetched_at = now;
+	registry_client_hurry(t->client, now);
+	fetch(t, CONFIG_KEY_MANIFEST);
+}
+
+static uint16_t port_of(const char *address)
+{
+	const char *colon = strrchr(address, ':');
+
+	return (uint16_t)(colon ? strtoul(colon + 1, NULL, 10) : 0);
+}
+
+struct registry_task *
+registry_task_create(struct event_base *base,
+		     const struct registry_task_settings *settings,
+		     struct base_error *err)
+{
+	struct registry_task *t = base_alloc(sizeof(*t));
+	struct registry_view_settings view = {
+		.peer_port = port_of(settings->peer_listen),
+		.region = base_str_from(settings->region),
+	};
+	struct registry_client_settings client = {
+		.address = settings->platform,
+		.codec = settings->codec,
+		.log = settings->log,
+		.counters = settings->counters,
+		.on_change = on_change,
+		.on_state = on_state,
+		.ctx = t,
+	};
+
+	t->outbox = settings->outbox;
+	t->log = settings->log;
+	t->registry = registry_create(settings->codec, &view, settings->log);
+	client.registry = t->registry;
+	t->client = registry_client_create(base, &client, err);
+	if (t->client)
+		return t;
+	registry_task_destroy(t);
+	return NULL;
+}
+
+void registry_task_destroy(struct registry_task *t)
+{
+	if (!t)
+		return;
+	registry_client_destroy(t->client);
+	registry_destroy(t->registry);
+	base_buf_release(&t->manifest);
+	free(t);
+}
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -11,11 +11,16 @@
 
 enum setting_type {
 	SETTING_NAME,
+	/** A name, or nothing. */
+	SETTING_OPTIONAL_NAME,
+	SETTING_DIALECT,
 	SETTING_ADDRESS,
 	SETTING_ADDRESS_LIST,
 	SETTING_SECRET,
 	SETTING_LEVEL,
 	SETTING_NUMBER,
+	/** A whole number of seconds, or with the unit "s" or "ms". */
+	SETTING_DURATION,
 };
 
 struct setting {
@@ -41,6 +46,15 @@
 	  "NAME", "Name of this VM in the configuration" },
 	{ 'd', SETTING_NAME, "domain", "BILBERRYHINGE_DOMAIN", FIELD(domain),
 	  NULL, 0, 0, 1, "NAME", "Failure domain of this VM" },
+	{ 'r', SETTING_NAME, "region", "BILBERRYHINGE_REGION", FIELD(region),
+	  "default", 0, 0, 1, "NAME",
+	  "Region of this VM, where the platform does not tell it" },
+	{ 'S', SETTING_OPTIONAL_NAME, "service", "BILBERRYHINGE_SERVICE",
+	  FIELD(service), "", 0, 0, 1, "NAME",
+	  "Service of the own backend server, where callers are told it" },
+	{ 'i', SETTING_DIALECT, "dialect", "BILBERRYHINGE_DIALECT",
+	  FIELD(dialect), "native", 0, 0, 1, "NAME",
+	  "native, or platform for the users' platform" },
 	{ 'c', SETTING_ADDRESS, "caller-listen", "BILBERRYHINGE_CALLER_LISTEN",
 	  FIELD(caller_listen), "0.0.0.0:8080", 0, 0, 1, "IP:PORT",
 	  "Interface for callers" },
@@ -50,6 +64,9 @@
 	{ 'a', SETTING_ADDRESS, "admin-listen", "BILBERRYHINGE_ADMIN_LISTEN",
 	  FIELD(admin_listen), "127.0.0.1:8082", 0, 0, 1, "IP:PORT",
 	  "Interface for status, counters and spans" },
+	{ 'R', SETTING_ADDRESS_LIST, "ready-listen",
+	  "BILBERRYHINGE_READY_LISTEN", FIELD(ready_listen), "", 0, 0, 1,
+	  "IP:PORT", "Interface that tells the platform the readiness" },
 	{ 'p', SETTING_ADDRESS, "peer-listen", "BILBERRYHINGE_PEER_LISTEN",
 	  FIELD(peer_listen), "0.0.0.0:8083", 0, 0, 1, "IP:PORT",
 	  "Interface for other daemons" },
@@ -69,7 +86,7 @@
 	{ 'l', SETTING_LEVEL, "log-level", "BILBERRYHINGE_LOG_LEVEL",
 	  FIELD(log_level), "info", 0, 0, 1, "LEVEL",
 	  "error, warn, info or debug" },
-	{ 'D', SETTING_NUMBER, "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS",
+	{ 'D', SETTING_DURATION, "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS",
 	  FIELD(drain_us), "30", 1, 3600, BASE_SECOND_US, "SECONDS",
 	  "Longest time that open requests get at a planned stop" },
 	{ 'm', SETTING_NUMBER, "max-connections",
@@ -148,6 +165,36 @@
 	return DAEMON_OK;
 }
 
+static enum daemon_status set_duration(const struct setting *s,
+				       const char *value, int64_t *field,
+				       struct base_error *err)
+{
+	char allowed[96];
+	char *unit;
+	double number = strtod(value, &unit);
+	double us = number * BASE_SECOND_US;
+
+	if (!strcmp(unit, "ms"))
+		us = number * BASE_MS_US;
+	else if (*unit && strcmp(unit, "s"))
+		unit = (char *)value;
+	if (unit == value || us < (double)(s->min * BASE_SECOND_US) ||
+	    us > (double)(s->max * BASE_SECOND_US)) {
+		snprintf(allowed, sizeof(allowed),
+			 "a time from %lld s to %lld s", (long long)s->min,
+			 (long long)s->max);
+		refuse(err, s, value, allowed);
+		return DAEMON_ERR_SETTING;
+	}
+	*field = (int64_t)us;
+	return DAEMON_OK;
+}
+
+static bool is_dialect(const char *value)
+{
+	return !strcmp(value, "native") || !strcmp(value, "platform");
+}
+
 static enum daemon_status apply(const struct setting *s, const char *value,
 				struct daemon_settings *settings,
 				struct base_error *err)
@@ -161,6 +208,13 @@
 		return set_text(s, value, field,
 				"1 to 64 letters, digits, '.', '_' and '-'",
 				is_name(value), err);
+	case SETTING_OPTIONAL_NAME:
+		return set_text(s, value, field,
+				"nothing, or a name as in the configuration",
+				!*value || is_name(value), err);
+	case SETTING_DIALECT:
+		return set_text(s, value, field, "native or platform",
+				is_dialect(value), err);
 	case SETTING_ADDRESS:
 		return set_text(s, value, field, "IP:PORT",
 				!http_address_parse(base_str_from(value), &addr,
@@ -180,6 +234,8 @@
 		return DAEMON_ERR_SETTING;
 	case SETTING_NUMBER:
 		return set_number(s, value, field, err);
+	case SETTING_DURATION:
+		return set_duration(s, value, field, err);
 	}
 	return DAEMON_ERR_SETTING;
 }
@@ -266,7 +322,8 @@
 	for (i = 0; i < SETTINGS; i++) {
 		const struct setting *s = &table[i];
 
-		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL)
+		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL &&
+		    s->type != SETTING_DURATION)
 			free(*(char **)((char *)settings + s->offset));
 	}
 	memset(settings, 0, sizeof(*settings));
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -142,6 +142,41 @@
 	return BASE_STR_NONE;
 }
 
+static bool list_contains(struct base_str list, struct base_str name)
+{
+	while (list.len) {
+		const char *comma = memchr(list.ptr, ',', list.len);
+		struct base_str token = list;
+
+		if (comma)
+			token.len = (size_t)(comma - list.ptr);
+		list.ptr += token.len + (comma != NULL);
+		list.len -= token.len + (comma != NULL);
+		while (token.len && token.ptr[0] == ' ') {
+			token.ptr++;
+			token.len--;
+		}
+		while (token.len && token.ptr[token.len - 1] == ' ')
+			token.len--;
+		if (base_str_equal_nocase(token, name))
+			return true;
+	}
+	return false;
+}
+
+bool http_headers_names_connection(const struct http_headers *headers,
+				   struct base_str name)
+{
+	size_t i;
+
+	for (i = 0; i < headers->count; i++)
+		if (base_str_equal_nocase(headers->items[i].name,
+					  BASE_STR("Connection")) &&
+		    list_contains(headers->items[i].value, name))
+			return true;
+	return false;
+}
+
 bool http_header_is_hop_by_hop(struct base_str name)
 {
 	static const char *const names[] = {
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -58,6 +58,9 @@
 /** @return an empty string with a NULL pointer when there is none */
 struct base_str http_headers_find(const struct http_headers *headers,
 				  struct base_str name);
+/** True when a Connection header names @p name as its own. */
+bool http_headers_names_connection(const struct http_headers *headers,
+				   struct base_str name);
 /** Headers that concern one connection only and are never forwarded. */
 bool http_header_is_hop_by_hop(struct base_str name);
 
@@ -245,10 +248,17 @@
 	bool not_run;
 	/** 0 when the caller gains nothing by trying again. */
 	int64_t retry_after_us;
+	/**
+	 * The status alone tells the outcome: 503 for what has not run, 502 or
+	 * 504 otherwise. No header of the product is added.
+	 */
+	bool status_promises;
 	/** One sentence for a person. */
 	struct base_str detail;
 };
 
+/** Status of the answer; see http_refusal_details.status_promises. */
+int http_refusal_status(const struct http_refusal_details *details);
 /** Builds headers and JSON body of a refusal. */
 void http_refusal_build(const struct http_refusal_details *details,
 			struct http_headers *headers, struct base_buf *body);
--- a/packages/http/refusal.c
+++ b/packages/http/refusal.c
@@ -69,6 +69,34 @@
 	return rows[refusal].implies_not_run;
 }
 
+int http_refusal_status(const struct http_refusal_details *details)
+{
+	int code = http_refusal_code(details->refusal);
+	bool promise = code == 429 || code == 503;
+
+	if (!details->status_promises)
+		return code;
+	if (details->not_run)
+		return code == 502 || code == 504 ? 503 : code;
+	return promise ? 502 : code;
+}
+
+static void add_retry_after(struct http_headers *headers,
+			    const struct http_refusal_details *details,
+			    int64_t ms)
+{
+	char seconds[24];
+
+	if (details->status_promises)
+		snprintf(seconds, sizeof(seconds), "%" PRId64 ".%03d",
+			 ms / 1000, (int)(ms % 1000));
+	else
+		snprintf(seconds, sizeof(seconds), "%" PRId64,
+			 (ms + 999) / 1000);
+	http_headers_add(headers, BASE_STR("Retry-After"),
+			 base_str_from(seconds));
+}
+
 static void add_header(struct http_headers *headers, const char *name,
 		       const char *value)
 {
@@ -80,19 +108,17 @@
 {
 	const char *outcome = details->not_run ? "not-run" : "unknown";
 	int64_t ms = (details->retry_after_us + 999) / 1000;
-	char seconds[24];
 	char *text;
 	json_t *json;
 
-	add_header(headers, "Bilberryhinge-Refusal",
-		   http_refusal_name(details->refusal));
-	add_header(headers, "Bilberryhinge-Outcome", outcome);
-	add_header(headers, "Content-Type", "application/json");
-	if (details->retry_after_us > 0) {
-		snprintf(seconds, sizeof(seconds), "%" PRId64,
-			 (ms + 999) / 1000);
-		add_header(headers, "Retry-After", seconds);
+	if (!details->status_promises) {
+		add_header(headers, "Bilberryhinge-Refusal",
+			   http_refusal_name(details->refusal));
+		add_header(headers, "Bilberryhinge-Outcome", outcome);
 	}
+	add_header(headers, "Content-Type", "application/json");
+	if (details->retry_after_us > 0)
+		add_retry_after(headers, details, ms);
 	json = json_pack("{s:s,s:s,s:I,s:s%}", "reason",
 			 http_refusal_name(details->refusal), "outcome",
 			 outcome, "retry_after_ms", (json_int_t)ms, "detail",
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -292,7 +292,7 @@
 	guard->idempotent_in_flight += work.idempotent;
 	HASH_ADD(hh, guard->running, id, sizeof(run->id), run);
 	overload_cutoff_started(&guard->cutoff);
-	overload_ramp_started(&guard->ramp);
+	overload_ramp_started(&guard->ramp, guard->now);
 	*action = (struct overload_action){ .type = OVERLOAD_ACTION_START,
 					    .id = work.id };
 	return true;
@@ -411,6 +411,24 @@
 	guard->limiter->ops->reset(guard->limiter, guard->now);
 }
 
+void overload_guard_hold(struct overload_guard *guard, int64_t now)
+{
+	advance(guard, now);
+	overload_ramp_hold(&guard->ramp);
+}
+
+void overload_guard_ready(struct overload_guard *guard, int64_t cold_us,
+			  int64_t now)
+{
+	now = advance(guard, now);
+	overload_ramp_ready(&guard->ramp, cold_us, now);
+}
+
+bool overload_guard_is_held(const struct overload_guard *guard)
+{
+	return guard->ramp.cold_rate > 0 && guard->ramp.lost;
+}
+
 void overload_guard_woke(struct overload_guard *guard, int64_t paused_us,
 			 int64_t now)
 {
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -100,6 +100,12 @@
 	uint32_t cold_slots;
 	/** Time from a start until it bears all slots. */
 	int64_t cold_us;
+	/**
+	 * Requests a second that a cold server bears. When it is not 0, the
+	 * server's own word tells when it is cold (overload_guard_ready()), and
+	 * this bounds the starts in place of cold_slots.
+	 */
+	double cold_rate;
 	/** Seeds the jitter of retry-after. */
 	uint64_t seed;
 };
@@ -188,6 +194,19 @@
  * Work in flight must still be finished one by one.
  */
 void overload_guard_server_lost(struct overload_guard *guard, int64_t now);
+/**
+ * The state of the backend server is not known: nothing is started until
+ * overload_guard_ready(). For guards with a cold_rate.
+ */
+void overload_guard_hold(struct overload_guard *guard, int64_t now);
+/**
+ * The backend server runs.
+ * @param cold_us  time for which it is still cold, 0 when it is warm
+ */
+void overload_guard_ready(struct overload_guard *guard, int64_t cold_us,
+			  int64_t now);
+/** Nothing is started, see overload_guard_hold(). */
+bool overload_guard_is_held(const struct overload_guard *guard);
 /**
  * The process was paused. Latencies of the work in flight are not used, and the
  * ramp does not count the pause. Offer and cancel what the sockets hold before
--- a/packages/overload/ramp.c
+++ b/packages/overload/ramp.c
@@ -25,6 +25,7 @@
 				   ? config->cold_slots
 				   : config->slots;
 	ramp->cold_us = config->cold_us;
+	ramp->cold_rate = config->cold_rate;
 }
 
 /* The server is cold from here on. */
@@ -53,14 +54,65 @@
 	ramp->held_until = now + HOLD_US;
 }
 
+/* A cold server gets this part of a second's requests at once. */
+#define COLD_BURST_S 0.25
+/* And one at least, whatever the rate. */
+#define COLD_BURST_MIN 1.0
+
+static double cold_burst(const struct overload_ramp *ramp)
+{
+	double burst = ramp->cold_rate * COLD_BURST_S;
+
+	return burst > COLD_BURST_MIN ? burst : COLD_BURST_MIN;
+}
+
+static double cold_tokens(const struct overload_ramp *ramp, int64_t now)
+{
+	double earned = (double)(now - ramp->tokens_at) * ramp->cold_rate /
+			BASE_SECOND_US;
+	double tokens = ramp->tokens + earned;
+
+	return tokens < cold_burst(ramp) ? tokens : cold_burst(ramp);
+}
+
+void overload_ramp_hold(struct overload_ramp *ramp)
+{
+	ramp->lost = true;
+}
+
+void overload_ramp_ready(struct overload_ramp *ramp, int64_t cold_us,
+			 int64_t now)
+{
+	if (ramp->lost || now >= ramp->cold_until) {
+		ramp->tokens = cold_burst(ramp);
+		ramp->tokens_at = now;
+	}
+	ramp->lost = false;
+	if (now + cold_us > ramp->cold_until)
+		ramp->cold_until = now + cold_us;
+}
+
+static bool is_open_by_rate(const struct overload_ramp *ramp, int64_t now)
+{
+	if (ramp->lost)
+		return false;
+	return now >= ramp->cold_until || cold_tokens(ramp, now) >= 1;
+}
+
 bool overload_ramp_open(const struct overload_ramp *ramp, int64_t now)
 {
+	if (ramp->cold_rate > 0)
+		return is_open_by_rate(ramp, now);
 	return !ramp->lost || (now >= ramp->held_until && !ramp->trying);
 }
 
-void overload_ramp_started(struct overload_ramp *ramp)
+void overload_ramp_started(struct overload_ramp *ramp, int64_t now)
 {
 	ramp->trying = true;
+	if (ramp->cold_rate > 0 && now < ramp->cold_until) {
+		ramp->tokens = cold_tokens(ramp, now) - 1;
+		ramp->tokens_at = now;
+	}
 }
 
 void overload_ramp_ended(struct overload_ramp *ramp, int64_t started_at)
@@ -73,10 +125,14 @@
 {
 	if (ramp->warming_since >= 0)
 		ramp->warming_since += paused_us;
+	if (ramp->cold_until)
+		ramp->cold_until += paused_us;
 }
 
 bool overload_ramp_cold(const struct overload_ramp *ramp, int64_t now)
 {
+	if (ramp->cold_rate > 0)
+		return ramp->lost || now < ramp->cold_until;
 	return ramp->warming_since < 0 ||
 	       now - ramp->warming_since < ramp->cold_us;
 }
@@ -86,6 +142,8 @@
 	uint32_t rest = ramp->slots - ramp->cold_slots;
 	int64_t warming;
 
+	if (ramp->cold_rate > 0)
+		return ramp->slots;
 	if (ramp->warming_since < 0)
 		return ramp->cold_slots;
 	if (!overload_ramp_cold(ramp, now))
@@ -116,7 +174,7 @@
 bool overload_ramp_answered(struct overload_ramp *ramp,
 			    const struct overload_sample *sample, int64_t now)
 {
-	if (sample->started_at <= ramp->restarted_at)
+	if (ramp->cold_rate > 0 || sample->started_at <= ramp->restarted_at)
 		return false;
 	if (ramp->warming_since < 0 && !sample->failed) {
 		ramp->warming_since = now;
--- a/packages/overload/ramp.h
+++ b/packages/overload/ramp.h
@@ -8,6 +8,11 @@
 	uint32_t slots;
 	uint32_t cold_slots;
 	int64_t cold_us;
+	/* With a rate, the server tells its coldness, and starts are counted. */
+	double cold_rate;
+	int64_t cold_until;
+	double tokens;
+	int64_t tokens_at;
 	/* Work started before is no evidence of the state of the server. */
 	int64_t restarted_at;
 	/* When it began to warm up; -1 until it has answered. */
@@ -36,8 +41,13 @@
 void overload_ramp_lost(struct overload_ramp *ramp, int64_t now);
 /** Work may be started, as far as a loss is concerned. */
 bool overload_ramp_open(const struct overload_ramp *ramp, int64_t now);
+/** The server's state is not known; for a ramp with a rate. */
+void overload_ramp_hold(struct overload_ramp *ramp);
+/** The server runs, and is cold for this long. */
+void overload_ramp_ready(struct overload_ramp *ramp, int64_t cold_us,
+			 int64_t now);
 /** Work was started; to be asked for with overload_ramp_open(). */
-void overload_ramp_started(struct overload_ramp *ramp);
+void overload_ramp_started(struct overload_ramp *ramp, int64_t now);
 /** Work that started at @p started_at has ended in any way. */
 void overload_ramp_ended(struct overload_ramp *ramp, int64_t started_at);
 /**
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -45,8 +45,13 @@
 	I64(peer_context, remaining_us),
 	U32(peer_context, depth),
 	BOOL(peer_context, open),
+	NAME(peer_context, service),
+	NAME(peer_context, caller_service),
+	BOOL(peer_context, idempotent),
 };
-static const struct layout context = LAYOUT(peer_context, context_fields);
+#define CONTEXT_REQUIRED 9
+static const struct layout context =
+	LAYOUT_GROWN(peer_context, context_fields, CONTEXT_REQUIRED);
 
 static const struct field hello_fields[] = {
 	NAME(peer_hello, vm),
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -146,6 +146,12 @@
 	uint32_t depth;
 	/** The route is open to all; the account is empty. */
 	bool open;
+	/** Service that is to run it; empty when the sender omits it. */
+	struct base_str service;
+	/** Service at whose VM the request began; empty when not told. */
+	struct base_str caller_service;
+	/** The request may run more than once, as its entry decided. */
+	bool idempotent;
 };
 
 /** First message on a link. */
--- a/packages/retry/suspects.c
+++ b/packages/retry/suspects.c
@@ -164,10 +164,9 @@
 
 	if (s && s->state == RETRY_SUSPICION_CONVICTED)
 		return;
+	/* The round counts the deaths that the request was seen at. */
 	if (s)
-		news.round = s->round;
-	if (s && s->state == RETRY_SUSPICION_CLEARED)
-		news.round++;
+		news.round = s->round + 1;
 	set_and_tell(all, &news, now, cb, ctx);
 }
 
