--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -134,6 +134,8 @@
 	 * that were running beside it.
 	 */
 	uint32_t free_suspect_rounds;
+	/** Answers of backend servers may end with their connection. */
+	bool accept_unframed;
 	/** Backend servers get the caller's Host header. */
 	bool forwards_host;
 	/**
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -246,7 +246,7 @@
 		flow_refuse(f, &refusal, now);
 		return;
 	}
-	if (!f->onward)
+	if (!f->onward && f->node->dialect->headers.call_token)
 		f->attempt = retry_first_attempt(&f->node->budget, now);
 	flow_route(f, now);
 }
@@ -556,8 +556,14 @@
 
 void entry_destroy(struct entry *entry)
 {
+	struct entry_budget *b, *next;
+
 	if (!entry)
 		return;
 	entry_abort(entry, base_now_us());
+	HASH_ITER (hh, entry->budgets, b, next) {
+		HASH_DEL(entry->budgets, b);
+		free(b);
+	}
 	free(entry);
 }
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -238,6 +238,41 @@
 	       base_str_equal(answer->reason, BASE_STR("suspect"));
 }
 
+/*
+ * Calls that backend servers make cannot be told from other requests on some
+ * platforms. A retry then multiplies over the hops behind it, of which there
+ * may be four, and their sum has to stay under a fifth of the requests.
+ */
+#define SERVICE_RETRY_SHARE 0.04
+#define SERVICE_RETRY_CAP 2.0
+
+struct retry_budget *flow_budget(struct flow *f)
+{
+	struct node *node = f->node;
+	struct entry_budget *b;
+	uint32_t service;
+
+	if (node->dialect->headers.call_token)
+		return &node->budget;
+	service = roster_service_id(node->roster, f->service->name);
+	HASH_FIND(hh, f->entry->budgets, &service, sizeof(service), b);
+	if (b)
+		return &b->budget;
+	b = base_alloc(sizeof(*b));
+	b->service = service;
+	retry_budget_init(&b->budget, SERVICE_RETRY_SHARE, SERVICE_RETRY_CAP);
+	HASH_ADD(hh, f->entry->budgets, service, sizeof(b->service), b);
+	return &b->budget;
+}
+
+/* Whether the route lets the request go to one more backend server. */
+static bool may_try_again(const struct flow *f)
+{
+	return f->ex && f->tries < FLOW_TRIES_MAX &&
+	       (!f->route->max_attempts ||
+		f->arrivals < f->route->max_attempts);
+}
+
 static bool decide_retry(struct flow *f, const struct peer_answer *answer,
 			 int64_t now)
 {
@@ -248,12 +283,14 @@
 		.idempotent = f->route->idempotent,
 		.reroutes = f->reroutes,
 		.deadline = f->deadline,
+		.arrived = answer->arrived,
 	};
 	struct retry_decision decision;
 
-	if (!f->ex || is_final_refusal(answer) || f->tries >= FLOW_TRIES_MAX)
+	f->arrivals += answer->arrived || answer->outcome != PEER_NOT_RUN;
+	if (is_final_refusal(answer) || !may_try_again(f))
 		return false;
-	decision = retry_decide(&failed, &f->node->budget, now);
+	decision = retry_decide(&failed, flow_budget(f), now);
 	f->retried = f->retried || decision.retried;
 	if (decision.action == RETRY_ACTION_GIVE_UP)
 		return false;
@@ -315,8 +352,8 @@
 	note_cutoffs(f, answer, now);
 	f->retried = f->retried || answer->retried;
 	if (ok)
-		retry_budget_record_success(&f->node->budget, now);
-	if (!f->onward && !f->attempt && answer->retried)
+		retry_budget_record_success(flow_budget(f), now);
+	if (f->node->dialect->headers.call_token && !f->onward && !f->attempt && answer->retried)
 		retry_budget_charge(&f->node->budget, now);
 	if (!ok && decide_retry(f, answer, now))
 		flow_route(f, now);
@@ -345,6 +382,21 @@
 	flow_on_answer(f, answer, base_now_us());
 }
 
+/*
+ * The guard gives up this much earlier than the entry, so that its word on
+ * whether the request has run is there in time.
+ */
+#define GUARD_MARGIN_US (20 * BASE_MS_US)
+
+static int64_t guard_time(const struct flow *f, int64_t now)
+{
+	int64_t left = f->deadline - now;
+
+	if (!f->node->dialect->status_promises)
+		return left;
+	return left > 2 * GUARD_MARGIN_US ? left - GUARD_MARGIN_US : left / 2;
+}
+
 static void fill_request(struct flow *f, struct peer_request *r,
 			 struct peer_header *items, char *traceparent,
 			 int64_t now)
@@ -368,7 +420,7 @@
 			.attempt = f->attempt,
 			.idempotency_key = base_buf_str(&f->key),
 			.traceparent = base_str_from(traceparent),
-			.remaining_us = f->deadline - now,
+			.remaining_us = guard_time(f, now),
 			.depth = f->depth,
 			.open = f->route->open,
 			.service = f->service->name,
@@ -435,7 +487,8 @@
 		return;
 	}
 	routing_sent(f->node->routing, f->server, now);
-	work = guard_submit(f->node->guard, &request, f->deadline, now,
+	work = guard_submit(f->node->guard, &request,
+			    now + request.context.remaining_us, now,
 			    on_local_answer, f);
 	free(items);
 	/* The flow may have ended during the submit. */
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -71,6 +71,8 @@
 	uint32_t server;
 	uint64_t wire_id;
 	struct guard_work *local;
+	/** Tries that a backend server may have seen. */
+	uint32_t arrivals;
 	/** An earlier try may have run, so "not-run" would be false. */
 	bool may_have_run;
 
@@ -78,8 +80,16 @@
 	UT_hash_handle hh_wire;
 };
 
+/** Retries of one service, where a chain is not known. */
+struct entry_budget {
+	uint32_t service;
+	struct retry_budget budget;
+	UT_hash_handle hh;
+};
+
 struct entry {
 	struct node *node;
+	struct entry_budget *budgets;
 	struct flow *flows;
 	struct flow *by_wire;
 	uint64_t next_id;
@@ -107,6 +117,8 @@
 /** The present try ended with this answer; retries or ends the flow. */
 void flow_on_answer(struct flow *f, const struct peer_answer *answer,
 		    int64_t now);
+/** The budget that a retry of the flow is taken from. */
+struct retry_budget *flow_budget(struct flow *f);
 /** The present try ended without an answer. */
 void flow_on_lost(struct flow *f, int64_t now);
 /** The link that a waiting flow needs is up, or did not come up. */
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -203,8 +203,10 @@
 	}
 	outcome = result == HTTP_RESULT_NOT_SENT ? OVERLOAD_OUTCOME_SERVER_LOST
 						 : OVERLOAD_OUTCOME_FAILED;
-	if (result == HTTP_RESULT_NOT_SENT)
+	if (result == HTTP_RESULT_NOT_SENT) {
+		w->sent = false;
 		hold(g, "no connection", now);
+	}
 	overload_guard_finish(g->overload, w->id, outcome, now);
 	guard_work_fail(w, &failure, now);
 	pump(g, now);
@@ -335,6 +337,7 @@
 	w->call = http_client_send(g->backend, &request, w->deadline - now,
 				   on_backend, w);
 	http_headers_release(&request.headers);
+	w->sent = w->call != NULL;
 	if (w->call)
 		return;
 	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
@@ -653,6 +656,8 @@
 		/* The guard's limit is the bound; this only caps memory. */
 		.max_connections = 65536,
 		.max_answer = (size_t)node->settings->max_body,
+		.echo_header = base_str_from(node->dialect->headers.request_id),
+		.accept_unframed = node->dialect->accept_unframed,
 	};
 
 	g->node = node;
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -69,6 +69,7 @@
 	answer.cold_full = report.cold_full;
 	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
 	answer.retried = w->retried;
+	answer.arrived = w->sent;
 	guard_work_record_span(w, (int)answer.status, decision, now);
 	if (!w->abandoned)
 		w->cb(w->ctx, &answer);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -29,6 +29,8 @@
 	int32_t cutoff;
 	bool retried;
 	bool abandoned;
+	/** It was sent to the backend server. */
+	bool sent;
 	bool idempotent;
 	/* By the quarantine; not offered yet. */
 	bool held;
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -1,280 +1,408 @@
-/* HTTP client over evhttp with a pool of kept-alive connections. */
+/* HTTP client over libevent's bufferevents, with a pool of connections. */
 #include "http.h"
+#include "head.h"
 
 #include <assert.h>
-#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <event2/util.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 /*
  * A connection idle for longer is not used again: the other side may be
  * closing it, and a request lost that way has an unknown outcome.
  */
 #define IDLE_REUSE_US (5 * BASE_SECOND_US)
-#define MAX_ANSWER_HEADERS (64 << 10)
-/* Each call has its own timer; this only replaces the default of 50 s. */
-#define CONNECTION_TIMEOUT_S 3600
+/* The other side's clock of an idle connection started before ours. */
+#define IDLE_MARGIN_US BASE_SECOND_US
+#define MAX_ANSWER_HEAD (64U << 10)
+/* A silent connection is probed after this time, then this often, in s. */
+#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+/* Bytes that were sent and are not acknowledged by then end a connection. */
+#define USER_TIMEOUT_MS 4000
 
 struct pooled {
 	TAILQ_ENTRY(pooled) link;
-	struct evhttp_connection *evcon;
+	struct http_client *client;
+	struct bufferevent *bev;
+	struct head_message message;
+	/* NULL while it is idle. */
+	struct http_call *call;
 	int64_t idle_since;
+	int64_t reuse_us;
+	bool connected;
 };
 
 struct http_call {
 	LIST_ENTRY(http_call) link;
 	struct http_client *client;
 	struct pooled *pooled;
-	struct evhttp_request *req;
 	struct event *timer;
+	/* Value of the echo header that marks the answer; empty for any. */
+	struct base_buf echo;
 	http_call_cb cb;
 	void *ctx;
-	enum http_result failure;
 };
 
 struct http_client {
 	struct event_base *base;
-	char ip[INET6_ADDRSTRLEN];
-	uint16_t port;
+	struct sockaddr_storage addr;
+	socklen_t addr_len;
 	char host[80];
+	char *echo_header;
 	size_t max_connections;
 	size_t connection_count;
 	size_t max_answer;
+	int64_t connections_opened;
+	bool accept_unframed;
 	TAILQ_HEAD(pool, pooled) idle;
 	LIST_HEAD(, http_call) calls;
 };
 
-static struct timeval to_timeval(int64_t us)
+static void pooled_free(struct pooled *p)
 {
-	return (struct timeval){ .tv_sec = us / BASE_SECOND_US,
-				 .tv_usec = us % BASE_SECOND_US };
+	p->client->connection_count--;
+	bufferevent_free(p->bev);
+	head_message_release(&p->message);
+	free(p);
 }
 
-static void pooled_free(struct http_client *client, struct pooled *p)
+static void call_free(struct http_call *call)
 {
-	evhttp_connection_free(p->evcon);
-	client->connection_count--;
-	free(p);
+	LIST_REMOVE(call, link);
+	if (call->timer)
+		event_free(call->timer);
+	base_buf_release(&call->echo);
+	free(call);
 }
 
-static struct pooled *pooled_create(struct http_client *client)
+/* Takes the connection off its call and closes it. */
+static void drop_connection(struct http_call *call)
 {
-	struct pooled *p = base_alloc(sizeof(*p));
+	struct pooled *p = call->pooled;
 
-	p->evcon = evhttp_connection_base_new(client->base, NULL, client->ip,
-					      client->port);
-	if (!p->evcon) {
-		free(p);
-		return NULL;
-	}
-	evhttp_connection_set_max_headers_size(p->evcon, MAX_ANSWER_HEADERS);
-	evhttp_connection_set_max_body_size(p->evcon,
-					    (ev_ssize_t)client->max_answer);
-	evhttp_connection_set_timeout(p->evcon, CONNECTION_TIMEOUT_S);
-	client->connection_count++;
-	return p;
+	call->pooled = NULL;
+	p->call = NULL;
+	pooled_free(p);
 }
 
-/* Detaches the call from its connection and frees it. */
-static void call_free(struct http_call *call)
+static void finish(struct http_call *call, enum http_result result,
+		   const struct http_answer *answer)
 {
-	LIST_REMOVE(call, link);
-	if (call->timer)
-		event_free(call->timer);
-	free(call);
+	http_call_cb cb = call->cb;
+	void *ctx = call->ctx;
+
+	call_free(call);
+	cb(ctx, result, answer);
 }
 
-static void pooled_release(struct http_client *client, struct pooled *p,
-			   bool reusable)
+static void fail(struct http_call *call, enum http_result result)
 {
-	if (!reusable) {
-		pooled_free(client, p);
-		return;
+	drop_connection(call);
+	finish(call, result, NULL);
+}
+
+/* The other side closes idle connections after the time that it names. */
+static int64_t reuse_time(const struct http_headers *headers)
+{
+	struct base_str text =
+		http_headers_find(headers, BASE_STR("Keep-Alive"));
+	int64_t us = IDLE_REUSE_US;
+	const char *at =
+		text.len ? memmem(text.ptr, text.len, "timeout=", 8) : NULL;
+
+	if (at) {
+		us = strtoll(at + 8, NULL, 10) * BASE_SECOND_US -
+		     IDLE_MARGIN_US;
+		if (us > IDLE_REUSE_US)
+			us = IDLE_REUSE_US;
 	}
+	return us;
+}
+
+static void make_idle(struct pooled *p)
+{
+	struct http_client *client = p->client;
+
+	p->call = NULL;
 	p->idle_since = base_now_us();
+	head_message_restart(&p->message);
 	TAILQ_INSERT_HEAD(&client->idle, p, link);
 }
 
-static void on_error(enum evhttp_request_error error, void *arg)
+/*
+ * Bytes behind the answer, or of the request that were not read, would meet
+ * the next request on the connection.
+ */
+static bool is_reusable(struct pooled *p)
 {
-	struct http_call *call = arg;
+	return http_should_keep_alive(&p->message.parser) && p->reuse_us > 0 &&
+	       !evbuffer_get_length(bufferevent_get_input(p->bev)) &&
+	       !evbuffer_get_length(bufferevent_get_output(p->bev));
+}
 
-	if (error == EVREQ_HTTP_DATA_TOO_LONG)
-		call->failure = HTTP_RESULT_TOO_LARGE;
-	else if (error == EVREQ_HTTP_INVALID_HEADER)
-		call->failure = HTTP_RESULT_INVALID;
-	else
-		call->failure = HTTP_RESULT_LOST;
+static void deliver(struct http_call *call)
+{
+	struct pooled *p = call->pooled;
+	struct head_message *m = &p->message;
+	struct http_answer answer = { .status = m->parser.status_code };
+	struct base_buf body = m->body;
+
+	answer.headers = m->headers;
+	answer.body = base_buf_str(&body);
+	m->headers = (struct http_headers){ 0 };
+	m->body = BASE_BUF_INIT;
+	p->reuse_us = reuse_time(&answer.headers);
+	call->pooled = NULL;
+	if (is_reusable(p)) {
+		make_idle(p);
+	} else {
+		p->call = NULL;
+		pooled_free(p);
+	}
+	finish(call, HTTP_RESULT_ANSWERED, &answer);
+	http_headers_release(&answer.headers);
+	base_buf_release(&body);
 }
 
-/* An answer that ends with its connection cannot be told from a cut one. */
-static bool is_framed(struct evhttp_request *req)
+/* An answer to an earlier request on the connection may come late. */
+static bool is_own_answer(const struct http_call *call)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-	int code = evhttp_request_get_response_code(req);
+	const struct http_client *client = call->client;
+	const struct head_message *m = &call->pooled->message;
+	struct base_str echo;
 
-	if (code == 204 || code == 304 ||
-	    evhttp_request_get_command(req) == EVHTTP_REQ_HEAD)
+	if (!call->echo.len)
 		return true;
-	return evhttp_find_header(headers, "Content-Length") ||
-	       evhttp_find_header(headers, "Transfer-Encoding");
+	echo = http_headers_find(&m->headers,
+				 base_str_from(client->echo_header));
+	return base_str_equal(echo, base_buf_str(&call->echo));
 }
 
-static bool wants_close(struct evhttp_request *req)
+static enum http_result result_of(enum head_fault fault)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-	const char *value = evhttp_find_header(headers, "Connection");
-
-	return value &&
-	       base_str_equal_nocase(base_str_from(value), BASE_STR("close"));
+	return fault == HEAD_FAULT_BODY_TOO_LARGE ||
+			       fault == HEAD_FAULT_HEAD_TOO_LARGE
+		       ? HTTP_RESULT_TOO_LARGE
+		       : HTTP_RESULT_INVALID;
 }
 
-static void read_answer(struct evhttp_request *req, struct http_answer *answer)
+static void on_read(struct bufferevent *bev, void *arg)
 {
-	struct evbuffer *body = evhttp_request_get_input_buffer(req);
-	struct evkeyval *header;
-
-	answer->status = evhttp_request_get_response_code(req);
-	answer->body.len = evbuffer_get_length(body);
-	answer->body.ptr = (const char *)evbuffer_pullup(body, -1);
-	TAILQ_FOREACH (header, evhttp_request_get_input_headers(req), next)
-		http_headers_add(&answer->headers, base_str_from(header->key),
-				 base_str_from(header->value));
+	struct pooled *p = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct head_message *m = &p->message;
+	enum head_fault fault = HEAD_OK;
+
+	/* Nothing was asked, so this answers nothing. */
+	if (!p->call) {
+		TAILQ_REMOVE(&p->client->idle, p, link);
+		pooled_free(p);
+		return;
+	}
+	while (evbuffer_get_length(in)) {
+		if (!m->headers_complete &&
+		    !head_is_whole(in, MAX_ANSWER_HEAD, &fault))
+			return;
+		if (!fault) {
+			head_message_read(m, in);
+			fault = m->fault;
+		}
+		if (fault) {
+			fail(p->call, result_of(fault));
+			return;
+		}
+		if (!m->complete)
+			return;
+		if (m->parser.status_code / 100 != 1 &&
+		    is_own_answer(p->call)) {
+			deliver(p->call);
+			return;
+		}
+		head_message_restart(m);
+	}
 }
 
-static void finish(struct http_call *call, enum http_result result,
-		   const struct http_answer *answer)
+/* The connection ended in order; its end may mark the end of the answer. */
+static bool ends_answer(struct pooled *p)
 {
-	http_call_cb cb = call->cb;
-	void *ctx = call->ctx;
+	struct head_message *m = &p->message;
 
-	call_free(call);
-	cb(ctx, result, answer);
+	if (!p->client->accept_unframed || !head_message_is_unframed(m))
+		return false;
+	head_message_end(m);
+	return m->complete && is_own_answer(p->call);
 }
 
-static void on_done(struct evhttp_request *req, void *arg)
+static void on_event(struct bufferevent *bev, short events, void *arg)
 {
-	struct http_call *call = arg;
-	struct http_client *client = call->client;
-	struct pooled *p = call->pooled;
-	struct http_answer answer = { 0 };
-	bool answered = req && evhttp_request_get_response_code(req);
-
-	if (answered && is_framed(req)) {
-		read_answer(req, &answer);
-		pooled_release(client, p, !wants_close(req));
-		finish(call, HTTP_RESULT_ANSWERED, &answer);
-		http_headers_release(&answer.headers);
+	struct pooled *p = arg;
+	struct http_call *call = p->call;
+
+	if (events & BEV_EVENT_CONNECTED) {
+		p->connected = true;
+		return;
+	}
+	if (!call) {
+		TAILQ_REMOVE(&p->client->idle, p, link);
+		pooled_free(p);
 		return;
 	}
-	pooled_release(client, p, false);
-	if (answered)
-		finish(call, HTTP_RESULT_INVALID, NULL);
-	else if (req && call->failure == HTTP_RESULT_ANSWERED)
-		/* evhttp reports a failed connect by a request without code. */
-		finish(call, HTTP_RESULT_NOT_SENT, NULL);
-	else if (call->failure == HTTP_RESULT_ANSWERED)
-		finish(call, HTTP_RESULT_LOST, NULL);
+	if (events & BEV_EVENT_EOF && ends_answer(p))
+		deliver(call);
+	else if (!p->connected)
+		fail(call, HTTP_RESULT_NOT_SENT);
+	else if (events & BEV_EVENT_EOF && head_message_is_unframed(&p->message))
+		fail(call, HTTP_RESULT_INVALID);
 	else
-		finish(call, call->failure, NULL);
+		fail(call, HTTP_RESULT_LOST);
 }
 
-static void on_timeout(evutil_socket_t fd, short events, void *arg)
+static void set_option(int fd, int level, int option, int value)
 {
-	struct http_call *call = arg;
-	struct http_client *client = call->client;
-
-	evhttp_cancel_request(call->req);
-	pooled_release(client, call->pooled, false);
-	finish(call, HTTP_RESULT_TIMED_OUT, NULL);
+	setsockopt(fd, level, option, &value, sizeof(value));
 }
 
-void http_call_cancel(struct http_call *call)
+/* Connections may go silent without a reset; only probes show it. */
+static void set_options(int fd)
 {
-	struct http_client *client = call->client;
-	struct pooled *p = call->pooled;
-
-	evhttp_cancel_request(call->req);
-	call_free(call);
-	pooled_release(client, p, false);
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
 }
 
-static bool parse_method(struct base_str method, enum evhttp_cmd_type *type)
+static struct pooled *pooled_create(struct http_client *client)
 {
-	static const struct {
-		const char *name;
-		enum evhttp_cmd_type type;
-	} methods[] = {
-		{ "GET", EVHTTP_REQ_GET },
-		{ "POST", EVHTTP_REQ_POST },
-		{ "PUT", EVHTTP_REQ_PUT },
-		{ "DELETE", EVHTTP_REQ_DELETE },
-		{ "PATCH", EVHTTP_REQ_PATCH },
-		{ "HEAD", EVHTTP_REQ_HEAD },
-		{ "OPTIONS", EVHTTP_REQ_OPTIONS },
-	};
-	size_t i;
+	struct pooled *p = base_alloc(sizeof(*p));
+	int fd = socket(client->addr.ss_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-	for (i = 0; i < BASE_ARRAY_SIZE(methods); i++) {
-		if (base_str_equal(method, base_str_from(methods[i].name))) {
-			*type = methods[i].type;
-			return true;
-		}
+	if (fd < 0) {
+		free(p);
+		return NULL;
 	}
-	return false;
+	set_options(fd);
+	p->client = client;
+	client->connection_count++;
+	client->connections_opened++;
+	head_message_init(&p->message, HTTP_RESPONSE, client->max_answer);
+	p->bev = bufferevent_socket_new(client->base, fd,
+					BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(p->bev, on_read, NULL, on_event, p);
+	bufferevent_enable(p->bev, EV_READ | EV_WRITE);
+	if (!bufferevent_socket_connect(p->bev,
+					(struct sockaddr *)&client->addr,
+					(int)client->addr_len))
+		return p;
+	pooled_free(p);
+	return NULL;
 }
 
-static struct pooled *take_connection(struct http_client *client)
+static struct pooled *take_connection(struct http_client *client, bool fresh)
 {
-	struct pooled *p = TAILQ_FIRST(&client->idle);
+	struct pooled *p, *next;
 	int64_t now = base_now_us();
 
-	if (p && now - p->idle_since <= IDLE_REUSE_US) {
+	for (p = TAILQ_FIRST(&client->idle); p; p = next) {
+		next = TAILQ_NEXT(p, link);
+		if (now - p->idle_since <= p->reuse_us)
+			continue;
 		TAILQ_REMOVE(&client->idle, p, link);
-		return p;
+		pooled_free(p);
 	}
-	while ((p = TAILQ_FIRST(&client->idle))) {
+	p = TAILQ_FIRST(&client->idle);
+	if (p && !fresh) {
 		TAILQ_REMOVE(&client->idle, p, link);
-		pooled_free(client, p);
+		return p;
 	}
 	if (client->connection_count >= client->max_connections)
 		return NULL;
 	return pooled_create(client);
 }
 
-static void fill_request(const struct http_client *client,
-			 struct evhttp_request *req,
-			 const struct http_request *request)
+static void on_timeout(evutil_socket_t fd, short events, void *arg)
 {
-	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	struct http_call *call = arg;
+
+	fail(call, call->pooled->connected ? HTTP_RESULT_TIMED_OUT
+					   : HTTP_RESULT_NOT_SENT);
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	drop_connection(call);
+	call_free(call);
+}
+
+static bool is_method(struct base_str method)
+{
+	static const char *const names[] = { "GET",    "POST",	"PUT",
+					     "DELETE", "PATCH", "HEAD",
+					     "OPTIONS" };
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(names); i++)
+		if (base_str_equal(method, base_str_from(names[i])))
+			return true;
+	return false;
+}
+
+static bool may_omit_length(struct base_str method)
+{
+	return base_str_equal(method, BASE_STR("GET")) ||
+	       base_str_equal(method, BASE_STR("HEAD")) ||
+	       base_str_equal(method, BASE_STR("DELETE")) ||
+	       base_str_equal(method, BASE_STR("OPTIONS"));
+}
+
+static void write_request(const struct http_client *client,
+			  struct evbuffer *out,
+			  const struct http_request *request)
+{
+	struct base_str host =
+		http_headers_find(&request->headers, BASE_STR("Host"));
 	size_t i;
 
-	evhttp_add_header(out, "Host", client->host);
+	if (!host.len)
+		host = base_str_from(client->host);
+	evbuffer_add_printf(out, "%.*s %.*s", BASE_STR_ARG(request->method),
+			    BASE_STR_ARG(request->path));
+	if (request->query.len)
+		evbuffer_add_printf(out, "?%.*s", BASE_STR_ARG(request->query));
+	evbuffer_add_printf(out, " HTTP/1.1\r\nHost: %.*s\r\n",
+			    BASE_STR_ARG(host));
 	for (i = 0; i < request->headers.count; i++) {
 		const struct http_header *h = &request->headers.items[i];
 
 		if (!http_header_is_hop_by_hop(h->name))
-			evhttp_add_header(out, h->name.ptr, h->value.ptr);
+			evbuffer_add_printf(out, "%.*s: %.*s\r\n",
+					    BASE_STR_ARG(h->name),
+					    BASE_STR_ARG(h->value));
 	}
-	evbuffer_add(evhttp_request_get_output_buffer(req), request->body.ptr,
-		     request->body.len);
+	if (request->body.len || !may_omit_length(request->method))
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+				    request->body.len);
+	evbuffer_add(out, "\r\n", 2);
+	evbuffer_add(out, request->body.ptr, request->body.len);
 }
 
-static char *build_target(const struct http_request *request)
+static void start_timer(struct http_call *call, int64_t timeout_us)
 {
-	struct base_buf target = BASE_BUF_INIT;
+	struct timeval tv = { .tv_sec = timeout_us / BASE_SECOND_US,
+			      .tv_usec = timeout_us % BASE_SECOND_US };
 
-	base_buf_add_str(&target, request->path);
-	if (request->query.len) {
-		base_buf_add(&target, "?", 1);
-		base_buf_add_str(&target, request->query);
-	}
-	return target.ptr;
+	if (timeout_us <= 0)
+		return;
+	call->timer = evtimer_new(call->client->base, on_timeout, call);
+	evtimer_add(call->timer, &tv);
 }
 
 struct http_call *http_client_send(struct http_client *client,
@@ -282,15 +410,12 @@
 				   int64_t timeout_us, http_call_cb cb,
 				   void *ctx)
 {
-	enum evhttp_cmd_type type;
 	struct http_call *call;
 	struct pooled *p;
-	struct timeval tv = to_timeval(timeout_us);
-	char *target;
 
-	if (!parse_method(request->method, &type))
+	if (!is_method(request->method))
 		return NULL;
-	p = take_connection(client);
+	p = take_connection(client, request->fresh_connection);
 	if (!p)
 		return NULL;
 	call = base_alloc(sizeof(*call));
@@ -298,62 +423,48 @@
 	call->pooled = p;
 	call->cb = cb;
 	call->ctx = ctx;
-	call->failure = HTTP_RESULT_ANSWERED;
+	p->call = call;
+	p->message.answers_head =
+		base_str_equal(request->method, BASE_STR("HEAD"));
 	LIST_INSERT_HEAD(&client->calls, call, link);
-	call->req = evhttp_request_new(on_done, call);
-	evhttp_request_set_error_cb(call->req, on_error);
-	fill_request(client, call->req, request);
-	if (timeout_us > 0) {
-		call->timer = evtimer_new(client->base, on_timeout, call);
-		evtimer_add(call->timer, &tv);
-	}
-	target = build_target(request);
-	if (evhttp_make_request(p->evcon, call->req, type, target)) {
-		/* evhttp has freed the request without calling back. */
-		call_free(call);
-		pooled_free(client, p);
-		call = NULL;
-	}
-	free(target);
+	if (client->echo_header)
+		base_buf_add_str(&call->echo,
+				 http_headers_find(
+					 &request->headers,
+					 base_str_from(client->echo_header)));
+	write_request(client, bufferevent_get_output(p->bev), request);
+	start_timer(call, timeout_us);
 	return call;
 }
 
-enum http_status http_client_create(struct event_base *base,
-				    const struct http_client_settings *settings,
-				    struct http_client **out,
-				    struct base_error *err)
+enum http_error http_client_create(struct event_base *base,
+				   const struct http_client_settings *settings,
+				   struct http_client **out,
+				   struct base_error *err)
 {
 	struct http_client *client;
-	struct sockaddr_storage addr;
+	struct sockaddr_storage addr = { 0 };
 	socklen_t len = 0;
-	enum http_status status =
+	enum http_error status =
 		http_address_parse(settings->address, &addr, &len, err);
 
-	if (status != HTTP_STATUS_OK)
+	if (status != HTTP_ERROR_NONE)
 		return status;
 	client = base_alloc(sizeof(*client));
 	client->base = base;
+	client->addr = addr;
+	client->addr_len = len;
 	client->max_connections = settings->max_connections;
 	client->max_answer = settings->max_answer;
+	client->accept_unframed = settings->accept_unframed;
+	if (settings->echo_header.len)
+		client->echo_header = base_str_dup(settings->echo_header);
 	TAILQ_INIT(&client->idle);
 	LIST_INIT(&client->calls);
-	if (addr.ss_family == AF_INET) {
-		struct sockaddr_in *in = (struct sockaddr_in *)&addr;
-
-		evutil_inet_ntop(AF_INET, &in->sin_addr, client->ip,
-				 sizeof(client->ip));
-		client->port = ntohs(in->sin_port);
-	} else {
-		struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&addr;
-
-		evutil_inet_ntop(AF_INET6, &in6->sin6_addr, client->ip,
-				 sizeof(client->ip));
-		client->port = ntohs(in6->sin6_port);
-	}
 	snprintf(client->host, sizeof(client->host), "%.*s",
 		 BASE_STR_ARG(settings->address));
 	*out = client;
-	return HTTP_STATUS_OK;
+	return HTTP_ERROR_NONE;
 }
 
 void http_client_destroy(struct http_client *client)
@@ -367,8 +478,9 @@
 		http_call_cancel(call);
 	while ((p = TAILQ_FIRST(&client->idle))) {
 		TAILQ_REMOVE(&client->idle, p, link);
-		pooled_free(client, p);
+		pooled_free(p);
 	}
+	free(client->echo_header);
 	free(client);
 }
 
--- /dev/null
+++ b/packages/http/head.c
@@ -0,0 +1,240 @@
+/* Strict reading of HTTP/1.1 messages over http_parser. */
+#include "head.h"
+
+#include <string.h>
+
+void head_message_init(struct head_message *m, enum http_parser_type type,
+		       size_t max_body)
+{
+	memset(m, 0, sizeof(*m));
+	m->type = type;
+	m->max_body = max_body;
+	http_parser_init(&m->parser, type);
+	m->parser.data = m;
+}
+
+void head_message_release(struct head_message *m)
+{
+	http_headers_release(&m->headers);
+	base_buf_release(&m->target);
+	base_buf_release(&m->name);
+	base_buf_release(&m->value);
+	base_buf_release(&m->body);
+}
+
+void head_message_restart(struct head_message *m)
+{
+	bool answers_head = m->answers_head;
+
+	head_message_release(m);
+	head_message_init(m, m->type, m->max_body);
+	m->answers_head = answers_head;
+}
+
+static struct base_str trimmed(struct base_str s)
+{
+	while (s.len && (s.ptr[s.len - 1] == ' ' || s.ptr[s.len - 1] == '\t'))
+		s.len--;
+	return s;
+}
+
+static bool is_token(struct base_str s)
+{
+	static const char special[] = "!#$%&'*+-.^_`|~";
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		char c = s.ptr[i];
+		bool ok = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+			  (c >= '0' && c <= '9') ||
+			  (c && strchr(special, c));
+
+		if (!ok)
+			return false;
+	}
+	return s.len > 0;
+}
+
+static int fail(struct head_message *m, enum head_fault fault)
+{
+	m->fault = fault;
+	return -1;
+}
+
+/* A header is complete when the next one begins. */
+static int end_header(struct head_message *m)
+{
+	struct base_str name = base_buf_str(&m->name);
+	struct base_str value = trimmed(base_buf_str(&m->value));
+
+	if (!name.len)
+		return 0;
+	if (!is_token(name))
+		return fail(m, HEAD_FAULT_SYNTAX);
+	if (base_str_equal_nocase(name, BASE_STR("Transfer-Encoding")) &&
+	    !base_str_equal_nocase(value, BASE_STR("chunked")))
+		return fail(m, HEAD_FAULT_CODING);
+	/* Trailers come after the head and are dropped. */
+	if (!m->headers_complete)
+		http_headers_add(&m->headers, name, value);
+	base_buf_reset(&m->name);
+	base_buf_reset(&m->value);
+	return 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	struct head_message *m = parser->data;
+
+	base_buf_add(&m->target, at, len);
+	return 0;
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	struct head_message *m = parser->data;
+
+	if (m->value.len && end_header(m))
+		return -1;
+	base_buf_add(&m->name, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct head_message *m = parser->data;
+
+	base_buf_add(&m->value, at, len);
+	/* An empty value still ends the name. */
+	if (!m->value.len)
+		base_buf_add(&m->value, " ", 1);
+	return 0;
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct head_message *m = parser->data;
+
+	if (end_header(m))
+		return -1;
+	m->headers_complete = true;
+	if (parser->http_major != 1)
+		return fail(m, HEAD_FAULT_VERSION);
+	if (parser->flags & F_CONTENTLENGTH &&
+	    parser->content_length > m->max_body && !m->answers_head)
+		return fail(m, HEAD_FAULT_BODY_TOO_LARGE);
+	/* Nobody here changes the protocol of a connection. */
+	parser->upgrade = 0;
+	return m->answers_head ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct head_message *m = parser->data;
+
+	if (m->body.len + len > m->max_body)
+		return fail(m, HEAD_FAULT_BODY_TOO_LARGE);
+	base_buf_add(&m->body, at, len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct head_message *m = parser->data;
+
+	if (end_header(m))
+		return -1;
+	m->complete = true;
+	/* Bytes behind the message belong to the next one. */
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* Bytes that two readers may take differently: bare CR or LF, NUL, folding. */
+static bool is_clean(const char *head, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		bool after_line = i && head[i - 1] == '\n';
+
+		if (!head[i])
+			return false;
+		if (head[i] == '\n' && (!i || head[i - 1] != '\r'))
+			return false;
+		if (head[i] == '\r' && (i + 1 == len || head[i + 1] != '\n'))
+			return false;
+		if (after_line && (head[i] == ' ' || head[i] == '\t'))
+			return false;
+	}
+	return true;
+}
+
+bool head_is_whole(struct evbuffer *in, size_t max_head,
+		   enum head_fault *fault)
+{
+	struct evbuffer_ptr end =
+		evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	struct evbuffer_ptr bare = evbuffer_search(in, "\n\n", 2, NULL);
+	size_t len;
+
+	*fault = HEAD_OK;
+	if (end.pos < 0) {
+		if (bare.pos >= 0)
+			*fault = HEAD_FAULT_SYNTAX;
+		else if (evbuffer_get_length(in) > max_head)
+			*fault = HEAD_FAULT_HEAD_TOO_LARGE;
+		return *fault != HEAD_OK;
+	}
+	len = (size_t)end.pos + 4;
+	if (len > max_head)
+		*fault = HEAD_FAULT_HEAD_TOO_LARGE;
+	else if (!is_clean((const char *)evbuffer_pullup(in, (ev_ssize_t)len),
+			   len))
+		*fault = HEAD_FAULT_SYNTAX;
+	return true;
+}
+
+void head_message_read(struct head_message *m, struct evbuffer *in)
+{
+	struct evbuffer_iovec piece;
+
+	while (!m->complete && !m->fault &&
+	       evbuffer_peek(in, -1, NULL, &piece, 1) > 0 && piece.iov_len) {
+		size_t used = http_parser_execute(&m->parser, &callbacks,
+						  piece.iov_base,
+						  piece.iov_len);
+		enum http_errno error = HTTP_PARSER_ERRNO(&m->parser);
+
+		evbuffer_drain(in, used);
+		if (m->fault || error == HPE_OK || error == HPE_PAUSED)
+			continue;
+		m->fault = error == HPE_INVALID_VERSION ? HEAD_FAULT_VERSION
+							: HEAD_FAULT_SYNTAX;
+	}
+}
+
+bool head_message_is_unframed(const struct head_message *m)
+{
+	unsigned int status = m->parser.status_code;
+
+	if (!m->headers_complete || m->answers_head || status / 100 == 1 ||
+	    status == 204 || status == 304)
+		return false;
+	return !(m->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
+}
+
+void head_message_end(struct head_message *m)
+{
+	if (!m->complete && !m->fault)
+		http_parser_execute(&m->parser, &callbacks, NULL, 0);
+}
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -4,10 +4,10 @@
 #include <event2/util.h>
 #include <string.h>
 
-const char *http_strerror(enum http_status status)
+const char *http_strerror(enum http_error status)
 {
 	switch (status) {
-	case HTTP_STATUS_OK:
+	case HTTP_ERROR_NONE:
 		return "success";
 	case HTTP_ERR_ADDRESS:
 		return "invalid address";
@@ -43,7 +43,7 @@
 	return true;
 }
 
-enum http_status http_address_parse(struct base_str text,
+enum http_error http_address_parse(struct base_str text,
 				    struct sockaddr_storage *addr,
 				    socklen_t *len, struct base_error *err)
 {
@@ -58,13 +58,13 @@
 			in->sin_family = AF_INET;
 			in->sin_port = htons((uint16_t)port);
 			*len = sizeof(*in);
-			return HTTP_STATUS_OK;
+			return HTTP_ERROR_NONE;
 		}
 		if (evutil_inet_pton(AF_INET6, host, &in6->sin6_addr) == 1) {
 			in6->sin6_family = AF_INET6;
 			in6->sin6_port = htons((uint16_t)port);
 			*len = sizeof(*in6);
-			return HTTP_STATUS_OK;
+			return HTTP_ERROR_NONE;
 		}
 	}
 	base_error_set(err, "'%.*s' is not an address of the form IP:PORT",
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -17,21 +17,21 @@
 
 struct event_base;
 
-enum http_status {
-	HTTP_STATUS_OK = 0,
+enum http_error {
+	HTTP_ERROR_NONE = 0,
 	HTTP_ERR_ADDRESS,
 	HTTP_ERR_BIND,
 	HTTP_ERR_NO_MEMORY,
 };
 
 /** Returns a static description of a status. Never NULL. */
-const char *http_strerror(enum http_status status);
+const char *http_strerror(enum http_error status);
 
 /**
  * Parses "IP:PORT" or "[IPv6]:PORT".
  * @return HTTP_ERR_ADDRESS with a message when it is neither
  */
-enum http_status http_address_parse(struct base_str text,
+enum http_error http_address_parse(struct base_str text,
 				    struct sockaddr_storage *addr,
 				    socklen_t *len, struct base_error *err);
 
@@ -71,6 +71,11 @@
 	struct base_str query;
 	struct http_headers headers;
 	struct base_str body;
+	/**
+	 * For the client: do not send it on a kept connection, which the other
+	 * side may be closing.
+	 */
+	bool fresh_connection;
 };
 
 /** One request at a server, until its reply. */
@@ -107,7 +112,7 @@
 	void *ctx;
 };
 
-enum http_status http_server_create(struct event_base *base,
+enum http_error http_server_create(struct event_base *base,
 				    const struct http_server_settings *settings,
 				    struct http_server **out,
 				    struct base_error *err);
@@ -120,6 +125,19 @@
  * caller to close.
  */
 void http_server_stop_accepting(struct http_server *server);
+/** Bounds of what callers may send; a value of 0 keeps the present one. */
+struct http_server_limits {
+	/** Bytes of a request's head. */
+	size_t max_headers;
+	/** Time in which a head arrives. */
+	int64_t header_timeout_us;
+	int64_t idle_timeout_us;
+};
+
+void http_server_set_limits(struct http_server *server,
+			    const struct http_server_limits *limits);
+/** Each further reply asks its caller to close; connections are accepted. */
+void http_server_close_when_answered(struct http_server *server);
 /** Exchanges that wait for a reply. */
 size_t http_server_open_exchanges(const struct http_server *server);
 size_t http_server_connections(const struct http_server *server);
@@ -169,10 +187,20 @@
 	size_t max_connections;
 	/** In bytes. */
 	size_t max_answer;
+	/**
+	 * Header that answers repeat from their request. An answer with another
+	 * value belongs to an earlier request and is dropped. May be empty.
+	 */
+	struct base_str echo_header;
+	/**
+	 * An answer without a length is whole when its connection ends in
+	 * order. Otherwise it is HTTP_RESULT_INVALID.
+	 */
+	bool accept_unframed;
 };
 
 /** A pool of kept-alive connections to one address. */
-enum http_status http_client_create(struct event_base *base,
+enum http_error http_client_create(struct event_base *base,
 				    const struct http_client_settings *settings,
 				    struct http_client **out,
 				    struct base_error *err);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,9 +1,13 @@
-/* HTTP server over libevhtp. */
+/* HTTP server over libevent's bufferevents. */
 #include "http.h"
+#include "head.h"
 
 #include <assert.h>
-#include <evhtp.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
 #include <netdb.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -11,43 +15,45 @@
 
 /* Requests have to arrive completely within this time. */
 #define REQUEST_ARRIVAL_US (30 * BASE_SECOND_US)
-/* Bytes of an oversized body that are read so that the 413 can be seen. */
+/* Bytes that are read and dropped so that a refusal can be seen. */
 #define DISCARD_LIMIT (8U << 20)
+/* The same in time. */
+#define DISCARD_US (2 * BASE_SECOND_US)
+/* Bytes that are read ahead while a request waits for its reply. */
+#define READ_AHEAD (64U << 10)
 #define LISTEN_BACKLOG 1024
+#define SWEEP_US (250 * BASE_MS_US)
 
 struct exchange;
 
 struct connection {
 	LIST_ENTRY(connection) link;
 	struct http_server *server;
-	evhtp_connection_t *conn;
+	struct bufferevent *bev;
 	struct exchange *current;
-	size_t header_bytes;
-	size_t body_bytes;
+	struct head_message message;
 	/* Start of the request that is arriving, 0 between requests. */
 	int64_t arriving_since;
 	int64_t idle_since;
-	/** Of the request that is arriving; evhtp overwrites its own copy. */
-	char *query;
-	bool malformed;
+	/* Nothing more is served; what arrives is dropped until then. */
+	int64_t closing_until;
+	size_t discarded;
 };
 
 struct exchange {
 	struct http_exchange pub;
 	struct connection *connection;
-	evhtp_request_t *req;
-	struct event *closed_event;
 	http_gone_cb gone;
 	void *gone_ctx;
 	bool in_handler;
 	bool replied;
-	int status;
-	bool close_after;
+	bool keep_alive;
+	bool is_head;
 };
 
 struct http_server {
 	struct event_base *base;
-	evhtp_t *htp;
+	struct evconnlistener *listener;
 	struct event *sweep;
 	LIST_HEAD(, connection) connections;
 	size_t connection_count;
@@ -56,6 +62,7 @@
 	size_t max_headers;
 	size_t max_connections;
 	int64_t idle_timeout_us;
+	int64_t header_timeout_us;
 	http_server_handler handler;
 	void *ctx;
 	bool draining;
@@ -64,8 +71,6 @@
 
 static void exchange_free(struct exchange *ex)
 {
-	if (ex->closed_event)
-		event_free(ex->closed_event);
 	if (ex->connection)
 		ex->connection->current = NULL;
 	http_headers_release(&ex->pub.request.headers);
@@ -76,239 +81,335 @@
 	free(ex);
 }
 
-static void notify_gone(struct exchange *ex)
+static void connection_free(struct connection *c)
 {
-	http_gone_cb cb = ex->gone;
-
-	ex->gone = NULL;
-	if (cb)
-		cb(ex->gone_ctx, &ex->pub);
-}
-
-static evhtp_res on_connection_fini(evhtp_connection_t *conn, void *arg)
-{
-	struct connection *c = arg;
 	struct exchange *ex = c->current;
+	http_gone_cb gone;
 
 	LIST_REMOVE(c, link);
 	c->server->connection_count--;
 	if (ex) {
+		c->server->open_exchanges--;
 		ex->connection = NULL;
-		ex->req = NULL;
-		if (ex->closed_event) {
-			event_free(ex->closed_event);
-			ex->closed_event = NULL;
-		}
-		notify_gone(ex);
+		c->current = NULL;
 	}
-	free(c->query);
+	bufferevent_free(c->bev);
+	head_message_release(&c->message);
 	free(c);
-	return EVHTP_RES_OK;
+	if (!ex)
+		return;
+	gone = ex->gone;
+	ex->gone = NULL;
+	if (gone)
+		gone(ex->gone_ctx, &ex->pub);
 }
 
-static void on_closed(evutil_socket_t fd, short events, void *arg)
+static struct base_str own_str(struct base_str s)
 {
-	struct exchange *ex = arg;
+	return (struct base_str){ base_str_dup(s), s.len };
+}
 
-	event_del(ex->closed_event);
-	notify_gone(ex);
+static void take_target(struct http_request *r, struct base_str target)
+{
+	const char *mark =
+		target.len ? memchr(target.ptr, '?', target.len) : NULL;
+	struct base_str path = target;
+	struct base_str query = BASE_STR("");
+
+	if (mark) {
+		path.len = (size_t)(mark - target.ptr);
+		query.ptr = mark + 1;
+		query.len = target.len - path.len - 1;
+	}
+	r->path = own_str(path);
+	r->query = own_str(query);
 }
 
-static evhtp_res on_headers_start(evhtp_request_t *req, void *arg)
+static struct exchange *exchange_create(struct connection *c)
 {
-	struct connection *c = arg;
+	struct exchange *ex = base_alloc(sizeof(*ex));
+	struct head_message *m = &c->message;
+	struct http_request *r = &ex->pub.request;
 
-	c->header_bytes = 0;
-	c->body_bytes = 0;
-	c->malformed = false;
-	c->arriving_since = base_now_us();
-	return EVHTP_RES_OK;
+	ex->connection = c;
+	ex->keep_alive = http_should_keep_alive(&m->parser);
+	ex->is_head = m->parser.method == HTTP_HEAD;
+	ex->pub.received_at = base_now_us();
+	r->method = own_str(base_str_from(http_method_str(m->parser.method)));
+	take_target(r, base_buf_str(&m->target));
+	r->headers = m->headers;
+	m->headers = (struct http_headers){ 0 };
+	r->body = own_str(base_buf_str(&m->body));
+	head_message_restart(m);
+	c->current = ex;
+	c->arriving_since = 0;
+	c->idle_since = 0;
+	c->server->open_exchanges++;
+	return ex;
 }
 
-static evhtp_res on_header(evhtp_request_t *req, evhtp_header_t *header,
-			   void *arg)
+static void add_headers(struct evbuffer *out,
+			const struct http_headers *headers)
 {
-	struct connection *c = arg;
+	size_t i;
+
+	for (i = 0; headers && i < headers->count; i++) {
+		const struct http_header *h = &headers->items[i];
 
-	c->header_bytes += header->klen + header->vlen;
-	if (c->header_bytes > c->server->max_headers)
-		return EVHTP_RES_ERROR;
-	return EVHTP_RES_OK;
+		if (!http_header_is_hop_by_hop(h->name))
+			evbuffer_add_printf(out, "%.*s: %.*s\r\n",
+					    BASE_STR_ARG(h->name),
+					    BASE_STR_ARG(h->value));
+	}
 }
 
-static evhtp_res on_headers(evhtp_request_t *req, evhtp_headers_t *headers,
-			    void *arg)
+/* The parser's header knows no name for the type of its statuses. */
+static const char *reason_phrase(int status)
 {
-	struct connection *c = arg;
-	const char *query = (const char *)req->uri->query_raw;
+	switch (status) {
+#define PHRASE(number, name, string) \
+	case number:                 \
+		return #string;
+		HTTP_STATUS_MAP(PHRASE)
+#undef PHRASE
+	}
+	return "Unknown";
+}
 
-	/*
-	 * When a request with a form as body has no query, evhtp puts the body
-	 * in the query's place after it has arrived.
-	 */
-	free(c->query);
-	c->query = base_str_dup(base_str_from(query ? query : ""));
-	/* Both framings in one request are a request smuggling attempt. */
-	if (evhtp_header_find(headers, "Transfer-Encoding") &&
-	    evhtp_header_find(headers, "Content-Length"))
-		c->malformed = true;
-	return EVHTP_RES_OK;
+static bool has_no_body(int status)
+{
+	return status / 100 == 1 || status == 204 || status == 304;
 }
 
-static evhtp_res on_body(evhtp_request_t *req, struct evbuffer *buf, void *arg)
+static void write_reply(struct connection *c, const struct exchange *ex,
+			int status, const struct http_headers *headers,
+			struct base_str body, bool keep_alive)
 {
-	struct connection *c = arg;
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	bool is_head = ex && ex->is_head;
+
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
+			    reason_phrase(status));
+	add_headers(out, headers);
+	if (!has_no_body(status) && !is_head)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
+	if (!keep_alive)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+	evbuffer_add(out, "\r\n", 2);
+	if (!has_no_body(status) && !is_head)
+		evbuffer_add(out, body.ptr, body.len);
+}
 
-	c->body_bytes += evbuffer_get_length(buf);
-	if (c->body_bytes <= c->server->max_body)
-		return EVHTP_RES_OK;
-	evbuffer_drain(buf, evbuffer_get_length(buf));
-	if (c->body_bytes > c->server->max_body + DISCARD_LIMIT)
-		return EVHTP_RES_ERROR;
-	return EVHTP_RES_OK;
+/* The peer sees the last reply before the connection is reset. */
+static void start_closing(struct connection *c)
+{
+	c->closing_until = base_now_us() + DISCARD_US;
+	c->arriving_since = 0;
+	bufferevent_setwatermark(c->bev, EV_READ, 0, 0);
+	if (!evbuffer_get_length(bufferevent_get_output(c->bev)))
+		shutdown(bufferevent_getfd(c->bev), SHUT_WR);
 }
 
-static evhtp_res on_accept(evhtp_connection_t *conn, void *arg)
+static void refuse(struct connection *c, enum http_refusal refusal, int status,
+		   const char *detail)
 {
-	struct http_server *server = arg;
-	struct connection *c;
+	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
+	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
+	struct http_refusal_details details = {
+		.refusal = refusal,
+		.not_run = true,
+		.detail = base_str_from(detail),
+	};
 
-	if (server->connection_count >= server->max_connections)
-		return EVHTP_RES_ERROR;
-	c = base_alloc(sizeof(*c));
-	c->server = server;
-	c->conn = conn;
-	c->idle_since = base_now_us();
-	LIST_INSERT_HEAD(&server->connections, c, link);
-	server->connection_count++;
-	evhtp_connection_set_hook(conn, evhtp_hook_on_headers_start,
-				  (evhtp_hook)on_headers_start, c);
-	evhtp_connection_set_hook(conn, evhtp_hook_on_header,
-				  (evhtp_hook)on_header, c);
-	evhtp_connection_set_hook(conn, evhtp_hook_on_headers,
-				  (evhtp_hook)on_headers, c);
-	evhtp_connection_set_hook(conn, evhtp_hook_on_read, (evhtp_hook)on_body,
-				  c);
-	evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
-				  (evhtp_hook)on_connection_fini, c);
-	return EVHTP_RES_OK;
+	http_refusal_build(&details, &headers, &body);
+	write_reply(c, NULL, status, &headers, base_buf_str(&body), false);
+	start_closing(c);
+}
+
+static void refuse_fault(struct connection *c, enum head_fault fault)
+{
+	switch (fault) {
+	case HEAD_FAULT_VERSION:
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 505,
+		       "the version of HTTP is not supported");
+		return;
+	case HEAD_FAULT_CODING:
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 501,
+		       "the transfer coding is not supported");
+		return;
+	case HEAD_FAULT_HEAD_TOO_LARGE:
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 431,
+		       "the headers are over the limit");
+		return;
+	case HEAD_FAULT_BODY_TOO_LARGE:
+		refuse(c, HTTP_REFUSAL_BODY_TOO_LARGE, 413,
+		       "the body is over the limit of this daemon");
+		return;
+	default:
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400,
+		       "the request is malformed");
+	}
 }
 
-static struct base_str own_str(const char *text)
+/* Headers of which two would let two readers see two requests. */
+static const char *check_headers(const struct connection *c,
+				 const struct http_headers *headers)
 {
-	struct base_str s = base_str_from(text ? text : "");
+	static const char *const single[] = { "Host", "Authorization",
+					      "Idempotency-Key",
+					      "Content-Length" };
+	size_t i, j, n;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(single); i++) {
+		n = 0;
+		for (j = 0; j < headers->count; j++)
+			n += base_str_equal_nocase(headers->items[j].name,
+						   base_str_from(single[i]));
+		if (n > 1)
+			return "a header that stands for one value is doubled";
+	}
+	if (!http_headers_find(headers, BASE_STR("Host")).ptr &&
+	    c->message.parser.http_minor > 0)
+		return "the Host header is missing";
+	if (!c->message.target.len || c->message.target.ptr[0] != '/')
+		return "the target is not a path";
+	return NULL;
+}
 
-	return (struct base_str){ base_str_dup(s), s.len };
+static void serve(struct connection *c)
+{
+	struct http_server *server = c->server;
+	struct exchange *ex = exchange_create(c);
+
+	ex->in_handler = true;
+	server->handler(server->ctx, &ex->pub);
+	ex->in_handler = false;
 }
 
-static int copy_header(evhtp_header_t *header, void *arg)
+static void send_continue(struct connection *c)
 {
-	http_headers_add(arg, (struct base_str){ header->key, header->klen },
-			 (struct base_str){ header->val, header->vlen });
-	return 0;
+	struct base_str expect = http_headers_find(&c->message.headers,
+						   BASE_STR("Expect"));
+
+	if (base_str_equal_nocase(expect, BASE_STR("100-continue")))
+		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
-static void read_request(struct exchange *ex)
+/* Some callers send an empty line behind a body. */
+static void skip_empty_lines(struct evbuffer *in)
 {
-	struct http_request *r = &ex->pub.request;
-	evhtp_request_t *req = ex->req;
-	size_t len = evbuffer_get_length(req->buffer_in);
-	char *body = base_alloc(len + 1);
+	char line[2];
 
-	r->method = own_str(htparser_get_methodstr_m(req->method));
-	r->path = own_str(req->uri->path ? req->uri->path->full : "/");
-	r->query = own_str(ex->connection->query);
-	evhtp_headers_for_each(req->headers_in, copy_header, &r->headers);
-	evbuffer_remove(req->buffer_in, body, len);
-	r->body = (struct base_str){ body, len };
+	while (evbuffer_copyout(in, line, sizeof(line)) == sizeof(line) &&
+	       !memcmp(line, "\r\n", sizeof(line)))
+		evbuffer_drain(in, sizeof(line));
 }
 
-static void send_reply(struct exchange *ex)
+/* Reads the head, then the body; true when a whole request is there. */
+static bool read_request(struct connection *c, struct evbuffer *in)
 {
-	evhtp_request_t *req = ex->req;
+	struct head_message *m = &c->message;
+	enum head_fault fault = HEAD_OK;
+	const char *problem;
+	bool first = !m->headers_complete;
+
+	if (first)
+		skip_empty_lines(in);
+	if (first && !head_is_whole(in, c->server->max_headers, &fault))
+		return false;
+	if (!fault) {
+		head_message_read(m, in);
+		fault = m->fault;
+	}
+	if (fault) {
+		refuse_fault(c, fault);
+		return false;
+	}
+	problem = first && m->headers_complete ? check_headers(c, &m->headers)
+					       : NULL;
+	if (problem) {
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400, problem);
+		return false;
+	}
+	if (first && !m->complete)
+		send_continue(c);
+	return m->complete;
+}
 
-	if (ex->close_after || ex->connection->server->draining)
-		evhtp_request_set_keepalive(req, 0);
-	evhtp_send_reply(req, (evhtp_res)ex->status);
+/* Serves what has arrived, one request at a time. */
+static void advance(struct connection *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	while (!c->current && !c->closing_until && evbuffer_get_length(in)) {
+		if (!c->arriving_since)
+			c->arriving_since = base_now_us();
+		if (!read_request(c, in))
+			return;
+		serve(c);
+	}
 }
 
-static void refuse(struct exchange *ex, enum http_refusal refusal,
-		   const char *detail)
+static void discard(struct connection *c)
 {
-	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
-	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
-	struct http_refusal_details details = {
-		.refusal = refusal,
-		.not_run = true,
-		.detail = base_str_from(detail),
-	};
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+	size_t len = evbuffer_get_length(in);
 
-	ex->close_after = true;
-	http_refusal_build(&details, &headers, &body);
-	http_exchange_reply(&ex->pub, http_refusal_code(refusal), &headers,
-			    base_buf_str(&body));
+	c->discarded += len;
+	evbuffer_drain(in, len);
+	if (c->discarded > DISCARD_LIMIT)
+		connection_free(c);
 }
 
-static void dispatch(struct exchange *ex)
+static void on_read(struct bufferevent *bev, void *arg)
 {
-	struct connection *c = ex->connection;
-	struct http_server *server = c->server;
+	struct connection *c = arg;
 
-	if (c->malformed)
-		refuse(ex, HTTP_REFUSAL_BAD_REQUEST,
-		       "Content-Length and Transfer-Encoding are both given");
-	else if (c->body_bytes > server->max_body)
-		refuse(ex, HTTP_REFUSAL_BODY_TOO_LARGE,
-		       "the body is over the limit of this daemon");
+	if (c->closing_until)
+		discard(c);
 	else
-		server->handler(server->ctx, &ex->pub);
+		advance(c);
 }
 
-static void on_request(evhtp_request_t *req, void *arg)
+static void on_write(struct bufferevent *bev, void *arg)
 {
-	struct http_server *server = arg;
-	evhtp_hooks_t *hooks = evhtp_connection_get_hooks(req->conn);
-	struct connection *c = hooks->on_connection_fini_arg;
-	struct exchange *ex = base_alloc(sizeof(*ex));
+	struct connection *c = arg;
 
-	ex->connection = c;
-	ex->req = req;
-	ex->pub.received_at = base_now_us();
-	c->current = ex;
-	c->arriving_since = 0;
-	c->idle_since = 0;
-	server->open_exchanges++;
-	read_request(ex);
-	ex->in_handler = true;
-	dispatch(ex);
-	ex->in_handler = false;
-	if (ex->replied) {
-		c->idle_since = base_now_us();
-		send_reply(ex);
-		exchange_free(ex);
-		return;
-	}
-	evhtp_request_pause(req);
-	/* A paused connection is not read, so its end is watched apart. */
-	ex->closed_event = event_new(server->base, req->conn->sock,
-				     EV_CLOSED | EV_PERSIST, on_closed, ex);
-	event_add(ex->closed_event, NULL);
+	if (c->closing_until &&
+	    !evbuffer_get_length(bufferevent_get_output(bev)))
+		shutdown(bufferevent_getfd(bev), SHUT_WR);
 }
 
-static void add_reply_headers(evhtp_request_t *req,
-			      const struct http_headers *headers)
+static void on_event(struct bufferevent *bev, short events, void *arg)
 {
-	size_t i;
+	if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		connection_free(arg);
+}
 
-	for (i = 0; headers && i < headers->count; i++) {
-		const struct http_header *h = &headers->items[i];
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int len, void *arg)
+{
+	struct http_server *server = arg;
+	struct connection *c;
+	int on = 1;
 
-		if (http_header_is_hop_by_hop(h->name))
-			continue;
-		evhtp_headers_add_header(
-			req->headers_out,
-			evhtp_header_new(h->name.ptr, h->value.ptr, 1, 1));
+	if (server->connection_count >= server->max_connections) {
+		evutil_closesocket(fd);
+		return;
 	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c = base_alloc(sizeof(*c));
+	c->server = server;
+	c->idle_since = base_now_us();
+	c->bev = bufferevent_socket_new(server->base, fd,
+					BEV_OPT_CLOSE_ON_FREE);
+	head_message_init(&c->message, HTTP_REQUEST, server->max_body);
+	LIST_INSERT_HEAD(&server->connections, c, link);
+	server->connection_count++;
+	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0,
+				 server->max_headers + READ_AHEAD);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
 void http_exchange_on_gone(struct http_exchange *ex, http_gone_cb cb, void *ctx)
@@ -325,26 +426,29 @@
 {
 	struct exchange *ex = (struct exchange *)pub;
 	struct connection *c = ex->connection;
-	evhtp_request_t *req = ex->req;
+	bool in_handler = ex->in_handler;
+	bool keep_alive;
 
 	assert(!ex->replied);
 	ex->replied = true;
 	ex->gone = NULL;
-	ex->status = status;
-	if (!req) {
-		/* The server pointer is gone with the connection. */
+	if (!c) {
 		exchange_free(ex);
 		return;
 	}
 	c->server->open_exchanges--;
-	add_reply_headers(req, headers);
-	evbuffer_add(req->buffer_out, body.ptr, body.len);
-	if (ex->in_handler)
-		return;
-	c->idle_since = base_now_us();
-	send_reply(ex);
+	keep_alive = ex->keep_alive && !c->server->draining;
+	write_reply(c, ex, status, headers, body, keep_alive);
 	exchange_free(ex);
-	evhtp_request_resume(req);
+	c->idle_since = base_now_us();
+	if (!keep_alive) {
+		start_closing(c);
+		return;
+	}
+	/* Not from here: the caller is in the middle of its own work. */
+	if (!in_handler && evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ,
+				    BEV_OPT_DEFER_CALLBACKS);
 }
 
 static void sweep(evutil_socket_t fd, short events, void *arg)
@@ -355,18 +459,28 @@
 
 	while (c) {
 		struct connection *next = LIST_NEXT(c, link);
+		int64_t limit = c->message.headers_complete
+					? REQUEST_ARRIVAL_US
+					: server->header_timeout_us;
 		bool slow = c->arriving_since &&
-			    now - c->arriving_since > REQUEST_ARRIVAL_US;
+			    now - c->arriving_since > limit;
 		bool idle = !c->arriving_since && c->idle_since &&
 			    now - c->idle_since > server->idle_timeout_us;
 
-		if (!c->current && (slow || idle))
-			evhtp_connection_free(c->conn);
+		if (c->closing_until) {
+			if (now > c->closing_until)
+				connection_free(c);
+		} else if (!c->current && slow) {
+			refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
+			       "the request did not arrive in time");
+		} else if (!c->current && idle) {
+			connection_free(c);
+		}
 		c = next;
 	}
 }
 
-static enum http_status bind_socket(struct http_server *server,
+static enum http_error bind_socket(struct http_server *server,
 				    const struct sockaddr_storage *addr,
 				    socklen_t len)
 {
@@ -375,10 +489,14 @@
 	char ip[INET6_ADDRSTRLEN];
 	char port[8];
 
-	if (evhtp_bind_sockaddr(server->htp, (struct sockaddr *)addr, len,
-				LISTEN_BACKLOG))
+	server->listener = evconnlistener_new_bind(
+		server->base, on_accept, server,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		LISTEN_BACKLOG, (const struct sockaddr *)addr, (int)len);
+	if (!server->listener)
 		return HTTP_ERR_BIND;
-	if (getsockname(evconnlistener_get_fd(server->htp->server),
+	if (getsockname(evconnlistener_get_fd(server->listener),
 			(struct sockaddr *)&bound, &bound_len))
 		return HTTP_ERR_BIND;
 	if (getnameinfo((struct sockaddr *)&bound, bound_len, ip, sizeof(ip),
@@ -386,10 +504,10 @@
 		return HTTP_ERR_BIND;
 	snprintf(server->address, sizeof(server->address),
 		 bound.ss_family == AF_INET ? "%s:%s" : "[%s]:%s", ip, port);
-	return HTTP_STATUS_OK;
+	return HTTP_ERROR_NONE;
 }
 
-enum http_status http_server_create(struct event_base *base,
+enum http_error http_server_create(struct event_base *base,
 				    const struct http_server_settings *settings,
 				    struct http_server **out,
 				    struct base_error *err)
@@ -397,10 +515,10 @@
 	struct http_server *server;
 	struct sockaddr_storage addr = { 0 };
 	socklen_t len = 0;
-	enum http_status status =
+	enum http_error status =
 		http_address_parse(settings->listen, &addr, &len, err);
 
-	if (status != HTTP_STATUS_OK)
+	if (status != HTTP_ERROR_NONE)
 		return status;
 	server = base_alloc(sizeof(*server));
 	LIST_INIT(&server->connections);
@@ -409,16 +527,13 @@
 	server->max_headers = settings->max_headers;
 	server->max_connections = settings->max_connections;
 	server->idle_timeout_us = settings->idle_timeout_us;
+	server->header_timeout_us = REQUEST_ARRIVAL_US;
 	server->handler = settings->handler;
 	server->ctx = settings->ctx;
-	server->htp = evhtp_new(base, NULL);
-	evhtp_set_gencb(server->htp, on_request, server);
-	evhtp_set_post_accept_cb(server->htp, on_accept, server);
-	evhtp_set_max_keepalive_requests(server->htp, 0);
 	server->sweep = event_new(base, -1, EV_PERSIST, sweep, server);
-	event_add(server->sweep, &(struct timeval){ .tv_sec = 1 });
+	event_add(server->sweep, &(struct timeval){ .tv_usec = SWEEP_US });
 	status = bind_socket(server, &addr, len);
-	if (status != HTTP_STATUS_OK) {
+	if (status != HTTP_ERROR_NONE) {
 		base_error_set(
 			err, "cannot listen on '%.*s': %s",
 			BASE_STR_ARG(settings->listen),
@@ -427,15 +542,31 @@
 		return status;
 	}
 	*out = server;
-	return HTTP_STATUS_OK;
+	return HTTP_ERROR_NONE;
+}
+
+void http_server_set_limits(struct http_server *server,
+			    const struct http_server_limits *limits)
+{
+	if (limits->max_headers)
+		server->max_headers = limits->max_headers;
+	if (limits->header_timeout_us)
+		server->header_timeout_us = limits->header_timeout_us;
+	if (limits->idle_timeout_us)
+		server->idle_timeout_us = limits->idle_timeout_us;
+}
+
+void http_server_close_when_answered(struct http_server *server)
+{
+	server->draining = true;
 }
 
 void http_server_stop_accepting(struct http_server *server)
 {
-	if (server->draining)
-		return;
 	server->draining = true;
-	evhtp_unbind_socket(server->htp);
+	if (server->listener)
+		evconnlistener_free(server->listener);
+	server->listener = NULL;
 }
 
 void http_server_destroy(struct http_server *server)
@@ -445,11 +576,10 @@
 	if (!server)
 		return;
 	while ((c = LIST_FIRST(&server->connections)))
-		evhtp_connection_free(c->conn);
-	if (!server->draining && server->htp->server)
-		evhtp_unbind_socket(server->htp);
+		connection_free(c);
+	if (server->listener)
+		evconnlistener_free(server->listener);
 	event_free(server->sweep);
-	evhtp_free(server->htp);
 	free(server);
 }
 
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -74,7 +74,7 @@
 
 	cr_assert(eq(int,
 		     http_client_create(f->base, &settings, &f->client, NULL),
-		     HTTP_STATUS_OK));
+		     HTTP_ERROR_NONE));
 }
 
 static void setup(struct fixture *f)
@@ -92,7 +92,7 @@
 	*f = (struct fixture){ .base = event_base_new() };
 	cr_assert(eq(int,
 		     http_server_create(f->base, &settings, &f->server, NULL),
-		     HTTP_STATUS_OK));
+		     HTTP_ERROR_NONE));
 	connect_client(f, http_server_address(f->server));
 }
 
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -104,7 +104,9 @@
 	BOOL(peer_answer, draining),
 	LIST(peer_answer, cutoffs, &cutoff),
 	BOOL(peer_answer, retried),
+	BOOL(peer_answer, arrived),
 };
+#define ANSWER_REQUIRED 12
 
 static const struct field claim_fields[] = {
 	NAME(peer_claim, account),
@@ -216,7 +218,8 @@
 	[PEER_HEARTBEAT] = LAYOUT(peer_heartbeat, heartbeat_fields),
 	[PEER_REQUEST] = LAYOUT(peer_request, request_fields),
 	[PEER_CANCEL] = { .name = "peer_cancel" },
-	[PEER_ANSWER] = LAYOUT(peer_answer, answer_fields),
+	[PEER_ANSWER] =
+		LAYOUT_GROWN(peer_answer, answer_fields, ANSWER_REQUIRED),
 	[PEER_CLAIM] = LAYOUT(peer_claim, claim_fields),
 	[PEER_CLAIM_ANSWER] = LAYOUT(peer_claim_answer, claim_answer_fields),
 	[PEER_COMPLETE] = LAYOUT(peer_complete, complete_fields),
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -223,6 +223,8 @@
 	struct peer_cutoffs cutoffs;
 	/** A hop of the call chain has used its retry. */
 	bool retried;
+	/** The backend server has seen the request, also if it rejected it. */
+	bool arrived;
 };
 
 struct peer_claim {
--- a/packages/retry/budget.c
+++ b/packages/retry/budget.c
@@ -13,12 +13,20 @@
 	budget->updated_at = now;
 }
 
+void retry_budget_init(struct retry_budget *budget, double share, double cap)
+{
+	*budget = (struct retry_budget){ .share = share, .cap = cap };
+}
+
 void retry_budget_record_success(struct retry_budget *budget, int64_t now)
 {
+	double cap = budget->cap > 0 ? budget->cap : RETRY_BUDGET_CAP;
+
 	decay(budget, now);
-	budget->tokens += RETRY_BUDGET_SHARE;
-	if (budget->tokens > RETRY_BUDGET_CAP)
-		budget->tokens = RETRY_BUDGET_CAP;
+	budget->tokens +=
+		budget->share > 0 ? budget->share : RETRY_BUDGET_SHARE;
+	if (budget->tokens > cap)
+		budget->tokens = cap;
 }
 
 bool retry_budget_try_spend(struct retry_budget *budget, int64_t now)
@@ -52,7 +60,9 @@
 	return d;
 }
 
-static struct retry_decision decide_not_run(const struct retry_try *failed)
+static struct retry_decision decide_not_run(const struct retry_try *failed,
+					    struct retry_budget *budget,
+					    int64_t now)
 {
 	struct retry_decision d = { .action = RETRY_ACTION_REROUTE };
 	uint32_t max = RETRY_REROUTES_MAX;
@@ -61,6 +71,9 @@
 		max = RETRY_REROUTES_OVERLOAD_MAX;
 	if (failed->reroutes >= max)
 		return give_up(RETRY_REASON_REROUTES, failed->attempt);
+	/* To a backend server that rejects it, it is load like any other. */
+	if (failed->arrived && !retry_budget_try_spend(budget, now))
+		return give_up(RETRY_REASON_BUDGET, failed->attempt);
 	d.attempt = failed->attempt;
 	d.retried = failed->attempt > 0 || failed->answer_retried;
 	return d;
@@ -78,7 +91,7 @@
 		return give_up(RETRY_REASON_DEADLINE, failed->attempt);
 	if (failed->outcome == RETRY_OUTCOME_NOT_RUN ||
 	    failed->outcome == RETRY_OUTCOME_OVERLOADED)
-		return decide_not_run(failed);
+		return decide_not_run(failed, budget, now);
 	if (!failed->idempotent)
 		return give_up(RETRY_REASON_NOT_IDEMPOTENT, failed->attempt);
 	if (failed->attempt > 0 || failed->answer_retried)
--- a/packages/retry/retry.h
+++ b/packages/retry/retry.h
@@ -41,8 +41,17 @@
 struct retry_budget {
 	double tokens;
 	int64_t updated_at;
+	/** Set by retry_budget_init(); 0 for the constants above. */
+	double share;
+	double cap;
 };
 
+/**
+ * A budget of its own share of successes, where calls made for a request cannot
+ * be told from others: each hop then has to leave room for those behind it.
+ */
+void retry_budget_init(struct retry_budget *budget, double share, double cap);
+
 /** An answer other than an error came, at the first attempt or a retry. */
 void retry_budget_record_success(struct retry_budget *budget, int64_t now);
 /** Takes one retry out of the budget. @return false when there is none */
@@ -105,6 +114,8 @@
 	enum retry_outcome outcome;
 	/** `attempt` of the request's context: 0, or 1 in a retried chain. */
 	uint32_t attempt;
+	/** A backend server has seen it, also one that rejected it. */
+	bool arrived;
 	/** "retried" as carried on the failed answer; false without one. */
 	bool answer_retried;
 	bool idempotent;
