Keep rates by grants on a registry; stop queued work of a changed service

Two processes ended by themselves with a corrupted heap: an exchange that is answered in its handler was written to after it was freed. Change: rates are kept by the grants of holders as elsewhere, with one epoch for all versions, as revisions of a registry do not count configurations. A guard checks service, leaving and failure domain again before it starts work. The connection keeps the mark of its handler.

--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -118,8 +118,8 @@
 	} else if (base_str_equal(path, BASE_STR("/spans"))) {
 		spans_render(node->spans, &body);
 		type = BASE_STR("application/x-ndjson");
-	} else if (base_str_equal(
-			   path, base_str_from(node->dialect->ready_path))) {
+	} else if (base_str_equal(path,
+				  base_str_from(node->dialect->ready_path))) {
 		if (!node->snapshot || !membership_ready(node->membership) ||
 		    node->draining)
 			status = 503;
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -150,8 +150,7 @@
 	guard_configure(node->guard, now);
 	if (node->dialect->idempotency_keys)
 		claims_configure(node->claims, before, now);
-	if (node->dialect->granted_rates)
-		rate_link_configure(node->rate_link, before, now);
+	rate_link_configure(node->rate_link, before, now);
 	vm_list_apply(node->vm_list);
 	membership_configure(node->membership, now);
 	quarantine_configure(node->quarantine, now);
@@ -522,8 +521,8 @@
 				   EV_READ | EV_PERSIST, on_inbox, node);
 	event_add(d->inbox_event, NULL);
 	log_start(d);
-	node->control = control_create(settings, dialect, node->inbox, node->log,
-				       node->counters, err);
+	node->control = control_create(settings, dialect, node->inbox,
+				       node->log, node->counters, err);
 	if (!node->control) {
 		daemon_destroy(d);
 		return DAEMON_ERR_SYSTEM;
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -37,7 +37,8 @@
 	char *caller_listen;
 	char *onward_listen;
 	char *admin_listen;
-	/** Readiness for the platform; empty to have it on admin_listen only. */
+	/** Readiness for the platform; empty to have it on admin_listen only.
+	 */
 	char *ready_listen;
 	char *peer_listen;
 	char *backend;
--- a/packages/daemon/dialect.c
+++ b/packages/daemon/dialect.c
@@ -29,7 +29,6 @@
 	},
 	.ready_path = "/ready",
 	.idempotency_keys = true,
-	.granted_rates = true,
 	.trace_context = true,
 	.credential = split_native,
 };
@@ -61,7 +60,8 @@
 	const struct dialect_headers *h = &dialect->headers;
 	size_t prefix = sizeof(OWN_PREFIX) - 1;
 
-	return is_named(name, "Authorization") || is_named(name, "traceparent") ||
+	return is_named(name, "Authorization") ||
+	       is_named(name, "traceparent") ||
 	       is_named(name, "Idempotency-Key") ||
 	       is_named(name, h->timeout_ms) || is_named(name, h->account) ||
 	       is_named(name, h->caller_service) ||
--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -120,11 +120,6 @@
 	bool status_promises;
 	/** Non-idempotent requests carry an Idempotency-Key. */
 	bool idempotency_keys;
-	/**
-	 * Rates of accounts are kept by grants of holders; otherwise each entry
-	 * has a share by its part of the demand.
-	 */
-	bool granted_rates;
 	/** W3C trace context is read and passed on. */
 	bool trace_context;
 	/**
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -85,8 +85,7 @@
 
 static bool set_deadline(struct flow *f, int64_t now)
 {
-	struct base_str text =
-		header(f, f->node->dialect->headers.timeout_ms);
+	struct base_str text = header(f, f->node->dialect->headers.timeout_ms);
 	int64_t us = f->route->timeout_us;
 	int64_t ms;
 	struct timeval tv;
@@ -285,7 +284,7 @@
 	struct rate_link *link = f->node->rate_link;
 	struct rate_decision decision;
 
-	if (f->onward || !f->account || !f->node->dialect->granted_rates) {
+	if (f->onward || !f->account) {
 		admit_by_pressure(f, now);
 		return;
 	}
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -353,7 +353,8 @@
 	f->retried = f->retried || answer->retried;
 	if (ok)
 		retry_budget_record_success(flow_budget(f), now);
-	if (f->node->dialect->headers.call_token && !f->onward && !f->attempt && answer->retried)
+	if (f->node->dialect->headers.call_token && !f->onward && !f->attempt &&
+	    answer->retried)
 		retry_budget_charge(&f->node->budget, now);
 	if (!ok && decide_retry(f, answer, now))
 		flow_route(f, now);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -34,8 +34,8 @@
 	};
 
 	if (vm->slots)
-		config.slots = at_least_1((int64_t)(SLOTS_USED *
-						    (double)vm->slots));
+		config.slots =
+			at_least_1((int64_t)(SLOTS_USED * (double)vm->slots));
 	return config;
 }
 
@@ -143,7 +143,8 @@
 #define STATUS_MISDIRECTED 421
 
 /* The backend server says that it has not run the request. */
-static bool proves_not_run(const struct guard *g, const struct http_answer *http)
+static bool proves_not_run(const struct guard *g,
+			   const struct http_answer *http)
 {
 	const char *name = g->node->dialect->headers.not_run;
 
@@ -159,8 +160,8 @@
 	struct guard *g = w->guard;
 	bool misdirected = http->status == STATUS_MISDIRECTED;
 
-	node_count(g->node, misdirected ? "backend_misdirected"
-					: "backend_rejected");
+	node_count(g->node,
+		   misdirected ? "backend_misdirected" : "backend_rejected");
 	if (misdirected)
 		hold(g, "another server has the address", now);
 	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
@@ -321,6 +322,23 @@
 	HASH_ADD(hh_token, w->guard->by_token, token[0], TOKEN_LEN, w);
 }
 
+/*
+ * Entries may not know yet that the backend server leaves, that its failure
+ * domain is out, or that the address serves another service now; it may also
+ * have changed while the work was queued.
+ */
+static bool takes_work(const struct guard *g, const struct peer_context *c)
+{
+	const struct config_vm *self = g->node->self;
+	struct base_str own = base_str_from(g->node->settings->service);
+
+	if (!c->service.len)
+		return true;
+	return self && base_str_equal(self->service->name, c->service) &&
+	       (!own.len || base_str_equal(own, c->service)) &&
+	       !self->leaving && !self->domain->out;
+}
+
 static void start(struct guard_work *w, int64_t now)
 {
 	struct guard *g = w->guard;
@@ -328,6 +346,14 @@
 	struct http_request request = { .method = r->method, .body = r->body };
 	size_t i;
 
+	if (!takes_work(g, &r->context)) {
+		overload_guard_finish(g->overload, w->id,
+				      OVERLOAD_OUTCOME_FAILED, now);
+		guard_work_fail_not_run(w, HTTP_REFUSAL_NO_SERVER,
+					BACKEND_REJECTED_RETRY_US, now);
+		return;
+	}
+
 	make_token(w);
 	split_target(r->path, &request);
 	for (i = 0; i < r->headers.count; i++)
@@ -415,26 +441,12 @@
 	};
 
 	/* A route that is not known here is protected like the last shed. */
-	w->idempotent = c->service.len ? c->idempotent
-				       : route && route->idempotent;
+	w->idempotent =
+		c->service.len ? c->idempotent : route && route->idempotent;
 	work.idempotent = w->idempotent;
 	overload_guard_offer(w->guard->overload, &work, now);
 }
 
-/*
- * Entries may not know yet that the backend server leaves, that its failure
- * domain is out, or that the address serves another service now.
- */
-static bool takes_work(const struct guard *g, const struct peer_context *c)
-{
-	const struct config_vm *self = g->node->self;
-
-	if (!c->service.len)
-		return true;
-	return self && base_str_equal(self->service->name, c->service) &&
-	       !self->leaving && !self->domain->out;
-}
-
 /* Starts the decision about a work whose origin is filled in. */
 static struct guard_work *submit(struct guard_work *w,
 				 const struct peer_request *request,
@@ -616,8 +628,9 @@
 {
 	/* Its latency holds the calls that it makes, which nobody reports. */
 	struct overload_limiter *limiter =
-		self->instance.len ? overload_limiter_fixed_create(config->slots)
-				   : NULL;
+		self->instance.len
+			? overload_limiter_fixed_create(config->slots)
+			: NULL;
 
 	return overload_guard_create(config, limiter, now);
 }
--- a/packages/daemon/rate_accounts.c
+++ b/packages/daemon/rate_accounts.c
@@ -4,12 +4,17 @@
 
 #include <string.h>
 
+/* The one epoch of versions whose numbers say nothing. */
+#define UNNUMBERED_EPOCH 1
+
 struct rate_accounts {
 	rate_hash_fn hash;
 	struct rate_account_state *by_id;
 	uint64_t round;
 	/* Every version from this one on was acted on. */
 	uint64_t known_since;
+	/* See rate_accounts_set_unnumbered(). */
+	bool unnumbered;
 };
 
 /* What the accounts of one update have in common. */
@@ -30,6 +35,11 @@
 	return accounts;
 }
 
+void rate_accounts_set_unnumbered(struct rate_accounts *accounts)
+{
+	accounts->unnumbered = true;
+}
+
 void rate_accounts_destroy(struct rate_accounts *accounts)
 {
 	struct rate_account_state *a, *next;
@@ -142,6 +152,10 @@
 	a->burst = account->burst;
 	a->in_force = true;
 	a->starts_anew = renamed;
+	if (u->accounts->unnumbered) {
+		a->epoch = UNNUMBERED_EPOCH;
+		return;
+	}
 	if (was_in_force && same && u->continuous)
 		return;
 	a->starts_anew = renamed || a->epoch >= u->epoch;
@@ -182,7 +196,9 @@
 	 */
 	if (before && before->version == u->snapshot->version)
 		u->epoch = version + 1;
-	if (!u->continuous || u->epoch > version)
+	if (u->accounts->unnumbered)
+		u->continuous = before != NULL;
+	else if (!u->continuous || u->epoch > version)
 		u->accounts->known_since = u->epoch;
 }
 
--- a/packages/daemon/rate_accounts.h
+++ b/packages/daemon/rate_accounts.h
@@ -61,6 +61,14 @@
 
 /** @param hash  number of an account or VM, equal on all daemons */
 struct rate_accounts *rate_accounts_create(rate_hash_fn hash);
+/**
+ * The numbers of versions do not tell whether others were in force in between,
+ * as on a platform whose list of servers changes with them. All versions count
+ * as one epoch: a new holder waits for grants of its predecessor to lapse, not
+ * for word of the version, so that for the time in which the list spreads both
+ * may hand out their share of the rate.
+ */
+void rate_accounts_set_unnumbered(struct rate_accounts *accounts);
 void rate_accounts_destroy(struct rate_accounts *accounts);
 /**
  * Takes over a snapshot.
--- a/packages/daemon/rate_link.c
+++ b/packages/daemon/rate_link.c
@@ -404,6 +404,8 @@
 	size_t count = 0;
 	size_t i;
 
+	if (link->node->dialect->registry)
+		return 0;
 	for (i = 0; i < s->domain_count; i++) {
 		struct base_str name = s->domains[i].name;
 
@@ -529,6 +531,8 @@
 	link->timer_at = INT64_MAX;
 	link->gauge_at = INT64_MAX;
 	link->accounts = rate_accounts_create(roster_hash);
+	if (node->dialect->registry)
+		rate_accounts_set_unnumbered(link->accounts);
 	link->holder = rate_holder_create(random_id(&node->rnd), now);
 	link->entry = rate_entry_create(random_id(&node->rnd));
 	link->timer = event_new(node->base, -1, 0, on_timer, link);
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -265,7 +265,8 @@
 
 	if (value.len <= INLINE_MAX) {
 		text = json_stringn(value.ptr ? value.ptr : "", value.len);
-		json_object_set_new(json, "value", text ? text : json_string(""));
+		json_object_set_new(json, "value",
+				    text ? text : json_string(""));
 		return json;
 	}
 	part = &pub->parts[pub->part_count++];
@@ -287,8 +288,8 @@
 
 	atomic_init(&pub->references, 1);
 	pub->version = r->revision;
-	pub->parts = base_alloc_array(HASH_COUNT(r->items),
-				      sizeof(*pub->parts));
+	pub->parts =
+		base_alloc_array(HASH_COUNT(r->items), sizeof(*pub->parts));
 	HASH_ITER (hh, r->items, m, next)
 		if (!m->lapses_at)
 			json_array_append_new(items, item_json(m, pub));
@@ -306,8 +307,8 @@
 {
 	const json_t *value = json_object_get(json, "value");
 
-	item->key = base_str_from(
-		json_string_value(json_object_get(json, "key")));
+	item->key =
+		base_str_from(json_string_value(json_object_get(json, "key")));
 	item->revision = json_integer_value(json_object_get(json, "revision"));
 	item->created = json_integer_value(json_object_get(json, "created"));
 	item->value = (struct base_str){ json_string_value(value),
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -81,9 +81,8 @@
 
 static void fail(struct registry_client *c, const char *why, int64_t now)
 {
-	int64_t wait = c->backoff_us / 2 +
-		       (int64_t)(base_rand_unit(&c->rnd) *
-				 (double)c->backoff_us);
+	int64_t wait = c->backoff_us / 2 + (int64_t)(base_rand_unit(&c->rnd) *
+						     (double)c->backoff_us);
 
 	count(c, "registry_calls_failed");
 	set_state(c, false, why, now);
@@ -214,7 +213,8 @@
 void registry_client_hurry(struct registry_client *c, int64_t now)
 {
 	if (!c->watching || !c->call || !c->up ||
-	    now - c->call_started_at < HURRY_US || now - c->hurried_at < HURRY_US)
+	    now - c->call_started_at < HURRY_US ||
+	    now - c->hurried_at < HURRY_US)
 		return;
 	c->hurried_at = now;
 	count(c, "registry_watches_hurried");
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -181,8 +181,9 @@
 	if (unit == value || us < (double)(s->min * BASE_SECOND_US) ||
 	    us > (double)(s->max * BASE_SECOND_US)) {
 		snprintf(allowed, sizeof(allowed),
-			 "a time from %lld s to %lld s", (long long)s->min,
-			 (long long)s->max);
+			 "a number of seconds from %lld to %lld, or with the "
+			 "unit s or ms",
+			 (long long)s->min, (long long)s->max);
 		refuse(err, s, value, allowed);
 		return DAEMON_ERR_SETTING;
 	}
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -257,7 +257,8 @@
 		deliver(call);
 	else if (!p->connected)
 		fail(call, HTTP_RESULT_NOT_SENT);
-	else if (events & BEV_EVENT_EOF && head_message_is_unframed(&p->message))
+	else if (events & BEV_EVENT_EOF &&
+		 head_message_is_unframed(&p->message))
 		fail(call, HTTP_RESULT_INVALID);
 	else
 		fail(call, HTTP_RESULT_LOST);
@@ -294,8 +295,8 @@
 	client->connection_count++;
 	client->connections_opened++;
 	head_message_init(&p->message, HTTP_RESPONSE, client->max_answer);
-	p->bev = bufferevent_socket_new(client->base, fd,
-					BEV_OPT_CLOSE_ON_FREE);
+	p->bev =
+		bufferevent_socket_new(client->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(p->bev, on_read, NULL, on_event, p);
 	bufferevent_enable(p->bev, EV_READ | EV_WRITE);
 	if (!bufferevent_socket_connect(p->bev,
@@ -428,10 +429,10 @@
 		base_str_equal(request->method, BASE_STR("HEAD"));
 	LIST_INSERT_HEAD(&client->calls, call, link);
 	if (client->echo_header)
-		base_buf_add_str(&call->echo,
-				 http_headers_find(
-					 &request->headers,
-					 base_str_from(client->echo_header)));
+		base_buf_add_str(
+			&call->echo,
+			http_headers_find(&request->headers,
+					  base_str_from(client->echo_header)));
 	write_request(client, bufferevent_get_output(p->bev), request);
 	start_timer(call, timeout_us);
 	return call;
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -46,8 +46,7 @@
 	for (i = 0; i < s.len; i++) {
 		char c = s.ptr[i];
 		bool ok = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-			  (c >= '0' && c <= '9') ||
-			  (c && strchr(special, c));
+			  (c >= '0' && c <= '9') || (c && strchr(special, c));
 
 		if (!ok)
 			return false;
@@ -179,11 +178,9 @@
 	return true;
 }
 
-bool head_is_whole(struct evbuffer *in, size_t max_head,
-		   enum head_fault *fault)
+bool head_is_whole(struct evbuffer *in, size_t max_head, enum head_fault *fault)
 {
-	struct evbuffer_ptr end =
-		evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
 	struct evbuffer_ptr bare = evbuffer_search(in, "\n\n", 2, NULL);
 	size_t len;
 
@@ -210,9 +207,8 @@
 
 	while (!m->complete && !m->fault &&
 	       evbuffer_peek(in, -1, NULL, &piece, 1) > 0 && piece.iov_len) {
-		size_t used = http_parser_execute(&m->parser, &callbacks,
-						  piece.iov_base,
-						  piece.iov_len);
+		size_t used = http_parser_execute(
+			&m->parser, &callbacks, piece.iov_base, piece.iov_len);
 		enum http_errno error = HTTP_PARSER_ERRNO(&m->parser);
 
 		evbuffer_drain(in, used);
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -44,8 +44,8 @@
 }
 
 enum http_error http_address_parse(struct base_str text,
-				    struct sockaddr_storage *addr,
-				    socklen_t *len, struct base_error *err)
+				   struct sockaddr_storage *addr,
+				   socklen_t *len, struct base_error *err)
 {
 	struct sockaddr_in *in = (struct sockaddr_in *)addr;
 	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)addr;
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -32,8 +32,8 @@
  * @return HTTP_ERR_ADDRESS with a message when it is neither
  */
 enum http_error http_address_parse(struct base_str text,
-				    struct sockaddr_storage *addr,
-				    socklen_t *len, struct base_error *err);
+				   struct sockaddr_storage *addr,
+				   socklen_t *len, struct base_error *err);
 
 struct http_header {
 	struct base_str name;
@@ -113,9 +113,9 @@
 };
 
 enum http_error http_server_create(struct event_base *base,
-				    const struct http_server_settings *settings,
-				    struct http_server **out,
-				    struct base_error *err);
+				   const struct http_server_settings *settings,
+				   struct http_server **out,
+				   struct base_error *err);
 /** Closes all connections; no exchange may be open. */
 void http_server_destroy(struct http_server *server);
 /** The bound address as "IP:PORT", also when the port was chosen freely. */
@@ -201,9 +201,9 @@
 
 /** A pool of kept-alive connections to one address. */
 enum http_error http_client_create(struct event_base *base,
-				    const struct http_client_settings *settings,
-				    struct http_client **out,
-				    struct base_error *err);
+				   const struct http_client_settings *settings,
+				   struct http_client **out,
+				   struct base_error *err);
 /** Open calls are dropped without a callback. */
 void http_client_destroy(struct http_client *client);
 /**
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -38,6 +38,7 @@
 	/* Nothing more is served; what arrives is dropped until then. */
 	int64_t closing_until;
 	size_t discarded;
+	bool in_handler;
 };
 
 struct exchange {
@@ -45,7 +46,6 @@
 	struct connection *connection;
 	http_gone_cb gone;
 	void *gone_ctx;
-	bool in_handler;
 	bool replied;
 	bool keep_alive;
 	bool is_head;
@@ -281,15 +281,16 @@
 	struct http_server *server = c->server;
 	struct exchange *ex = exchange_create(c);
 
-	ex->in_handler = true;
+	/* A reply in the handler frees the exchange. */
+	c->in_handler = true;
 	server->handler(server->ctx, &ex->pub);
-	ex->in_handler = false;
+	c->in_handler = false;
 }
 
 static void send_continue(struct connection *c)
 {
-	struct base_str expect = http_headers_find(&c->message.headers,
-						   BASE_STR("Expect"));
+	struct base_str expect =
+		http_headers_find(&c->message.headers, BASE_STR("Expect"));
 
 	if (base_str_equal_nocase(expect, BASE_STR("100-continue")))
 		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -401,8 +402,8 @@
 	c = base_alloc(sizeof(*c));
 	c->server = server;
 	c->idle_since = base_now_us();
-	c->bev = bufferevent_socket_new(server->base, fd,
-					BEV_OPT_CLOSE_ON_FREE);
+	c->bev =
+		bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	head_message_init(&c->message, HTTP_REQUEST, server->max_body);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
@@ -426,7 +427,6 @@
 {
 	struct exchange *ex = (struct exchange *)pub;
 	struct connection *c = ex->connection;
-	bool in_handler = ex->in_handler;
 	bool keep_alive;
 
 	assert(!ex->replied);
@@ -446,9 +446,9 @@
 		return;
 	}
 	/* Not from here: the caller is in the middle of its own work. */
-	if (!in_handler && evbuffer_get_length(bufferevent_get_input(c->bev)))
-		bufferevent_trigger(c->bev, EV_READ,
-				    BEV_OPT_DEFER_CALLBACKS);
+	if (!c->in_handler &&
+	    evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
 static void sweep(evutil_socket_t fd, short events, void *arg)
@@ -462,8 +462,8 @@
 		int64_t limit = c->message.headers_complete
 					? REQUEST_ARRIVAL_US
 					: server->header_timeout_us;
-		bool slow = c->arriving_since &&
-			    now - c->arriving_since > limit;
+		bool slow =
+			c->arriving_since && now - c->arriving_since > limit;
 		bool idle = !c->arriving_since && c->idle_since &&
 			    now - c->idle_since > server->idle_timeout_us;
 
@@ -481,8 +481,8 @@
 }
 
 static enum http_error bind_socket(struct http_server *server,
-				    const struct sockaddr_storage *addr,
-				    socklen_t len)
+				   const struct sockaddr_storage *addr,
+				   socklen_t len)
 {
 	struct sockaddr_storage bound = { 0 };
 	socklen_t bound_len = sizeof(bound);
@@ -508,9 +508,9 @@
 }
 
 enum http_error http_server_create(struct event_base *base,
-				    const struct http_server_settings *settings,
-				    struct http_server **out,
-				    struct base_error *err)
+				   const struct http_server_settings *settings,
+				   struct http_server **out,
+				   struct base_error *err)
 {
 	struct http_server *server;
 	struct sockaddr_storage addr = { 0 };
