Log each decision about a request to standard output, bounded

Cause: an on-call engineer has only the logs, and the daemon said nothing of a request that it refused. Log lines were written to standard error by a call that waits for its reader. Change: lines go to standard output through a buffer of 256 KB that never waits, at most 1,000 a second below level warn; dropped ones are counted. SIGHUP is logged and no longer ends the process.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -177,11 +177,20 @@
 	BASE_LOG_DEBUG,
 };
 
-/** Writes one line of key=value pairs an event to standard error. */
+/**
+ * Writes one line of key=value pairs an event to standard output. Lines wait in
+ * a bounded buffer and never for their reader; those beyond it, or beyond 1,000
+ * a second below level warn, are dropped and counted. Any thread may log.
+ */
 struct base_log;
 
+/** One in a process. */
 struct base_log *base_log_create(const char *program);
 void base_log_destroy(struct base_log *log);
+/** Writes what the reader takes now. Call it some times a second. */
+void base_log_flush(struct base_log *log);
+/** Lines dropped since the start. */
+int64_t base_log_dropped(struct base_log *log);
 void base_log_set_level(struct base_log *log, enum base_log_level level);
 bool base_log_level_parse(struct base_str name, enum base_log_level *level);
 
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -2,12 +2,32 @@
 #include "base.h"
 
 #include <inttypes.h>
+#include <limits.h>
 #include <log4c.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+/* Bytes that wait for a slow reader of standard output. */
+#define PENDING_MAX (256U << 10)
+/* Above this, or for warnings, a line is written at once. */
+#define PENDING_WRITE (8U << 10)
+/* Lines a second below level warn, and how many may come at once. */
+#define LINES_PER_S 1000.0
+#define LINES_BURST 2000.0
 
 struct base_log {
 	log4c_category_t *category;
+	/* Several tasks log. */
+	pthread_mutex_t lock;
+	struct base_buf pending;
+	double tokens;
+	int64_t tokens_at;
+	int64_t dropped;
+	/* Of these, not told by a line yet. */
+	int64_t untold;
 };
 
 static const char *format_message(const log4c_layout_t *layout,
@@ -23,19 +43,100 @@
 	.format = format_message,
 };
 
-static int append_to_stderr(log4c_appender_t *appender,
-			    const log4c_logging_event_t *event)
+/* Writes what standard output takes without waiting; the lock is held. */
+static void write_pending(struct base_log *log)
 {
-	(void)appender;
-	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+	struct pollfd fd = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	size_t done = 0;
+
+	while (done < log->pending.len && poll(&fd, 1, 0) == 1 &&
+	       fd.revents & POLLOUT) {
+		size_t n = log->pending.len - done;
+		ssize_t written;
+
+		/* A pipe that polls as writable has room for this much. */
+		if (n > PIPE_BUF)
+			n = PIPE_BUF;
+		written = write(STDOUT_FILENO, log->pending.ptr + done, n);
+		if (written <= 0)
+			break;
+		done += (size_t)written;
+	}
+	if (!done)
+		return;
+	log->pending.len -= done;
+	memmove(log->pending.ptr, log->pending.ptr + done, log->pending.len);
+}
+
+static bool take_token(struct base_log *log, int64_t now)
+{
+	log->tokens +=
+		(double)(now - log->tokens_at) * LINES_PER_S / BASE_SECOND_US;
+	if (log->tokens > LINES_BURST)
+		log->tokens = LINES_BURST;
+	log->tokens_at = now;
+	if (log->tokens < 1)
+		return false;
+	log->tokens -= 1;
+	return true;
+}
+
+static void tell_dropped(struct base_log *log)
+{
+	if (!log->untold || log->pending.len > PENDING_MAX / 2)
+		return;
+	base_buf_addf(&log->pending,
+		      "ts=%" PRId64
+		      " level=warn event=log_lines_dropped count=%" PRId64 "\n",
+		      base_wall_ms(), log->untold);
+	log->untold = 0;
+}
+
+static int append(log4c_appender_t *appender,
+		  const log4c_logging_event_t *event)
+{
+	struct base_log *log = log4c_appender_get_udata(appender);
+	size_t len = strlen(event->evt_rendered_msg);
+	bool urgent = event->evt_priority <= LOG4C_PRIORITY_WARN;
+
+	pthread_mutex_lock(&log->lock);
+	if (log->pending.len + len > PENDING_MAX ||
+	    (!urgent && !take_token(log, base_now_us()))) {
+		log->dropped++;
+		log->untold++;
+	} else {
+		tell_dropped(log);
+		base_buf_add(&log->pending, event->evt_rendered_msg, len);
+	}
+	if (urgent || log->pending.len > PENDING_WRITE)
+		write_pending(log);
+	pthread_mutex_unlock(&log->lock);
+	return 0;
 }
 
 /* log4c's own stream appenders put their name in front of each line. */
-static const log4c_appender_type_t stderr_appender = {
-	.name = "bilberryhinge_stderr",
-	.append = append_to_stderr,
+static const log4c_appender_type_t stdout_appender = {
+	.name = "bilberryhinge_stdout",
+	.append = append,
 };
 
+void base_log_flush(struct base_log *log)
+{
+	pthread_mutex_lock(&log->lock);
+	write_pending(log);
+	pthread_mutex_unlock(&log->lock);
+}
+
+int64_t base_log_dropped(struct base_log *log)
+{
+	int64_t dropped;
+
+	pthread_mutex_lock(&log->lock);
+	dropped = log->dropped;
+	pthread_mutex_unlock(&log->lock);
+	return dropped;
+}
+
 static int priority_of(enum base_log_level level)
 {
 	switch (level) {
@@ -54,13 +155,17 @@
 struct base_log *base_log_create(const char *program)
 {
 	struct base_log *log = base_alloc(sizeof(*log));
-	log4c_appender_t *appender = log4c_appender_get("stderr");
+	log4c_appender_t *appender = log4c_appender_get("bilberryhinge");
 	log4c_layout_t *layout = log4c_layout_get("bilberryhinge");
 
 	log4c_layout_type_set(&line_layout);
 	log4c_layout_set_type(layout, &line_layout);
-	log4c_appender_type_set(&stderr_appender);
-	log4c_appender_set_type(appender, &stderr_appender);
+	pthread_mutex_init(&log->lock, NULL);
+	log->tokens = LINES_BURST;
+	log->tokens_at = base_now_us();
+	log4c_appender_type_set(&stdout_appender);
+	log4c_appender_set_type(appender, &stdout_appender);
+	log4c_appender_set_udata(appender, log);
 	log4c_appender_set_layout(appender, layout);
 	log->category = log4c_category_get(program);
 	log4c_category_set_appender(log->category, appender);
@@ -71,6 +176,11 @@
 
 void base_log_destroy(struct base_log *log)
 {
+	if (!log)
+		return;
+	base_log_flush(log);
+	pthread_mutex_destroy(&log->lock);
+	base_buf_release(&log->pending);
 	free(log);
 }
 
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -32,6 +32,8 @@
 #define DRAIN_POLL_US (20 * BASE_MS_US)
 /* Peers and callers learn of the stop before the daemon may end. */
 #define DRAIN_MIN_US BASE_SECOND_US
+/* Lines wait this long for more, so that a write takes several. */
+#define LOG_FLUSH_US (50 * BASE_MS_US)
 /* Time to send the refusals of what was open at the limit. */
 #define DRAIN_FLUSH_US (500 * BASE_MS_US)
 
@@ -41,7 +43,9 @@
 	struct event *inbox_event;
 	struct event *sigterm;
 	struct event *sigint;
+	struct event *sighup;
 	struct event *drain_timer;
+	struct event *log_timer;
 	int64_t drain_started_at;
 };
 
@@ -482,6 +486,21 @@
 	base_log_end(&line);
 }
 
+static void on_log_timer(evutil_socket_t fd, short events, void *arg)
+{
+	base_log_flush(arg);
+}
+
+static void on_reload_signal(evutil_socket_t fd, short events, void *arg)
+{
+	struct node *node = arg;
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_INFO, "reload");
+
+	base_log_cstr(&line, "effect", "none, settings are read at the start");
+	base_log_end(&line);
+}
+
 static void add_signals(struct daemon *d)
 {
 	struct event_base *base = d->node.base;
@@ -490,6 +509,11 @@
 	d->sigterm = evsignal_new(base, SIGTERM, on_stop_signal, d);
 	d->sigint = evsignal_new(base, SIGINT, on_stop_signal, d);
 	d->drain_timer = event_new(base, -1, EV_PERSIST, on_drain_poll, d);
+	d->sighup = evsignal_new(base, SIGHUP, on_reload_signal, &d->node);
+	event_add(d->sighup, NULL);
+	d->log_timer =
+		event_new(base, -1, EV_PERSIST, on_log_timer, d->node.log);
+	event_add(d->log_timer, &(struct timeval){ .tv_usec = LOG_FLUSH_US });
 	event_add(d->sigterm, NULL);
 	event_add(d->sigint, NULL);
 }
@@ -572,6 +596,8 @@
 	free_event(daemon->inbox_event);
 	free_event(daemon->sigterm);
 	free_event(daemon->sigint);
+	free_event(daemon->sighup);
+	free_event(daemon->log_timer);
 	free_event(daemon->drain_timer);
 	free_event(node->wake_event);
 	base_mailbox_destroy(node->inbox, discard_message, NULL);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -364,6 +364,7 @@
 				   on_backend, w);
 	http_headers_release(&request.headers);
 	w->sent = w->call != NULL;
+	w->sent_at = now;
 	if (w->call)
 		return;
 	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -1,6 +1,7 @@
 /* How work of the guard ends: answers, refusals and spans. */
 #include "guard_work.h"
 #include "quarantine.h"
+#include "request_log.h"
 #include "spans.h"
 
 #include <stdio.h>
@@ -47,6 +48,42 @@
 	spans_add(w->guard->node->spans, &span);
 }
 
+static struct base_str request_id(const struct guard_work *w)
+{
+	const char *name = w->guard->node->dialect->headers.request_id;
+	const struct peer_headers *headers = &w->msg.request.headers;
+	size_t i;
+
+	for (i = 0; name && i < headers->count; i++)
+		if (base_str_equal_nocase(headers->items[i].name,
+					  base_str_from(name)))
+			return headers->items[i].value;
+	return BASE_STR_NONE;
+}
+
+static void log_end(struct guard_work *w, const struct peer_answer *answer,
+		    const char *decision, const struct routing_report *report,
+		    int64_t now)
+{
+	struct base_log_line line = request_log_begin(
+		w->guard->node, "work_ended", request_id(w),
+		answer->outcome == PEER_RAN && answer->status < 500);
+
+	base_log_cstr(&line, "decision", decision);
+	base_log_int(&line, "status", answer->status);
+	base_log_str(&line, "instance", base_buf_str(&w->guard->instance));
+	base_log_int(&line, "sent", w->sent);
+	base_log_int(&line, "queued_ms",
+		     (w->sent ? w->sent_at - w->submitted_at
+			      : now - w->submitted_at) /
+			     BASE_MS_US);
+	base_log_int(&line, "took_ms", (now - w->submitted_at) / BASE_MS_US);
+	base_log_int(&line, "left_ms", (w->deadline - now) / BASE_MS_US);
+	base_log_int(&line, "load", report->load);
+	base_log_int(&line, "limit", report->limit);
+	base_log_end(&line);
+}
+
 /* Adds the state of the guard, answers and frees the work. */
 static void guard_work_deliver(struct guard_work *w,
 			       const struct peer_answer *bare,
@@ -71,6 +108,7 @@
 	answer.retried = w->retried;
 	answer.arrived = w->sent;
 	guard_work_record_span(w, (int)answer.status, decision, now);
+	log_end(w, &answer, decision, &report, now);
 	if (!w->abandoned)
 		w->cb(w->ctx, &answer);
 	guard_work_free(w);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -31,6 +31,7 @@
 	bool abandoned;
 	/** It was sent to the backend server. */
 	bool sent;
+	int64_t sent_at;
 	bool idempotent;
 	/* By the quarantine; not offered yet. */
 	bool held;
--- a/packages/daemon/rate_link.c
+++ b/packages/daemon/rate_link.c
@@ -467,7 +467,8 @@
 	if (!a->in_force)
 		return;
 	rate_entry_set_account(link->entry, a->id, &spec, now);
-	if (!a->holder_count)
+	/* A list of VMs that has just begun to fill says nothing. */
+	if (!a->holder_count && link->node->snapshot->vm_count)
 		log_without_holders(link, a);
 }
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -66,7 +66,11 @@
 	local name=$1
 	shift
 	: >"$WORK/$name.out"
-	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" &
+	case $name in
+	# Daemons log to standard output; logs go on over a restart.
+	daemon-*) "$@" >>"$WORK/$name.err" 2>&1 & ;;
+	*) "$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" & ;;
+	esac
 	PID_OF[$name]=$!
 	PIDS+=($!)
 	# The shell reports the end of jobs that it knows; only daemons are
