Serve callers until the platform has taken a stopping daemon out

Cause: on SIGTERM the listener closed at once, while the platform sends callers on until the second missed question about readiness, so that their connections were refused. Bounds of heads and times come from the configuration.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -39,7 +39,6 @@
 
 struct daemon {
 	struct node node;
-	struct http_server *callers;
 	struct event *inbox_event;
 	struct event *sigterm;
 	struct event *sigint;
@@ -51,7 +50,7 @@
 
 static const char *daemon_address(const struct daemon *d)
 {
-	return http_server_address(d->callers);
+	return http_server_address(d->node.callers);
 }
 
 void node_count(struct node *node, const char *name)
@@ -133,6 +132,18 @@
 	return true;
 }
 
+static void apply_limits(struct node *node)
+{
+	const struct config_limits *l = &node->snapshot->limits;
+	struct http_server_limits limits = {
+		.max_headers = (size_t)l->header_bytes,
+		.header_timeout_us = l->header_timeout_us,
+		.idle_timeout_us = l->idle_timeout_us,
+	};
+
+	http_server_set_limits(node->callers, &limits);
+}
+
 static void on_activated(struct node *node, struct data_message *msg)
 {
 	const struct config_snapshot *before = node->snapshot;
@@ -151,6 +162,7 @@
 		overload_pressure_set_routes(
 			node->pressure, (uint32_t)node->snapshot->route_count);
 	peer_transport_set_version(node->transport, (uint64_t)msg->version);
+	apply_limits(node);
 	guard_configure(node->guard, now);
 	if (node->dialect->idempotency_keys)
 		claims_configure(node->claims, before, now);
@@ -361,19 +373,20 @@
 
 	return !entry_open_flows(node->entry) &&
 	       !guard_open_works(node->guard) &&
-	       !http_server_open_exchanges(d->callers);
+	       !http_server_open_exchanges(d->node.callers);
 }
 
 static void on_drain_poll(evutil_socket_t fd, short events, void *arg)
 {
 	struct daemon *d = arg;
 	int64_t past = base_now_us() - d->drain_started_at;
+	int64_t least = d->node.dialect->callers_leave_us;
 
-	if (past < DRAIN_MIN_US)
+	if (past < (least ? least : DRAIN_MIN_US))
 		return;
-	if (is_quiet(d) || past > d->node.settings->drain_us + DRAIN_FLUSH_US)
+	if (is_quiet(d) || past > d->node.settings->drain_us)
 		event_base_loopbreak(d->node.base);
-	else if (past > d->node.settings->drain_us)
+	else if (past > d->node.settings->drain_us - DRAIN_FLUSH_US)
 		entry_abort(d->node.entry, base_now_us());
 }
 
@@ -389,7 +402,10 @@
 	d->drain_started_at = base_now_us();
 	line = base_log_begin(node->log, BASE_LOG_INFO, "draining");
 	base_log_end(&line);
-	http_server_stop_accepting(d->callers);
+	if (node->dialect->callers_leave_us)
+		http_server_close_when_answered(d->node.callers);
+	else
+		http_server_stop_accepting(d->node.callers);
 	guard_drain(node->guard);
 	membership_announce(node->membership, d->drain_started_at);
 	event_add(d->drain_timer,
@@ -423,7 +439,7 @@
 	};
 
 	if (peer_transport_create(&peer, node->base, &node->transport, err) ||
-	    http_server_create(node->base, &http, &d->callers, err))
+	    http_server_create(node->base, &http, &d->node.callers, err))
 		return DAEMON_ERR_LISTEN;
 	node->guard = guard_create(node, err);
 	node->onward = onward_create(node, err);
@@ -591,7 +607,7 @@
 	vm_list_destroy(node->vm_list);
 	admin_destroy(node->admin);
 	onward_destroy(node->onward);
-	http_server_destroy(daemon->callers);
+	http_server_destroy(node->callers);
 	peer_transport_destroy(node->transport);
 	free_event(daemon->inbox_event);
 	free_event(daemon->sigterm);
--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -113,6 +113,11 @@
 	struct dialect_headers headers;
 	/** Path of the readiness interface. */
 	const char *ready_path;
+	/**
+	 * Time for which callers still come after the readiness has ended; 0
+	 * where a daemon that stops need not wait for them.
+	 */
+	int64_t callers_leave_us;
 	/**
 	 * Statuses 408, 421, 429 and 503 promise that a request has not run;
 	 * no header says so.
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -63,6 +63,7 @@
 	struct overload_pressure *pressure;
 	struct retry_budget budget;
 
+	struct http_server *callers;
 	struct membership *membership;
 	struct seeds *seeds;
 	struct vm_list *vm_list;
