--- a/packages/daemon/tests/test_rate_accounts.c
+++ b/packages/daemon/tests/test_rate_accounts.c
@@ -222,3 +222,26 @@
 	free(f2);
 	free(f1);
 }
+
+/*
+ * Guards against shares that start anew with each change of the list of
+ * servers, where versions count those changes.
+ */
+Test(rate_accounts, unnumbered_versions_are_one_epoch)
+{
+	struct world w = { rate_accounts_create(plain_hash), NULL, 0 };
+	struct rate_fleet *f1 = rate_fleet_create(3, 9, 1, 100);
+	struct rate_fleet *f9 = rate_fleet_at(f1, 9);
+
+	rate_accounts_set_unnumbered(w.accounts);
+	update(&w, f1);
+	cr_assert(eq(u64, state(&w, "a000")->epoch, 1));
+	f9->domains[2].out = true;
+	cr_assert(update(&w, f9));
+	cr_assert(eq(u64, state(&w, "a000")->epoch, 1));
+	cr_assert(not(state(&w, "a000")->starts_anew));
+	cr_assert(eq(sz, state(&w, "a000")->holder_count, 6));
+	rate_accounts_destroy(w.accounts);
+	free(f9);
+	free(f1);
+}
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -62,3 +62,21 @@
 	cr_assert(eq(ptr, strstr(err.message, "short"), NULL));
 	daemon_settings_release(&settings);
 }
+
+/* Guards against times of a platform that come with their unit. */
+Test(settings, times_may_have_a_unit)
+{
+	struct daemon_settings settings;
+
+	cr_assert(eq(int, parse("--drain-seconds=6s", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(i64, settings.drain_us, 6 * BASE_SECOND_US));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--drain-seconds=1500ms", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(i64, settings.drain_us, 1500 * BASE_MS_US));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--drain-seconds=6m", NULL, &settings),
+		     DAEMON_ERR_SETTING));
+	daemon_settings_release(&settings);
+}
--- /dev/null
+++ b/packages/http/tests/test_strict.c
@@ -0,0 +1,415 @@
+/* Requests and answers that two readers may take differently. */
+#include "http.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <event2/event.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Time in which the server has answered all that it will answer. */
+#define SETTLE_US (150 * BASE_MS_US)
+
+struct strict {
+	struct event_base *base;
+	struct http_server *server;
+	int served;
+};
+
+static void count(void *ctx, struct http_exchange *ex)
+{
+	struct strict *s = ctx;
+
+	s->served++;
+	http_exchange_reply(ex, 200, NULL, ex->request.body);
+}
+
+static void setup(struct strict *s)
+{
+	struct http_server_settings settings = {
+		.listen = BASE_STR("127.0.0.1:0"),
+		.max_body = 1000,
+		.max_headers = 2048,
+		.max_connections = 4,
+		.idle_timeout_us = BASE_SECOND_US,
+		.handler = count,
+		.ctx = s,
+	};
+
+	*s = (struct strict){ .base = event_base_new() };
+	cr_assert(eq(int,
+		     http_server_create(s->base, &settings, &s->server, NULL),
+		     HTTP_ERROR_NONE));
+}
+
+static void teardown(struct strict *s)
+{
+	http_server_destroy(s->server);
+	event_base_free(s->base);
+}
+
+static int connect_to(const char *address)
+{
+	struct sockaddr_storage addr;
+	socklen_t len;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	http_address_parse(base_str_from(address), &addr, &len, NULL);
+	cr_assert(eq(int, connect(fd, (struct sockaddr *)&addr, len), 0));
+	return fd;
+}
+
+/* Sends bytes and returns the status of the first answer, 0 without one. */
+static int exchange(struct strict *s, const void *bytes, size_t len)
+{
+	struct timeval settle = { .tv_usec = SETTLE_US };
+	int fd = connect_to(http_server_address(s->server));
+	char answer[4096] = "";
+	int status = 0;
+
+	s->served = 0;
+	cr_assert(eq(long, (long)write(fd, bytes, len), (long)len));
+	event_base_loopexit(s->base, &settle);
+	event_base_dispatch(s->base);
+	if (recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT) > 12)
+		status = atoi(answer + 9);
+	close(fd);
+	event_base_loopexit(s->base, &settle);
+	event_base_dispatch(s->base);
+	return status;
+}
+
+#define SECOND "GET /smuggled HTTP/1.1\r\nHost: b\r\n\r\n"
+
+struct request_case {
+	const char *bytes;
+	int status;
+	/* Requests that reach the handler. */
+	int served;
+};
+
+/*
+ * Guards against a request that is hidden inside another one: two parsers of
+ * one connection must not see different requests.
+ */
+Test(strict, refuses_ambiguous_requests)
+{
+	static const struct request_case cases[] = {
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n"
+		  "Content-Length: 5\r\n\r\nabcde" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked"
+		  "\r\nContent-Length: 5\r\n\r\nabcde" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n10000000000000005\r\nabcde\r\n0\r\n\r\n" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked"
+		  "\r\n\r\n0\r\n\r\n" SECOND,
+		  501, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
+		  "chunked\r\n\r\n0\r\n\r\n" SECOND,
+		  501, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\n"
+		  "abcde" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0x5\r\n\r\n"
+		  "abcde" SECOND,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5, 5\r\n\r\n"
+		  "abcde" SECOND,
+		  400, 0 },
+		{ "GET /a HTTP/1.1\r\nHost: a\r\nX: 1\r\n folded\r\n\r\n", 400,
+		  0 },
+		{ "GET /a HTTP/1.1\nHost: a\n\n" SECOND, 400, 0 },
+		{ "GET /a HTTP/1.1\r\n\r\n" SECOND, 400, 0 },
+		{ "GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, 0 },
+		{ "GET /a HTTP/1.1\r\nHost: a\r\nAuthorization: x\r\n"
+		  "Authorization: y\r\n\r\n",
+		  400, 0 },
+		{ "GET /a HTTP/1.1\r\nHost: a\r\nBad Name: x\r\n\r\n", 400, 0 },
+		{ "GET http://a/b HTTP/1.1\r\nHost: a\r\n\r\n", 400, 0 },
+		{ "GET /a HTTP/2.0\r\nHost: a\r\n\r\n", 505, 0 },
+		{ "\x01\x02random\r\n\r\n", 400, 0 },
+	};
+	struct strict s;
+	size_t i;
+
+	setup(&s);
+	for (i = 0; i < BASE_ARRAY_SIZE(cases); i++) {
+		int status =
+			exchange(&s, cases[i].bytes, strlen(cases[i].bytes));
+
+		cr_expect(eq(int, status, cases[i].status), "case %zu", i);
+		cr_expect(eq(int, s.served, cases[i].served), "case %zu", i);
+	}
+	teardown(&s);
+}
+
+/* Guards against strictness that refuses what is legal. */
+Test(strict, serves_unusual_requests)
+{
+	static const struct request_case cases[] = {
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n5;x=y\r\nabcde\r\n0\r\nTrailer: t\r\n\r\n" SECOND,
+		  200, 2 },
+		{ "GET /a HTTP/1.0\r\n\r\n", 200, 1 },
+		{ "\r\nGET /a HTTP/1.1\r\nHost: a\r\nX-Empty:\r\n\r\n", 200,
+		  1 },
+		{ "GET /a HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n"
+		  "Upgrade: h2c\r\n\r\n" SECOND,
+		  200, 2 },
+	};
+	struct strict s;
+	size_t i;
+
+	setup(&s);
+	for (i = 0; i < BASE_ARRAY_SIZE(cases); i++) {
+		int status =
+			exchange(&s, cases[i].bytes, strlen(cases[i].bytes));
+
+		cr_expect(eq(int, status, cases[i].status), "case %zu", i);
+		cr_expect(eq(int, s.served, cases[i].served), "case %zu", i);
+	}
+	teardown(&s);
+}
+
+/* Guards against a NUL that ends a value for one reader only. */
+Test(strict, refuses_a_nul_byte)
+{
+	static const char bytes[] = "GET /a HTTP/1.1\r\nHost: a\0b\r\n\r\n";
+	struct strict s;
+
+	setup(&s);
+	cr_assert(eq(int, exchange(&s, bytes, sizeof(bytes) - 1), 400));
+	teardown(&s);
+}
+
+/* Guards against a reset in place of an answer that can be read. */
+Test(strict, answers_an_oversized_head)
+{
+	static char bytes[16000];
+	struct strict s;
+
+	memset(bytes, 'a', sizeof(bytes));
+	memcpy(bytes, "GET /a HTTP/1.1\r\nHost: a\r\nX: ", 30);
+	setup(&s);
+	cr_assert(eq(int, exchange(&s, bytes, sizeof(bytes)), 431));
+	teardown(&s);
+}
+
+/* Guards against one byte a second that holds a connection for good. */
+Test(strict, ends_a_head_that_does_not_arrive)
+{
+	struct http_server_limits limits = {
+		.header_timeout_us = 50 * BASE_MS_US,
+	};
+	struct timeval wait = { .tv_usec = 600000 };
+	struct strict s;
+	char answer[256] = "";
+	int fd;
+
+	setup(&s);
+	http_server_set_limits(s.server, &limits);
+	fd = connect_to(http_server_address(s.server));
+	cr_assert(eq(long, (long)write(fd, "GET /", 5), 5L));
+	event_base_loopexit(s.base, &wait);
+	event_base_dispatch(s.base);
+	cr_assert(gt(long,
+		     (long)recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT),
+		     12L));
+	cr_assert(eq(int, atoi(answer + 9), 408));
+	close(fd);
+	teardown(&s);
+}
+
+/* A backend server that writes fixed bytes for each read. */
+struct backend {
+	struct event_base *base;
+	struct event *accept;
+	int fd;
+	const char *const *answers;
+	size_t next;
+	int connections;
+	char address[32];
+};
+
+static void on_input(evutil_socket_t fd, short events, void *ctx)
+{
+	struct backend *b = ctx;
+	char buf[2048];
+	const char *answer;
+
+	if (read(fd, buf, sizeof(buf)) <= 0 || !b->answers[b->next])
+		return;
+	answer = b->answers[b->next++];
+	cr_assert(ge(long, (long)write(fd, answer, strlen(answer)), 0L));
+	event_base_once(b->base, fd, EV_READ, on_input, b, NULL);
+}
+
+static void on_connection(evutil_socket_t fd, short events, void *ctx)
+{
+	struct backend *b = ctx;
+
+	b->connections++;
+	event_base_once(b->base, accept(fd, NULL, NULL), EV_READ, on_input, b,
+			NULL);
+}
+
+static void backend_start(struct backend *b, struct event_base *base,
+			  const char *const *answers)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	socklen_t len = sizeof(addr);
+
+	*b = (struct backend){ .base = base, .answers = answers };
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	b->fd = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert(eq(int, bind(b->fd, (struct sockaddr *)&addr, len), 0));
+	cr_assert(eq(int, listen(b->fd, 4), 0));
+	getsockname(b->fd, (struct sockaddr *)&addr, &len);
+	snprintf(b->address, sizeof(b->address), "127.0.0.1:%d",
+		 ntohs(addr.sin_port));
+	b->accept =
+		event_new(base, b->fd, EV_READ | EV_PERSIST, on_connection, b);
+	event_add(b->accept, NULL);
+}
+
+static void backend_stop(struct backend *b)
+{
+	event_free(b->accept);
+	close(b->fd);
+}
+
+struct got {
+	struct event_base *base;
+	enum http_result result;
+	int status;
+	char body[64];
+};
+
+static void on_got(void *ctx, enum http_result result,
+		   const struct http_answer *answer)
+{
+	struct got *got = ctx;
+
+	got->result = result;
+	got->status = answer ? answer->status : 0;
+	got->body[0] = '\0';
+	if (answer)
+		snprintf(got->body, sizeof(got->body), "%.*s",
+			 BASE_STR_ARG(answer->body));
+	event_base_loopbreak(got->base);
+}
+
+static void ask(struct http_client *client, struct got *got, const char *id)
+{
+	struct http_request request = { .method = BASE_STR("GET"),
+					.path = BASE_STR("/") };
+
+	http_headers_add(&request.headers, BASE_STR("Id"), base_str_from(id));
+	cr_assert(ne(
+		ptr,
+		http_client_send(client, &request, BASE_SECOND_US, on_got, got),
+		NULL));
+	http_headers_release(&request.headers);
+	event_base_dispatch(got->base);
+}
+
+static struct http_client *make_client(struct event_base *base,
+				       const char *address)
+{
+	struct http_client_settings settings = {
+		.address = base_str_from(address),
+		.max_connections = 2,
+		.max_answer = 4096,
+		.echo_header = BASE_STR("Id"),
+		.accept_unframed = true,
+	};
+	struct http_client *client;
+
+	cr_assert(eq(int, http_client_create(base, &settings, &client, NULL),
+		     HTTP_ERROR_NONE));
+	return client;
+}
+
+/*
+ * Guards against an answer of an earlier request that is passed on: a second
+ * answer may come late, when the next request is already on the connection.
+ */
+Test(strict, drops_answers_of_other_requests)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nlate"
+		"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\ntwo",
+		NULL,
+	};
+	struct got got = { .base = event_base_new() };
+	struct http_client *client;
+	struct backend b;
+
+	backend_start(&b, got.base, answers);
+	client = make_client(got.base, b.address);
+	ask(client, &got, "1");
+	cr_assert(eq(str, got.body, "one"));
+	ask(client, &got, "2");
+	cr_assert(eq(int, got.result, HTTP_RESULT_ANSWERED));
+	cr_assert(eq(str, got.body, "two"));
+	cr_assert(eq(int, b.connections, 1));
+	http_client_destroy(client);
+	backend_stop(&b);
+	event_base_free(got.base);
+}
+
+/* Guards against bytes behind an answer that meet the next request. */
+Test(strict, leaves_a_connection_with_bytes_behind_the_answer)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n"
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\noneHTTP",
+		"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\ntwo",
+		NULL,
+	};
+	struct got got = { .base = event_base_new() };
+	struct http_client *client;
+	struct backend b;
+
+	backend_start(&b, got.base, answers);
+	client = make_client(got.base, b.address);
+	ask(client, &got, "1");
+	cr_assert(eq(str, got.body, "one"));
+	ask(client, &got, "2");
+	cr_assert(eq(str, got.body, "two"));
+	cr_assert(eq(int, b.connections, 2));
+	http_client_destroy(client);
+	backend_stop(&b);
+	event_base_free(got.base);
+}
+
+/* Guards against an answer with two lengths, which ends in two places. */
+Test(strict, refuses_an_ambiguous_answer)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n"
+		"Content-Length: 5\r\n\r\noneHTTP",
+		NULL,
+	};
+	struct got got = { .base = event_base_new() };
+	struct http_client *client;
+	struct backend b;
+
+	backend_start(&b, got.base, answers);
+	client = make_client(got.base, b.address);
+	ask(client, &got, "1");
+	cr_assert(eq(int, got.result, HTTP_RESULT_INVALID));
+	http_client_destroy(client);
+	backend_stop(&b);
+	event_base_free(got.base);
+}
