Show counters and latencies of the stages on the metrics address

Cause: the platform fetches metrics as text; latencies stood nowhere. Change: /metrics has all counters, gauges of the guard, and quantiles of the time at the entry, in the queue and at the backend server; no label is unbounded.

--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -100,6 +100,24 @@
 	json_decref(json);
 }
 
+static void set_gauge(const struct node *node, const char *name, int64_t value)
+{
+	base_counter_set(base_counters_get(node->counters, name), value);
+}
+
+/* What changes all the time is brought up to date when it is read. */
+static void render_gauges(const struct node *node)
+{
+	int64_t now = base_now_us();
+	struct routing_report report = guard_report(node->guard, now);
+
+	set_gauge(node, "guard_load", report.load);
+	set_gauge(node, "guard_limit", report.limit);
+	set_gauge(node, "guard_cutoff", guard_cutoff(node->guard));
+	set_gauge(node, "open_requests", (int64_t)entry_open_flows(node->entry));
+	set_gauge(node, "platform_up", node->platform_up);
+}
+
 static void on_request(void *ctx, struct http_exchange *ex)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
@@ -115,6 +133,9 @@
 		type = BASE_STR("application/json");
 	} else if (base_str_equal(path, BASE_STR("/counters"))) {
 		base_counters_render(node->counters, &body);
+	} else if (base_str_equal(path, BASE_STR("/metrics"))) {
+		render_gauges(node);
+		metrics_render(node->metrics, &body);
 	} else if (base_str_equal(path, BASE_STR("/spans"))) {
 		spans_render(node->spans, &body);
 		type = BASE_STR("application/x-ndjson");
@@ -127,7 +148,8 @@
 	} else {
 		status = 404;
 		base_buf_addf(&body,
-			      "paths: /status /counters /spans /ready\n");
+			      "paths: /status /counters /metrics /spans "
+			      "/ready\n");
 	}
 	http_headers_add(&headers, BASE_STR("Content-Type"), type);
 	http_exchange_reply(ex, status, &headers, base_buf_str(&body));
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -469,6 +469,7 @@
 	node->counters = base_counters_create();
 	node->log = base_log_create("bilberryhinged");
 	base_log_set_level(node->log, node->settings->log_level);
+	node->metrics = metrics_create(node->counters, node->log);
 	base_rand_seed_system(&node->rnd);
 	node->incarnation = (uint64_t)base_wall_ms();
 	node->started_at = now;
@@ -625,6 +626,7 @@
 	spans_destroy(node->spans);
 	base_buf_release(&node->last_refused);
 	base_buf_release(&node->last_conflict);
+	metrics_destroy(node->metrics);
 	base_counters_destroy(node->counters);
 	base_log_destroy(node->log);
 	event_base_free(node->base);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -39,6 +39,7 @@
 	if (f->snapshot)
 		base_log_int(&line, "version", f->snapshot->version);
 	base_log_end(&line);
+	metrics_record(f->node->metrics, METRICS_ENTRY, now - f->started_at);
 }
 
 static void log_try(struct flow *f, const struct peer_answer *answer,
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -109,6 +109,10 @@
 	answer.arrived = w->sent;
 	guard_work_record_span(w, (int)answer.status, decision, now);
 	log_end(w, &answer, decision, &report, now);
+	metrics_record(node->metrics, METRICS_QUEUE,
+		       (w->sent ? w->sent_at : now) - w->submitted_at);
+	if (w->sent)
+		metrics_record(node->metrics, METRICS_SERVER, now - w->sent_at);
 	if (!w->abandoned)
 		w->cb(w->ctx, &answer);
 	guard_work_free(w);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -10,6 +10,7 @@
 #include "dialect.h"
 #include "http.h"
 #include "messages.h"
+#include "metrics.h"
 #include "overload.h"
 #include "peer.h"
 #include "rate.h"
@@ -37,6 +38,7 @@
 	struct event_base *base;
 	struct base_log *log;
 	struct base_counters *counters;
+	struct metrics *metrics;
 	struct base_rand rnd;
 	/** Greater after each start. */
 	uint64_t incarnation;
