--- a/packages/cli/commands.c
+++ b/packages/cli/commands.c
@@ -12,6 +12,8 @@
 	  command_explain },
 	{ "key", "create a key for an account", command_key },
 	{ "status", "show the status of a daemon", command_status },
+	{ "trace", "print the way of a request from the logs of daemons",
+	  command_trace },
 };
 
 const size_t cli_command_count = BASE_ARRAY_SIZE(cli_commands);
--- a/packages/cli/commands.h
+++ b/packages/cli/commands.h
@@ -10,5 +10,6 @@
 int command_explain(int argc, char **argv);
 int command_key(int argc, char **argv);
 int command_status(int argc, char **argv);
+int command_trace(int argc, char **argv);
 
 #endif
--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -114,7 +114,8 @@
 	set_gauge(node, "guard_load", report.load);
 	set_gauge(node, "guard_limit", report.limit);
 	set_gauge(node, "guard_cutoff", guard_cutoff(node->guard));
-	set_gauge(node, "open_requests", (int64_t)entry_open_flows(node->entry));
+	set_gauge(node, "open_requests",
+		  (int64_t)entry_open_flows(node->entry));
 	set_gauge(node, "platform_up", node->platform_up);
 }
 
@@ -147,9 +148,8 @@
 		base_buf_addf(&body, "%s\n", status == 200 ? "ok" : "no");
 	} else {
 		status = 404;
-		base_buf_addf(&body,
-			      "paths: /status /counters /metrics /spans "
-			      "/ready\n");
+		base_buf_addf(&body, "paths: /status /counters /metrics /spans "
+				     "/ready\n");
 	}
 	http_headers_add(&headers, BASE_STR("Content-Type"), type);
 	http_exchange_reply(ex, status, &headers, base_buf_str(&body));
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -194,10 +194,20 @@
 		add_refused(&guard->probes, work->id);
 }
 
+/*
+ * With more than this part of the limit free, work that will probably not end
+ * in time takes nothing from other work, and some of it does end.
+ */
+#define ROOM_TO_TRY 0.5
+
 static int64_t expected_service(const struct overload_guard *guard)
 {
+	uint32_t limit = overload_guard_limit(guard, guard->now);
+
 	/* Without work in flight no answer would ever correct the estimate. */
-	return guard->in_flight ? (int64_t)guard->service_us : 0;
+	if (!guard->in_flight || guard->in_flight < ROOM_TO_TRY * limit)
+		return 0;
+	return (int64_t)guard->service_us;
 }
 
 /* Time for the queue to empty, with jitter, so that retries do not align. */
