Mend findings of the sanitizers and the linter in what was added

Cause: the check build warns of a truncated name, the analyzer of padding in struct flow and of comparisons without a result.

--- a/packages/cli/command_trace.c
+++ b/packages/cli/command_trace.c
@@ -50,7 +50,7 @@
 	if (!at)
 		return false;
 	at += sizeof(key) - 1;
-	if (strncmp(at, t->id.ptr, t->id.len))
+	if (strncmp(at, t->id.ptr, t->id.len) != 0)
 		return false;
 	at += t->id.len;
 	return *at == ' ' || *at == '.' || *at == '\n' || !*at;
@@ -125,7 +125,8 @@
 	for (i = 1; i < args.path_count; i++)
 		if (!read_file(&t, args.paths[i], argv[0]))
 			return CLI_EXIT_TROUBLE;
-	qsort(t.lines, t.count, sizeof(*t.lines), compare_lines);
+	if (t.count)
+		qsort(t.lines, t.count, sizeof(*t.lines), compare_lines);
 	for (i = 0; i < t.count; i++)
 		printf("%-24s %s", base_name(t.lines[i].file), t.lines[i].text);
 	return t.count ? CLI_EXIT_OK : CLI_EXIT_NEGATIVE;
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -688,6 +688,8 @@
 	node_count(f->node, "callers_gone");
 	if (!not_run && f->claimed) {
 		f->ex = NULL;
+		/* It is part of the exchange. */
+		f->request_id = BASE_STR_NONE;
 		http_exchange_reply(ex, 499, NULL, BASE_STR_NONE);
 		return;
 	}
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -41,10 +41,8 @@
 	struct http_exchange *ex;
 	/** Work that made this onward call; NULL for callers and when ended. */
 	struct guard_work *parent;
-	bool onward;
 	/** As the caller named it; empty when the dialect has no such name. */
 	struct base_str request_id;
-	enum flow_state state;
 
 	struct base_buf target;
 	struct http_headers headers;
@@ -59,11 +57,10 @@
 	/** When the tokens of the rate decision lapse; INT64_MAX without. */
 	int64_t use_by;
 	uint64_t claim_id;
-	bool claimed;
 
+	enum flow_state state;
 	uint32_t attempt;
 	uint32_t reroutes;
-	bool retried;
 	int32_t cutoff;
 	uint32_t tried[FLOW_TRIES_MAX];
 	uint32_t tries;
@@ -73,6 +70,9 @@
 	struct guard_work *local;
 	/** Tries that a backend server may have seen. */
 	uint32_t arrivals;
+	bool onward;
+	bool claimed;
+	bool retried;
 	/** An earlier try may have run, so "not-run" would be false. */
 	bool may_have_run;
 
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -1,6 +1,7 @@
 /* Mirror of a platform's registry. */
 #include "registry.h"
 
+#include <assert.h>
 #include <jansson.h>
 #include <string.h>
 #include <uthash.h>
@@ -53,6 +54,7 @@
 
 static void forget(struct registry *r, struct mirrored *m)
 {
+	assert(r->items);
 	HASH_DEL(r->items, m);
 	free(m->key);
 	base_buf_release(&m->value);
--- a/packages/overload/ramp.h
+++ b/packages/overload/ramp.h
@@ -8,7 +8,8 @@
 	uint32_t slots;
 	uint32_t cold_slots;
 	int64_t cold_us;
-	/* With a rate, the server tells its coldness, and starts are counted. */
+	/* With a rate, the server tells its coldness, and starts are counted.
+	 */
 	double cold_rate;
 	int64_t cold_until;
 	double tokens;
