--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -8,8 +8,9 @@
 static const struct daemon_dialect *
 find_dialect(const struct daemon_settings *settings)
 {
-	return strcmp(settings->dialect, "platform") ? dialect_native()
-						     : platform_dialect();
+	if (!strcmp(settings->dialect, platform_dialect()->name))
+		return platform_dialect();
+	return dialect_native();
 }
 
 int main(int argc, char **argv)
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -176,7 +176,7 @@
 
 	if (!strcmp(unit, "ms"))
 		us = number * BASE_MS_US;
-	else if (*unit && strcmp(unit, "s"))
+	else if (*unit && strcmp(unit, "s") != 0)
 		unit = (char *)value;
 	if (unit == value || us < (double)(s->min * BASE_SECOND_US) ||
 	    us > (double)(s->max * BASE_SECOND_US)) {
