--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * HTTP/1.1 towards callers, backend servers, the platform and operators: a
- * strict server and client over http_parser, W3C trace context, and the refusals
- * that callers see.
+ * strict server and client over http_parser, W3C trace context, and the
+ * refusals that callers see.
  *
  * All objects belong to the thread that runs their event base; callbacks are
  * called on that thread. A callback may destroy neither the server nor the
