Split flow, guard and daemon by job

Change: what is logged of a request, the decision about another try, the bounds of the backend server, the request it gets and refused sets have files of their own; a field's name that the platform also uses is changed. No behaviour changes.

--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -213,7 +213,7 @@
 	/** Requests that this backend server runs at once; 0 as its service. */
 	int64_t slots;
 	/** Time for which the backend server said that it stays cold. */
-	int64_t cold_left_us;
+	int64_t stays_cold_us;
 	/** When the backend server started, milliseconds since 1970, or 0. */
 	int64_t started_ms;
 };
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -1,6 +1,7 @@
 /* The data task: event loop, messages between tasks, start and stop. */
 #include "admin.h"
 #include "claims.h"
+#include "config_events.h"
 #include "entry.h"
 #include "guard.h"
 #include "membership.h"
@@ -48,11 +49,6 @@
 	int64_t drain_started_at;
 };
 
-static const char *daemon_address(const struct daemon *d)
-{
-	return http_server_address(d->node.callers);
-}
-
 void node_count(struct node *node, const char *name)
 {
 	base_counter_add(base_counters_get(node->counters, name), 1);
@@ -185,38 +181,6 @@
 	base_log_end(&line);
 }
 
-static void on_refused(struct node *node, const struct data_message *msg)
-{
-	struct base_log_line line =
-		base_log_begin(node->log, BASE_LOG_ERROR, "config_refused");
-
-	node_count(node, "config_refused");
-	base_log_int(&line, "version", msg->version);
-	base_log_str(&line, "reason", base_buf_str(&msg->text));
-	base_log_end(&line);
-	base_buf_reset(&node->last_refused);
-	base_buf_addf(&node->last_refused, "version %" PRId64 ": %s",
-		      msg->version, msg->text.ptr);
-}
-
-static void on_conflict(struct node *node, const struct data_message *msg)
-{
-	struct base_log_line line =
-		base_log_begin(node->log, BASE_LOG_ERROR, "config_conflict");
-	char hash[65];
-
-	node_count(node, "config_conflicts");
-	base_digest_hex(&msg->digest, hash);
-	base_log_int(&line, "version", msg->version);
-	base_log_cstr(&line, "loser", hash);
-	base_log_end(&line);
-	base_buf_reset(&node->last_conflict);
-	base_buf_addf(&node->last_conflict,
-		      "version %" PRId64 " was published twice; %s is not in "
-		      "force, publish it again under a higher version",
-		      msg->version, hash);
-}
-
 static void on_data_message(void *ctx, void *message)
 {
 	struct node *node = ctx;
@@ -233,10 +197,10 @@
 		membership_fetch(node->membership, base_buf_str(&msg->text));
 		break;
 	case DATA_REFUSED:
-		on_refused(node, msg);
+		config_events_refused(node, msg);
 		break;
 	case DATA_CONFLICT:
-		on_conflict(node, msg);
+		config_events_conflict(node, msg);
 		break;
 	case DATA_CANDIDATE:
 		seeds_add_roster(node->seeds, msg->snapshot);
@@ -496,7 +460,7 @@
 
 	base_log_cstr(&line, "vm", node->settings->vm);
 	base_log_cstr(&line, "domain", node->settings->domain);
-	base_log_cstr(&line, "caller", daemon_address(d));
+	base_log_cstr(&line, "caller", http_server_address(node->callers));
 	base_log_cstr(&line, "onward", onward_address(node->onward));
 	base_log_cstr(&line, "admin", admin_address(node->admin));
 	base_log_str(&line, "peer", peer_transport_address(node->transport));
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -1,6 +1,5 @@
 /* Routing, retries and the end of one request at the entry. */
 #include "flow.h"
-#include "request_log.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -12,57 +11,6 @@
 /* The link is up by then, so a short wait is enough. */
 #define LAPSED_AFTER_MS 100
 
-/* The end of a request, with what was decided on the way. */
-static void log_end(struct flow *f, const char *outcome, int status,
-		    bool went_well, int64_t now)
-{
-	struct base_log_line line =
-		request_log_begin(f->node, outcome, f->request_id, went_well);
-	const struct config_vm *vm =
-		f->tries ? roster_vm(f->node->roster, f->server) : NULL;
-
-	base_log_int(&line, "status", status);
-	if (f->route)
-		base_log_str(&line, "route", f->route->name);
-	if (f->service)
-		base_log_str(&line, "service", f->service->name);
-	if (f->account)
-		base_log_str(&line, "account", f->account->name);
-	if (vm) {
-		base_log_str(&line, "vm", vm->name);
-		base_log_str(&line, "instance", vm->instance);
-	}
-	base_log_int(&line, "tries", f->tries);
-	base_log_int(&line, "arrivals", f->arrivals);
-	base_log_int(&line, "took_ms", (now - f->started_at) / BASE_MS_US);
-	base_log_int(&line, "left_ms", (f->deadline - now) / BASE_MS_US);
-	if (f->snapshot)
-		base_log_int(&line, "version", f->snapshot->version);
-	base_log_end(&line);
-	metrics_record(f->node->metrics, METRICS_ENTRY, now - f->started_at);
-}
-
-static void log_try(struct flow *f, const struct peer_answer *answer,
-		    const char *decision)
-{
-	struct base_log_line line = request_log_begin(
-		f->node, "request_try_failed", f->request_id, false);
-	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
-
-	if (vm)
-		base_log_str(&line, "vm", vm->name);
-	base_log_int(&line, "status", answer->status);
-	base_log_str(&line, "reason", answer->reason);
-	base_log_cstr(&line, "ran",
-		      answer->outcome == PEER_RAN	? "yes"
-		      : answer->outcome == PEER_NOT_RUN ? "no"
-							: "unknown");
-	base_log_int(&line, "load", answer->load);
-	base_log_int(&line, "limit", answer->limit);
-	base_log_cstr(&line, "decision", decision);
-	base_log_end(&line);
-}
-
 static void release_headers(struct flow *f)
 {
 	http_headers_release(&f->headers);
@@ -190,23 +138,6 @@
 	node_count(f->node, name);
 }
 
-static void log_refusal(struct flow *f,
-			const struct http_refusal_details *details, int code,
-			int64_t now)
-{
-	struct base_log_line line = request_log_begin(
-		f->node, "request_refused", f->request_id, false);
-
-	base_log_int(&line, "status", code);
-	base_log_cstr(&line, "reason", http_refusal_name(details->refusal));
-	base_log_cstr(&line, "run", details->not_run ? "no" : "unknown");
-	base_log_int(&line, "retry_after_ms",
-		     details->retry_after_us / BASE_MS_US);
-	base_log_str(&line, "detail", details->detail);
-	base_log_end(&line);
-	log_end(f, "request_ended", code, false, now);
-}
-
 void flow_refuse(struct flow *f, const struct flow_refusal *refusal,
 		 int64_t now)
 {
@@ -226,7 +157,7 @@
 	code = http_refusal_status(&details);
 	count_refusal(f, refusal->refusal);
 	record_span(f, code, http_refusal_name(refusal->refusal), now);
-	log_refusal(f, &details, code, now);
+	flow_log_refusal(f, &details, code, now);
 	end_claim(f, NULL, details.not_run, now);
 	end_parent(f, now);
 	if (f->ex) {
@@ -252,8 +183,8 @@
 	size_t i;
 
 	record_span(f, (int)answer->status, "answered", now);
-	log_end(f, "request_answered", (int)answer->status,
-		answer->status < 500, now);
+	flow_log_end(f, "request_answered", (int)answer->status,
+		     answer->status < 500, now);
 	end_claim(f, answer, false, now);
 	end_parent(f, now);
 	for (i = 0; i < answer->headers.count; i++)
@@ -289,101 +220,6 @@
 		     now);
 }
 
-static enum retry_outcome outcome_of(const struct peer_answer *answer)
-{
-	if (base_str_equal(answer->reason, BASE_STR("deadline")))
-		return RETRY_OUTCOME_DEADLINE;
-	if (answer->outcome == PEER_NOT_RUN) {
-		if (base_str_equal(answer->reason, BASE_STR("overloaded")))
-			return RETRY_OUTCOME_OVERLOADED;
-		return RETRY_OUTCOME_NOT_RUN;
-	}
-	if (answer->outcome == PEER_RAN)
-		return RETRY_OUTCOME_SERVER_ERROR;
-	return RETRY_OUTCOME_LOST;
-}
-
-/* These do not change by asking another server. */
-static bool is_final_refusal(const struct peer_answer *answer)
-{
-	return base_str_equal(answer->reason, BASE_STR("bad_request")) ||
-	       base_str_equal(answer->reason, BASE_STR("suspect"));
-}
-
-/*
- * Calls that backend servers make cannot be told from other requests on some
- * platforms. A retry then multiplies over the hops behind it, of which there
- * may be four, and their sum has to stay under a fifth of the requests.
- */
-#define SERVICE_RETRY_SHARE 0.04
-#define SERVICE_RETRY_CAP 2.0
-
-struct retry_budget *flow_budget(struct flow *f)
-{
-	struct node *node = f->node;
-	struct entry_budget *b;
-	uint32_t service;
-
-	if (node->dialect->headers.call_token)
-		return &node->budget;
-	service = roster_service_id(node->roster, f->service->name);
-	HASH_FIND(hh, f->entry->budgets, &service, sizeof(service), b);
-	if (b)
-		return &b->budget;
-	b = base_alloc(sizeof(*b));
-	b->service = service;
-	retry_budget_init(&b->budget, SERVICE_RETRY_SHARE, SERVICE_RETRY_CAP);
-	HASH_ADD(hh, f->entry->budgets, service, sizeof(b->service), b);
-	return &b->budget;
-}
-
-/* Whether the route lets the request go to one more backend server. */
-static bool may_try_again(const struct flow *f)
-{
-	return f->ex && f->tries < FLOW_TRIES_MAX &&
-	       (!f->route->max_attempts ||
-		f->arrivals < f->route->max_attempts);
-}
-
-static bool decide_retry(struct flow *f, const struct peer_answer *answer,
-			 int64_t now)
-{
-	struct retry_try failed = {
-		.outcome = outcome_of(answer),
-		.attempt = f->attempt,
-		.answer_retried = answer->retried,
-		.idempotent = f->route->idempotent,
-		.reroutes = f->reroutes,
-		.deadline = f->deadline,
-		.arrived = answer->arrived,
-	};
-	struct retry_decision decision;
-
-	f->arrivals += answer->arrived || answer->outcome != PEER_NOT_RUN;
-	if (is_final_refusal(answer) || !may_try_again(f)) {
-		log_try(f, answer, f->ex ? "final" : "caller_gone");
-		return false;
-	}
-	decision = retry_decide(&failed, flow_budget(f), now);
-	log_try(f, answer,
-		decision.action == RETRY_ACTION_GIVE_UP
-			? retry_reason_str(decision.reason)
-		: decision.action == RETRY_ACTION_RETRY ? "retry"
-							: "reroute");
-	f->retried = f->retried || decision.retried;
-	if (decision.action == RETRY_ACTION_GIVE_UP)
-		return false;
-	if (decision.action == RETRY_ACTION_RETRY) {
-		node_count(f->node, "retries");
-		f->may_have_run = true;
-	} else {
-		node_count(f->node, "reroutes");
-		f->reroutes++;
-	}
-	f->attempt = decision.attempt;
-	return true;
-}
-
 static void note_cutoffs(struct flow *f, const struct peer_answer *answer,
 			 int64_t now)
 {
@@ -435,7 +271,7 @@
 	if (f->node->dialect->headers.call_token && !f->onward && !f->attempt &&
 	    answer->retried)
 		retry_budget_charge(&f->node->budget, now);
-	if (!ok && decide_retry(f, answer, now))
+	if (!ok && flow_decide_retry(f, answer, now))
 		flow_route(f, now);
 	else if (whole)
 		flow_answer(f, answer, now);
@@ -522,7 +358,7 @@
 
 	routing_failed(f->node->routing, f->server, ROUTING_SEND_FAILED, now);
 	f->retried = f->retried || answer.retried;
-	if (decide_retry(f, &answer, now))
+	if (flow_decide_retry(f, &answer, now))
 		flow_route(f, now);
 	else
 		refuse_with_answer(f, &answer, now);
@@ -602,18 +438,6 @@
 					  : HTTP_REFUSAL_NO_SERVER;
 }
 
-static void log_sent(struct flow *f, const struct config_vm *vm)
-{
-	struct base_log_line line = request_log_begin(
-		f->node, "request_sent", f->request_id, f->tries == 1);
-
-	base_log_str(&line, "vm", vm->name);
-	base_log_str(&line, "instance", vm->instance);
-	base_log_str(&line, "domain", vm->domain->name);
-	base_log_int(&line, "try", f->tries);
-	base_log_end(&line);
-}
-
 void flow_route(struct flow *f, int64_t now)
 {
 	struct node *node = f->node;
@@ -648,7 +472,7 @@
 		return;
 	}
 	f->tried[f->tries++] = f->server;
-	log_sent(f, vm);
+	flow_log_sent(f, vm);
 	send_to(f, vm, now);
 }
 
@@ -699,7 +523,7 @@
 	end_claim(f, NULL, not_run, now);
 	end_parent(f, now);
 	record_span(f, 499, "caller_gone", now);
-	log_end(f, "request_abandoned", 499, false, now);
+	flow_log_end(f, "request_abandoned", 499, false, now);
 	http_exchange_reply(ex, 499, NULL, BASE_STR_NONE);
 	flow_free(f);
 }
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -117,12 +117,30 @@
 /** The present try ended with this answer; retries or ends the flow. */
 void flow_on_answer(struct flow *f, const struct peer_answer *answer,
 		    int64_t now);
+/**
+ * Decides about another try after a failed one, and counts it.
+ * @return false when the flow ends
+ */
+bool flow_decide_retry(struct flow *f, const struct peer_answer *answer,
+		       int64_t now);
 /** The budget that a retry of the flow is taken from. */
 struct retry_budget *flow_budget(struct flow *f);
 /** The present try ended without an answer. */
 void flow_on_lost(struct flow *f, int64_t now);
 /** The link that a waiting flow needs is up, or did not come up. */
 void flow_on_link(struct flow *f, bool up, int64_t now);
+/** Logs the choice of a server for the present try. */
+void flow_log_sent(struct flow *f, const struct config_vm *vm);
+/** Logs a try that failed and what follows. */
+void flow_log_try(struct flow *f, const struct peer_answer *answer,
+		  const char *decision);
+/** Logs a refusal and with it the end of the flow. */
+void flow_log_refusal(struct flow *f,
+		      const struct http_refusal_details *details, int code,
+		      int64_t now);
+/** Logs the end of the flow and records its time. */
+void flow_log_end(struct flow *f, const char *outcome, int status,
+		  bool went_well, int64_t now);
 /** Takes the flow off the server of its present try. */
 void flow_detach(struct flow *f);
 
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -9,36 +9,9 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Some backend servers slow down when more of their slots are in use. */
-#define SLOTS_USED 0.94
-
 /* A backend server that has rejected a request is full for a moment. */
 #define BACKEND_REJECTED_RETRY_US (200 * BASE_MS_US)
 
-static uint32_t at_least_1(int64_t value)
-{
-	return value > 1 ? (uint32_t)value : 1;
-}
-
-static struct overload_guard_config bounds_of(struct node *node)
-{
-	const struct config_vm *vm = node->self;
-	const struct config_service *s = vm->service;
-	struct overload_guard_config config = {
-		.slots = at_least_1(s->slots),
-		.connections = at_least_1(s->connections),
-		.cold_slots = at_least_1(s->cold_slots),
-		.cold_us = s->cold_us,
-		.cold_rate = s->cold_rate,
-		.seed = node->incarnation,
-	};
-
-	if (vm->slots)
-		config.slots =
-			at_least_1((int64_t)(SLOTS_USED * (double)vm->slots));
-	return config;
-}
-
 static void schedule(struct guard *g, int64_t now)
 {
 	int64_t at = overload_guard_next_at(g->overload);
@@ -269,53 +242,6 @@
 	pump(g, now);
 }
 
-static void split_target(struct base_str target, struct http_request *request)
-{
-	const char *mark =
-		target.len ? memchr(target.ptr, '?', target.len) : NULL;
-
-	request->path = target;
-	if (!mark)
-		return;
-	request->path.len = (size_t)(mark - target.ptr);
-	request->query.ptr = mark + 1;
-	request->query.len = target.len - request->path.len - 1;
-}
-
-/* A header that the dialect may not have, or a value that may be empty. */
-static void add_header(struct http_headers *headers, const char *name,
-		       struct base_str value)
-{
-	if (name && value.len)
-		http_headers_add(headers, base_str_from(name), value);
-}
-
-static void add_own_headers(struct guard_work *w, struct http_headers *headers,
-			    int64_t now)
-{
-	const struct daemon_dialect *dialect = w->guard->node->dialect;
-	const struct dialect_headers *names = &dialect->headers;
-	const struct peer_context *c = &w->msg.request.context;
-	char traceparent[HTTP_TRACEPARENT_LEN + 1];
-	char remaining[24];
-
-	http_trace_format(&w->trace, traceparent);
-	snprintf(remaining, sizeof(remaining), "%" PRId64,
-		 (w->deadline - now) / 1000);
-	if (dialect->trace_context)
-		http_headers_add(headers, BASE_STR("traceparent"),
-				 base_str_from(traceparent));
-	add_header(headers, names->call_token, base_str_from(w->token));
-	add_header(headers, names->timeout_ms, base_str_from(remaining));
-	add_header(headers, names->account, c->account);
-	add_header(headers, names->caller_service, c->caller_service);
-	add_header(headers, names->expect_instance,
-		   base_buf_str(&w->guard->instance));
-	if (c->idempotency_key.len)
-		http_headers_add(headers, BASE_STR("Idempotency-Key"),
-				 c->idempotency_key);
-}
-
 static void make_token(struct guard_work *w)
 {
 	uint8_t bytes[TOKEN_BYTES];
@@ -358,11 +284,11 @@
 	}
 
 	make_token(w);
-	split_target(r->path, &request);
+	guard_work_split_target(r->path, &request);
 	for (i = 0; i < r->headers.count; i++)
 		http_headers_add(&request.headers, r->headers.items[i].name,
 				 r->headers.items[i].value);
-	add_own_headers(w, &request.headers, now);
+	guard_work_add_headers(w, &request.headers, now);
 	w->call = http_client_send(g->backend, &request, w->deadline - now,
 				   on_backend, w);
 	http_headers_release(&request.headers);
@@ -586,38 +512,6 @@
 	}
 }
 
-struct routing_report guard_report(const struct guard *guard, int64_t now)
-{
-	struct routing_report report = { 0 };
-	const struct overload_guard *o = guard->overload;
-
-	report.draining = guard->node->draining;
-	if (!o)
-		return report;
-	report.load = overload_guard_in_flight(o) + overload_guard_queued(o);
-	report.limit = overload_guard_limit(o, now);
-	report.cold_full =
-		overload_guard_cold(o, now) && report.load >= report.limit;
-	return report;
-}
-
-int32_t guard_cutoff(const struct guard *guard)
-{
-	return guard->overload ? overload_guard_cutoff(guard->overload)
-			       : OVERLOAD_CUTOFF_NONE;
-}
-
-size_t guard_open_works(const struct guard *guard)
-{
-	return HASH_COUNT(guard->works);
-}
-
-void guard_drain(struct guard *guard)
-{
-	if (guard->overload)
-		overload_guard_drain(guard->overload);
-}
-
 void guard_woke(struct guard *guard, int64_t paused_us, int64_t now)
 {
 	if (!guard->overload)
@@ -626,19 +520,6 @@
 	pump(guard, now);
 }
 
-static struct overload_guard *
-create_overload(const struct overload_guard_config *config,
-		const struct config_vm *self, int64_t now)
-{
-	/* Its latency holds the calls that it makes, which nobody reports. */
-	struct overload_limiter *limiter =
-		self->instance.len
-			? overload_limiter_fixed_create(config->slots)
-			: NULL;
-
-	return overload_guard_create(config, limiter, now);
-}
-
 void guard_configure(struct guard *guard, int64_t now)
 {
 	struct node *node = guard->node;
@@ -648,11 +529,11 @@
 
 	if (!self)
 		return;
-	config = bounds_of(node);
+	config = guard_bounds(node);
 	if (guard->overload)
 		overload_guard_reconfigure(guard->overload, &config, now);
 	else
-		guard->overload = create_overload(&config, self, now);
+		guard->overload = guard_create_overload(&config, self, now);
 	/* Backend servers may have turned cold while the domain was out. */
 	back = guard->domain_out && !self->domain->out;
 	guard->domain_out = self->domain->out;
@@ -660,8 +541,8 @@
 		hold(guard, "another instance is listed", now);
 	else if (back)
 		hold(guard, "the failure domain is back", now);
-	else if (self->cold_left_us)
-		overload_guard_ready(guard->overload, self->cold_left_us, now);
+	else if (self->stays_cold_us)
+		overload_guard_ready(guard->overload, self->stays_cold_us, now);
 	pump(guard, now);
 }
 
--- /dev/null
+++ b/packages/daemon/guard_bounds.c
@@ -0,0 +1,74 @@
+/* Bounds of the own backend server, and what the guard reports of its load. */
+#include "guard_work.h"
+
+/* Some backend servers slow down when more of their slots are in use. */
+#define SLOTS_USED 0.94
+
+static uint32_t at_least_1(int64_t value)
+{
+	return value > 1 ? (uint32_t)value : 1;
+}
+
+struct overload_guard_config guard_bounds(struct node *node)
+{
+	const struct config_vm *vm = node->self;
+	const struct config_service *s = vm->service;
+	struct overload_guard_config config = {
+		.slots = at_least_1(s->slots),
+		.connections = at_least_1(s->connections),
+		.cold_slots = at_least_1(s->cold_slots),
+		.cold_us = s->cold_us,
+		.cold_rate = s->cold_rate,
+		.seed = node->incarnation,
+	};
+
+	if (vm->slots)
+		config.slots =
+			at_least_1((int64_t)(SLOTS_USED * (double)vm->slots));
+	return config;
+}
+
+struct overload_guard *
+guard_create_overload(const struct overload_guard_config *config,
+		      const struct config_vm *self, int64_t now)
+{
+	/* Its latency holds the calls that it makes, which nobody reports. */
+	struct overload_limiter *limiter =
+		self->instance.len
+			? overload_limiter_fixed_create(config->slots)
+			: NULL;
+
+	return overload_guard_create(config, limiter, now);
+}
+
+struct routing_report guard_report(const struct guard *guard, int64_t now)
+{
+	struct routing_report report = { 0 };
+	const struct overload_guard *o = guard->overload;
+
+	report.draining = guard->node->draining;
+	if (!o)
+		return report;
+	report.load = overload_guard_in_flight(o) + overload_guard_queued(o);
+	report.limit = overload_guard_limit(o, now);
+	report.cold_full =
+		overload_guard_cold(o, now) && report.load >= report.limit;
+	return report;
+}
+
+int32_t guard_cutoff(const struct guard *guard)
+{
+	return guard->overload ? overload_guard_cutoff(guard->overload)
+			       : OVERLOAD_CUTOFF_NONE;
+}
+
+size_t guard_open_works(const struct guard *guard)
+{
+	return HASH_COUNT(guard->works);
+}
+
+void guard_drain(struct guard *guard)
+{
+	if (guard->overload)
+		overload_guard_drain(guard->overload);
+}
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -65,6 +65,17 @@
 	int64_t retry_after_us;
 };
 
+/** Bounds of the own backend server; needs node->self. */
+struct overload_guard_config guard_bounds(struct node *node);
+struct overload_guard *
+guard_create_overload(const struct overload_guard_config *config,
+		      const struct config_vm *self, int64_t now);
+/** Splits a path with its query into the fields of a request. */
+void guard_work_split_target(struct base_str target,
+			     struct http_request *request);
+/** Adds what the system tells a backend server in the dialect's words. */
+void guard_work_add_headers(struct guard_work *w, struct http_headers *headers,
+			    int64_t now);
 /** Takes the work off the guard, without an answer. */
 void guard_work_free(struct guard_work *w);
 void guard_work_record_span(struct guard_work *w, int status,
