Keep the holders of rates when every failure domain is out

Cause: with all domains out no VM held the rate of an account, so requests were answered 429, as if the account were beyond its rate.

--- a/packages/daemon/rate_holders.c
+++ b/packages/daemon/rate_holders.c
@@ -11,11 +11,23 @@
 	return n;
 }
 
+/*
+ * Daemons of a domain that is out run on, so they hold rates when no domain is
+ * in; otherwise all accounts would seem to be beyond theirs.
+ */
+static bool holds_rates(const struct config_snapshot *s,
+			const struct config_domain *d)
+{
+	return !d->out || !domains_in(s);
+}
+
 uint32_t rate_holders_per_domain(const struct config_snapshot *snapshot,
 				 const struct config_account *account)
 {
 	uint32_t domains = domains_in(snapshot);
 
+	if (!domains)
+		domains = (uint32_t)snapshot->domain_count;
 	if (!domains)
 		return 0;
 	return rate_holder_count(domains, account->burst) / domains;
@@ -33,7 +45,7 @@
 	for (i = 0; i < snapshot->domain_count; i++) {
 		const struct config_domain *d = &snapshot->domains[i];
 
-		if (d->out || !per_domain)
+		if (!holds_rates(snapshot, d) || !per_domain)
 			continue;
 		if (out->count + per_domain > RATE_HOLDERS_MAX) {
 			out->count = 0;
--- a/packages/daemon/rate_holders.h
+++ b/packages/daemon/rate_holders.h
@@ -14,12 +14,13 @@
 	size_t count;
 };
 
-/** Holders wanted in each failure domain; 0 when all domains are out. */
+/** Holders wanted in each failure domain; 0 without failure domains. */
 uint32_t rate_holders_per_domain(const struct config_snapshot *snapshot,
 				 const struct config_account *account);
 /**
- * Chooses @p per_domain VMs in each failure domain that is in. A domain with
- * fewer VMs has fewer holders. The order is that of domains, then of rank.
+ * Chooses @p per_domain VMs in each failure domain that is in, or in all when
+ * all are out. A domain with fewer VMs has fewer holders. The order is that of
+ * domains, then of rank.
  * @return false, with no holders, when there would be more than
  *         RATE_HOLDERS_MAX, or more domains than RATE_CONFIRMERS_MAX
  */
