Tell callers when to come back in each refusal that has not run

Cause: refusals as deadline, draining and suspect that had not run bore no Retry-After; others took their time from two copies of one constant. Change: each reason has its usual time in the table of refusals, and one place in flow.c applies it, with jitter, when the guard or the rate gave none.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -5,14 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define RETRY_AFTER_MS 1000
-
-/* Spreads callers that were refused together. */
-static int64_t jittered_retry_after(struct node *node)
-{
-	return retry_after_ms(&node->rnd, RETRY_AFTER_MS) * BASE_MS_US;
-}
-
 static void refuse(struct flow *f, enum http_refusal refusal,
 		   const char *detail, int64_t now)
 {
@@ -22,9 +14,6 @@
 		.detail = detail,
 	};
 
-	if (refusal == HTTP_REFUSAL_NOT_READY ||
-	    refusal == HTTP_REFUSAL_OWNER_UNREACHABLE)
-		r.retry_after_us = jittered_retry_after(f->node);
 	flow_refuse(f, &r, now);
 }
 
@@ -480,7 +469,6 @@
 	struct flow_refusal r = {
 		.refusal = HTTP_REFUSAL_OWNER_UNREACHABLE,
 		.not_run = true,
-		.retry_after_us = jittered_retry_after(f->node),
 		.detail = "the owner of the idempotency key cannot decide now",
 	};
 
@@ -492,15 +480,12 @@
 	} else if (result == PEER_CLAIM_TOO_OLD) {
 		r.refusal = HTTP_REFUSAL_KEY_TOO_OLD;
 		r.not_run = false;
-		r.retry_after_us = 0;
 		r.detail = "the key was made before what its owner remembers";
 	} else if (result == PEER_CLAIM_MISMATCH) {
 		r.refusal = HTTP_REFUSAL_IDEMPOTENCY_MISMATCH;
-		r.retry_after_us = 0;
 		r.detail = "the key was used for another request";
 	} else if (result == PEER_CLAIM_TOO_NEW) {
 		r.refusal = HTTP_REFUSAL_IDEMPOTENCY_KEY_INVALID;
-		r.retry_after_us = 0;
 		r.detail = "the creation time of the key is in the future";
 	} else if (result == PEER_CLAIM_FULL) {
 		r.refusal = HTTP_REFUSAL_OVERLOADED;
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -7,7 +7,6 @@
 
 /* A claim is not worth a reply of more than this; see the design page. */
 #define STORED_ANSWER_MAX 16384
-#define RETRY_AFTER_MS 1000
 /* The link is up by then, so a short wait is enough. */
 #define LAPSED_AFTER_MS 100
 
@@ -138,6 +137,21 @@
 	node_count(f->node, name);
 }
 
+/*
+ * A caller whose request has not run, or whose key is in use, hears when to
+ * come back. The jitter spreads callers that were refused together.
+ */
+static int64_t usual_return(struct flow *f,
+			    const struct http_refusal_details *details)
+{
+	int64_t ms = http_refusal_return_us(details->refusal) / BASE_MS_US;
+
+	if (!ms ||
+	    (!details->not_run && details->refusal != HTTP_REFUSAL_IN_PROGRESS))
+		return 0;
+	return retry_after_ms(&f->node->rnd, ms) * BASE_MS_US;
+}
+
 void flow_refuse(struct flow *f, const struct flow_refusal *refusal,
 		 int64_t now)
 {
@@ -154,6 +168,8 @@
 
 	if (f->may_have_run)
 		details.not_run = false;
+	if (!details.retry_after_us)
+		details.retry_after_us = usual_return(f, &details);
 	code = http_refusal_status(&details);
 	count_refusal(f, refusal->refusal);
 	record_span(f, code, http_refusal_name(refusal->refusal), now);
@@ -208,13 +224,10 @@
 {
 	enum http_refusal refusal = HTTP_REFUSAL_CONNECTION_LOST;
 	bool not_run = answer->outcome == PEER_NOT_RUN;
-	int64_t after = (int64_t)answer->retry_after_ms * BASE_MS_US;
 
 	http_refusal_parse(answer->reason, &refusal);
-	if (!after && not_run)
-		after = retry_after_ms(&f->node->rnd, RETRY_AFTER_MS) *
-			BASE_MS_US;
-	refuse_plain(f, refusal, not_run, after,
+	refuse_plain(f, refusal, not_run,
+		     (int64_t)answer->retry_after_ms * BASE_MS_US,
 		     not_run ? "the request was not started"
 			     : "the request may have run",
 		     now);
@@ -465,9 +478,7 @@
 	vm = reason == ROUTING_PICKED ? roster_vm(node->roster, f->server)
 				      : NULL;
 	if (!vm) {
-		refuse_plain(f, refusal_of(reason), true,
-			     retry_after_ms(&node->rnd, RETRY_AFTER_MS) *
-				     BASE_MS_US,
+		refuse_plain(f, refusal_of(reason), true, 0,
 			     routing_reason_str(reason), now);
 		return;
 	}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -271,6 +271,12 @@
 /** Whether the refusal can only be given when the request did not run. */
 bool http_refusal_implies_not_run(enum http_refusal refusal);
 
+/**
+ * Usual time after which a request that has not run may be sent again, in
+ * microseconds; 0 when the caller gains nothing by it.
+ */
+int64_t http_refusal_return_us(enum http_refusal refusal);
+
 struct http_refusal_details {
 	enum http_refusal refusal;
 	/** Whether it is certain that the request did not run. */
--- a/packages/http/refusal.c
+++ b/packages/http/refusal.c
@@ -6,10 +6,20 @@
 #include <jansson.h>
 #include <stdio.h>
 
+/*
+ * Reasons that pass by themselves do so within about a second: links open in
+ * 0.3 s, a VM that stops is taken out in 2.5 s, a queue turns over in one.
+ */
+#define PASSING_MS 1000
+/* A suspect waits for a permit, which lasts up to this long. */
+#define SUSPECT_MS 5000
+
 struct refusal_row {
 	const char *name;
 	int code;
 	bool implies_not_run;
+	/* When to come back; 0 where that gains nothing. */
+	int64_t return_ms;
 };
 
 static const struct refusal_row rows[HTTP_REFUSAL_COUNT] = {
@@ -24,16 +34,17 @@
 						   400, true },
 	[HTTP_REFUSAL_IDEMPOTENCY_MISMATCH] = { "idempotency_mismatch", 422,
 						true },
-	[HTTP_REFUSAL_IN_PROGRESS] = { "in_progress", 409, false },
+	[HTTP_REFUSAL_IN_PROGRESS] = { "in_progress", 409, false, PASSING_MS },
 	[HTTP_REFUSAL_KEY_TOO_OLD] = { "key_too_old", 409, false },
-	[HTTP_REFUSAL_RATE_LIMITED] = { "rate_limited", 429, true },
-	[HTTP_REFUSAL_OVERLOADED] = { "overloaded", 503, true },
-	[HTTP_REFUSAL_NO_SERVER] = { "no_server", 503, true },
-	[HTTP_REFUSAL_OWNER_UNREACHABLE] = { "owner_unreachable", 503, true },
-	[HTTP_REFUSAL_DRAINING] = { "draining", 503, true },
-	[HTTP_REFUSAL_SUSPECT] = { "suspect", 503, true },
-	[HTTP_REFUSAL_NOT_READY] = { "not_ready", 503, true },
-	[HTTP_REFUSAL_DEADLINE] = { "deadline", 504, false },
+	[HTTP_REFUSAL_RATE_LIMITED] = { "rate_limited", 429, true, PASSING_MS },
+	[HTTP_REFUSAL_OVERLOADED] = { "overloaded", 503, true, PASSING_MS },
+	[HTTP_REFUSAL_NO_SERVER] = { "no_server", 503, true, PASSING_MS },
+	[HTTP_REFUSAL_OWNER_UNREACHABLE] = { "owner_unreachable", 503, true,
+					     PASSING_MS },
+	[HTTP_REFUSAL_DRAINING] = { "draining", 503, true, PASSING_MS },
+	[HTTP_REFUSAL_SUSPECT] = { "suspect", 503, true, SUSPECT_MS },
+	[HTTP_REFUSAL_NOT_READY] = { "not_ready", 503, true, PASSING_MS },
+	[HTTP_REFUSAL_DEADLINE] = { "deadline", 504, false, PASSING_MS },
 	[HTTP_REFUSAL_CONNECTION_LOST] = { "connection_lost", 502, false },
 	[HTTP_REFUSAL_ANSWER_TOO_LARGE] = { "answer_too_large", 502, false },
 };
@@ -69,6 +80,12 @@
 	return rows[refusal].implies_not_run;
 }
 
+int64_t http_refusal_return_us(enum http_refusal refusal)
+{
+	assert(refusal < HTTP_REFUSAL_COUNT);
+	return rows[refusal].return_ms * BASE_MS_US;
+}
+
 int http_refusal_status(const struct http_refusal_details *details)
 {
 	int code = http_refusal_code(details->refusal);
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -358,3 +358,19 @@
 		cr_assert(eq(int, parsed, i));
 	}
 }
+
+/* Guards against a promise "not run" without a time to come back. */
+Test(refusal, passing_reasons_say_when_to_come_back)
+{
+	int i;
+
+	for (i = 0; i < HTTP_REFUSAL_COUNT; i++) {
+		int code = http_refusal_code((enum http_refusal)i);
+		bool passing = code == 429 || code == 503 || code == 504 ||
+			       (enum http_refusal)i == HTTP_REFUSAL_IN_PROGRESS;
+
+		cr_assert_eq(http_refusal_return_us((enum http_refusal)i) > 0,
+			     passing, "%s",
+			     http_refusal_name((enum http_refusal)i));
+	}
+}
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -99,6 +99,9 @@
 sleep 1
 ask 1 GET /b/x -H "$KEY"
 expect "without a configuration it says that nothing ran" "$STATUS" 503
+# Guards against a refusal that does not say when to come back.
+tells_return() { grep -q '^Retry-After: [0-9]' <<<"$HEADERS"; }
+tells_return || fail "no time to come back without a configuration: $HEADERS"
 for m in 1 2; do put_server $m "i-$m" front ready; done
 for m in 3 4; do put_server $m "i-$m" back ready; done
 put_config 00000003 '["k1","k2"]' 1000
@@ -198,7 +201,13 @@
 expect "requests go elsewhere" "$STATUS" 200
 expect "an evacuated zone gets no work" \
 	"$(cat "$WORK/app-2.out" "$WORK/app-4.out" | grep -c ^run)" "$before"
+put_item op/evacuate/z1 '{}'
+sleep 1
+ask 2 GET /b/x -H "$KEY"
+expect "without any server in a zone that is in, nothing runs" "$STATUS" 503
+tells_return || fail "no time to come back without a server: $HEADERS"
 curl -sf -X DELETE "http://$STORE/test/item?key=op/evacuate/z0" >/dev/null
+curl -sf -X DELETE "http://$STORE/test/item?key=op/evacuate/z1" >/dev/null
 
 # Guards against a daemon that knows nothing while the store is away.
 curl -sf -X PUT "http://$STORE/test/mode?busy" >/dev/null
