--- a/packages/rate/rate.h
+++ b/packages/rate/rate.h
@@ -29,8 +29,12 @@
 /** Bounds of the lifetime of a grant. */
 #define RATE_LIFETIME_MAX_US INT64_C(250000)
 #define RATE_LIFETIME_MIN_US INT64_C(10000)
-/** Longest time that a request waits for a grant. */
-#define RATE_WAIT_US INT64_C(20000)
+/**
+ * Longest time that a request waits for a grant: a fifth of the shortest
+ * latency objectives in use (250 ms). With 20 ms, holders on busy machines
+ * answered too late for requests inside their account's rate.
+ */
+#define RATE_WAIT_US INT64_C(50000)
 /** Greatest rate (tokens a second) and burst (tokens) of an account. */
 #define RATE_VALUE_MAX INT64_C(1000000000)
 /** Greatest number of holders of an account. */
