Let the last answers of a stopping daemon leave its process

Answers of its guard lay in ZeroMQ's queue, whose linger was 0; answers to callers in the connection's output. Ruled out: the limit of the drain (it ended 2.9 s after SIGTERM of 6 s), and refusals of the entry, as none was logged. Change: the router's socket lingers up to 500 ms at the end of the process; the daemon ends only when nothing is unsent, nothing was open for 100 ms, and those who were accepted until then were served. The stop has a file of its own.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -2,6 +2,7 @@
 #include "admin.h"
 #include "claims.h"
 #include "config_events.h"
+#include "drain.h"
 #include "entry.h"
 #include "guard.h"
 #include "membership.h"
@@ -30,13 +31,8 @@
  * which callers hung up meanwhile.
  */
 #define WAKE_CALLERS_US (10 * BASE_MS_US)
-#define DRAIN_POLL_US (20 * BASE_MS_US)
-/* Peers and callers learn of the stop before the daemon may end. */
-#define DRAIN_MIN_US BASE_SECOND_US
 /* Lines wait this long for more, so that a write takes several. */
 #define LOG_FLUSH_US (50 * BASE_MS_US)
-/* Time to send the refusals of what was open at the limit. */
-#define DRAIN_FLUSH_US (500 * BASE_MS_US)
 
 struct daemon {
 	struct node node;
@@ -44,9 +40,8 @@
 	struct event *sigterm;
 	struct event *sigint;
 	struct event *sighup;
-	struct event *drain_timer;
 	struct event *log_timer;
-	int64_t drain_started_at;
+	struct drain *drain;
 };
 
 void node_count(struct node *node, const char *name)
@@ -331,49 +326,9 @@
 	entry_on_caller_request(node->entry, ex);
 }
 
-static bool is_quiet(struct daemon *d)
-{
-	struct node *node = &d->node;
-
-	return !entry_open_flows(node->entry) &&
-	       !guard_open_works(node->guard) &&
-	       !http_server_open_exchanges(d->node.callers);
-}
-
-static void on_drain_poll(evutil_socket_t fd, short events, void *arg)
-{
-	struct daemon *d = arg;
-	int64_t past = base_now_us() - d->drain_started_at;
-	int64_t least = d->node.dialect->callers_leave_us;
-
-	if (past < (least ? least : DRAIN_MIN_US))
-		return;
-	if (is_quiet(d) || past > d->node.settings->drain_us)
-		event_base_loopbreak(d->node.base);
-	else if (past > d->node.settings->drain_us - DRAIN_FLUSH_US)
-		entry_abort(d->node.entry, base_now_us());
-}
-
 static void on_stop_signal(evutil_socket_t fd, short events, void *arg)
 {
-	struct daemon *d = arg;
-	struct node *node = &d->node;
-	struct base_log_line line;
-
-	if (node->draining)
-		return;
-	node->draining = true;
-	d->drain_started_at = base_now_us();
-	line = base_log_begin(node->log, BASE_LOG_INFO, "draining");
-	base_log_end(&line);
-	if (node->dialect->callers_leave_us)
-		http_server_close_when_answered(d->node.callers);
-	else
-		http_server_stop_accepting(d->node.callers);
-	guard_drain(node->guard);
-	membership_announce(node->membership, d->drain_started_at);
-	event_add(d->drain_timer,
-		  &(struct timeval){ .tv_usec = DRAIN_POLL_US });
+	drain_start(arg, base_now_us());
 }
 
 static enum daemon_status create_interfaces(struct daemon *d,
@@ -487,9 +442,9 @@
 	struct event_base *base = d->node.base;
 
 	signal(SIGPIPE, SIG_IGN);
-	d->sigterm = evsignal_new(base, SIGTERM, on_stop_signal, d);
-	d->sigint = evsignal_new(base, SIGINT, on_stop_signal, d);
-	d->drain_timer = event_new(base, -1, EV_PERSIST, on_drain_poll, d);
+	d->drain = drain_create(&d->node);
+	d->sigterm = evsignal_new(base, SIGTERM, on_stop_signal, d->drain);
+	d->sigint = evsignal_new(base, SIGINT, on_stop_signal, d->drain);
 	d->sighup = evsignal_new(base, SIGHUP, on_reload_signal, &d->node);
 	event_add(d->sighup, NULL);
 	d->log_timer =
@@ -562,6 +517,7 @@
 	struct node *node = &daemon->node;
 
 	control_destroy(node->control);
+	drain_destroy(daemon->drain);
 	entry_destroy(node->entry);
 	guard_destroy(node->guard);
 	quarantine_destroy(node->quarantine);
@@ -579,7 +535,6 @@
 	free_event(daemon->sigint);
 	free_event(daemon->sighup);
 	free_event(daemon->log_timer);
-	free_event(daemon->drain_timer);
 	free_event(node->wake_event);
 	base_mailbox_destroy(node->inbox, discard_message, NULL);
 	config_snapshot_unref(node->snapshot);
--- /dev/null
+++ b/packages/daemon/drain.c
@@ -0,0 +1,112 @@
+/* A planned stop of the daemon. */
+#include "drain.h"
+#include "entry.h"
+#include "guard.h"
+#include "membership.h"
+
+#define POLL_US (20 * BASE_MS_US)
+/* Peers and callers learn of the stop before the daemon may end. */
+#define LEAST_US BASE_SECOND_US
+/* A caller that was just answered may send its next request meanwhile. */
+#define QUIET_US (100 * BASE_MS_US)
+/* Time to send the refusals of what was open at the limit. */
+#define FLUSH_US (500 * BASE_MS_US)
+
+struct drain {
+	struct node *node;
+	struct event *timer;
+	int64_t started_at;
+	/* Since when nothing is open; 0 while something is. */
+	int64_t quiet_since;
+	/* No more callers are accepted; the daemon ends when it is quiet. */
+	bool last_callers;
+};
+
+static bool is_quiet(const struct node *node)
+{
+	return !entry_open_flows(node->entry) &&
+	       !guard_open_works(node->guard) &&
+	       !http_server_open_exchanges(node->callers) &&
+	       !http_server_has_unsent(node->callers);
+}
+
+static bool stays_quiet(struct drain *d, int64_t now)
+{
+	if (!is_quiet(d->node)) {
+		d->quiet_since = 0;
+		return false;
+	}
+	if (!d->quiet_since)
+		d->quiet_since = now;
+	return now - d->quiet_since >= QUIET_US;
+}
+
+/*
+ * Callers are accepted until nothing is open, and those that were accepted
+ * then are still served: a connection that ends with a request read would
+ * leave its caller without an answer.
+ */
+static bool may_end(struct drain *d, int64_t now)
+{
+	if (!stays_quiet(d, now))
+		return false;
+	if (d->last_callers)
+		return true;
+	d->last_callers = true;
+	d->quiet_since = 0;
+	http_server_stop_accepting(d->node->callers);
+	return false;
+}
+
+static void on_poll(evutil_socket_t fd, short events, void *arg)
+{
+	struct drain *d = arg;
+	struct node *node = d->node;
+	int64_t now = base_now_us();
+	int64_t past = now - d->started_at;
+	int64_t least = node->dialect->callers_leave_us;
+
+	if (past < (least ? least : LEAST_US))
+		return;
+	if (may_end(d, now) || past > node->settings->drain_us)
+		event_base_loopbreak(node->base);
+	else if (past > node->settings->drain_us - FLUSH_US)
+		entry_abort(node->entry, now);
+}
+
+void drain_start(struct drain *drain, int64_t now)
+{
+	struct node *node = drain->node;
+	struct base_log_line line;
+
+	if (node->draining)
+		return;
+	node->draining = true;
+	drain->started_at = now;
+	line = base_log_begin(node->log, BASE_LOG_INFO, "draining");
+	base_log_end(&line);
+	if (node->dialect->callers_leave_us)
+		http_server_close_when_answered(node->callers);
+	else
+		http_server_stop_accepting(node->callers);
+	guard_drain(node->guard);
+	membership_announce(node->membership, now);
+	event_add(drain->timer, &(struct timeval){ .tv_usec = POLL_US });
+}
+
+struct drain *drain_create(struct node *node)
+{
+	struct drain *d = base_alloc(sizeof(*d));
+
+	d->node = node;
+	d->timer = event_new(node->base, -1, EV_PERSIST, on_poll, d);
+	return d;
+}
+
+void drain_destroy(struct drain *drain)
+{
+	if (!drain)
+		return;
+	event_free(drain->timer);
+	free(drain);
+}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -138,6 +138,8 @@
 			    const struct http_server_limits *limits);
 /** Each further reply asks its caller to close; connections are accepted. */
 void http_server_close_when_answered(struct http_server *server);
+/** Whether bytes of replies wait for their callers to read. */
+bool http_server_has_unsent(const struct http_server *server);
 /** Exchanges that wait for a reply. */
 size_t http_server_open_exchanges(const struct http_server *server);
 size_t http_server_connections(const struct http_server *server);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -588,6 +588,16 @@
 	return server->address;
 }
 
+bool http_server_has_unsent(const struct http_server *server)
+{
+	const struct connection *c;
+
+	LIST_FOREACH (c, &server->connections, link)
+		if (evbuffer_get_length(bufferevent_get_output(c->bev)))
+			return true;
+	return false;
+}
+
 size_t http_server_open_exchanges(const struct http_server *server)
 {
 	return server->open_exchanges;
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -195,6 +195,57 @@
 	teardown(&f);
 }
 
+static void stop_loop(evutil_socket_t fd, short events, void *arg)
+{
+	event_base_loopbreak(arg);
+}
+
+static void run_for(struct event_base *base, int64_t us)
+{
+	struct timeval tv = { .tv_usec = us };
+
+	event_base_once(base, -1, EV_TIMEOUT, stop_loop, base, &tv);
+	event_base_dispatch(base);
+}
+
+static int connect_raw(const char *address)
+{
+	struct sockaddr_storage addr;
+	socklen_t len;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	http_address_parse(base_str_from(address), &addr, &len, NULL);
+	cr_assert(eq(int, connect(fd, (struct sockaddr *)&addr, len), 0));
+	return fd;
+}
+
+/* Guards against a daemon that ends while a caller still reads its answer. */
+Test(server, knows_of_replies_that_are_not_read_yet)
+{
+	static const char request[] =
+		"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+	const size_t size = 64U << 20;
+	char *large = base_alloc(size);
+	struct fixture f;
+	int fd;
+
+	setup(&f);
+	f.hold = true;
+	fd = connect_raw(http_server_address(f.server));
+	cr_assert(gt(int, (int)write(fd, request, sizeof(request) - 1), 0));
+	event_base_dispatch(f.base);
+	http_exchange_reply(f.held, 200, NULL,
+			    (struct base_str){ large, size });
+	run_for(f.base, 50 * BASE_MS_US);
+	cr_assert(eq(sz, http_server_open_exchanges(f.server), 0));
+	cr_assert(http_server_has_unsent(f.server));
+	close(fd);
+	run_for(f.base, 50 * BASE_MS_US);
+	cr_assert(not(http_server_has_unsent(f.server)));
+	free(large);
+	teardown(&f);
+}
+
 /* Guards against unbounded memory for a request body. */
 Test(server, refuses_an_oversized_body)
 {
--- a/packages/peer/remote.c
+++ b/packages/peer/remote.c
@@ -169,11 +169,15 @@
 
 void remote_close(struct peer_transport *t)
 {
+	int linger_ms = TRANSPORT_LINGER_MS;
 	struct remote *remote;
 	struct remote *next;
 
 	if (t->sweep)
 		event_free(t->sweep);
+	if (t->router.socket)
+		zmq_setsockopt(t->router.socket, ZMQ_LINGER, &linger_ms,
+			       sizeof(linger_ms));
 	monitor_close(&t->router_monitor);
 	watch_close(&t->router);
 	HASH_ITER (hh, t->remotes, remote, next) {
--- a/packages/peer/tests/test_transport.c
+++ b/packages/peer/tests/test_transport.c
@@ -232,6 +232,38 @@
 	event_base_free(other);
 }
 
+/* Guards against answers that a daemon gave and that end with its process. */
+Test(transport, replies_given_just_before_the_end_arrive)
+{
+	struct event_base *loop = event_base_new();
+	struct event_base *other = event_base_new();
+	struct node *a = node_open(loop);
+	struct node *b = node_open(other);
+	struct peer_link *link = peer_transport_link(
+		a->transport, peer_transport_address(b->transport));
+	struct peer_message answer = { .type = PEER_ANSWER };
+	char *body = base_alloc(PEER_BODY_MAX);
+	uint64_t i;
+
+	answer.answer.body = (struct base_str){ body, PEER_BODY_MAX };
+	run_both_until(loop, other, a, "u");
+	node_send_request(a, link, 1);
+	node_run_until(b, "hm");
+	for (i = 1; i <= 8; i++) {
+		answer.id = i;
+		cr_assert(eq(
+			int,
+			peer_transport_reply(b->transport, &b->remote, &answer),
+			PEER_OK));
+	}
+	free(body);
+	node_close(b);
+	node_run_until(a, "uaaaaaaaa");
+	node_close(a);
+	event_base_free(loop);
+	event_base_free(other);
+}
+
 /*
  * Guards against "sent" for a request that was queued after the connection had
  * ended: its outcome would be reported as unknown although it never left.
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -19,6 +19,11 @@
 /** Unacknowledged bytes end a connection after this time. */
 #define TRANSPORT_TCP_TIMEOUT_MS 5000
 #define TRANSPORT_MAX_SOCKETS 8192
+/**
+ * At the end of the process, replies get this long to leave it. With none, 7 of
+ * 8 large answers were lost.
+ */
+#define TRANSPORT_LINGER_MS 500
 /** A remote that is silent for this long loses its clock. */
 #define REMOTE_IDLE_US (120 * BASE_SECOND_US)
 #define REMOTE_SWEEP_S 30
