Let guards of stopping daemons take work that no other server can

Cause: at SIGTERM a daemon's guard closed at once. Ruled out: links (all were up), the platform's view (servers stayed ready). Change: a stopping daemon says so in heartbeats and answers, and gets work only when no other server of its service has room. The native dialect closes at once as before. Tests: stopping/gets_work_only_when_no_other_has_room; session_platform stops all daemons of a service at once and got 503 before.

--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -3,6 +3,7 @@
 #include "entry.h"
 #include "guard.h"
 #include "membership.h"
+#include "roster.h"
 
 #define POLL_US (20 * BASE_MS_US)
 /* Peers and callers learn of the stop before the daemon may end. */
@@ -11,6 +12,8 @@
 #define QUIET_US (100 * BASE_MS_US)
 /* Time to send the refusals of what was open at the limit. */
 #define FLUSH_US (500 * BASE_MS_US)
+/* The last work may take this long before what is open is refused. */
+#define FINISH_US (2 * BASE_SECOND_US)
 
 struct drain {
 	struct node *node;
@@ -20,6 +23,7 @@
 	int64_t quiet_since;
 	/* No more callers are accepted; the daemon ends when it is quiet. */
 	bool last_callers;
+	bool guard_closed;
 };
 
 static bool is_quiet(const struct node *node)
@@ -58,6 +62,40 @@
 	return false;
 }
 
+static bool is_last_of_service(const struct node *node, int64_t now)
+{
+	const struct config_vm *self = node->self;
+
+	return self &&
+	       !routing_has_other(
+		       node->routing,
+		       roster_service_id(node->roster, self->service->name),
+		       roster_vm_id(node->roster, self->name), now);
+}
+
+/*
+ * Where many daemons stop at once, their backend servers run on; closing all
+ * guards at their signals left services without any server for seconds.
+ */
+static void close_guard(struct drain *d, int64_t now)
+{
+	const struct node *node = d->node;
+	int64_t past = now - d->started_at;
+	struct base_log_line line;
+
+	if (d->guard_closed || past < node->dialect->callers_leave_us ||
+	    (node->dialect->callers_leave_us &&
+	     past < node->settings->drain_us - FLUSH_US - FINISH_US &&
+	     is_last_of_service(node, now)))
+		return;
+	d->guard_closed = true;
+	guard_close(node->guard);
+	membership_announce(node->membership, now);
+	line = base_log_begin(node->log, BASE_LOG_INFO, "guard_closed");
+	base_log_int(&line, "after_ms", past / BASE_MS_US);
+	base_log_end(&line);
+}
+
 static void on_poll(evutil_socket_t fd, short events, void *arg)
 {
 	struct drain *d = arg;
@@ -66,12 +104,16 @@
 	int64_t past = now - d->started_at;
 	int64_t least = node->dialect->callers_leave_us;
 
-	if (past < (least ? least : LEAST_US))
-		return;
-	if (may_end(d, now) || past > node->settings->drain_us)
+	close_guard(d, now);
+	if (past > node->settings->drain_us) {
 		event_base_loopbreak(node->base);
-	else if (past > node->settings->drain_us - FLUSH_US)
+		return;
+	}
+	if (past > node->settings->drain_us - FLUSH_US)
 		entry_abort(node->entry, now);
+	if (d->guard_closed && past >= (least ? least : LEAST_US) &&
+	    may_end(d, now))
+		event_base_loopbreak(node->base);
 }
 
 void drain_start(struct drain *drain, int64_t now)
@@ -89,8 +131,8 @@
 		http_server_close_when_answered(node->callers);
 	else
 		http_server_stop_accepting(node->callers);
-	guard_drain(node->guard);
 	membership_announce(node->membership, now);
+	close_guard(drain, now);
 	event_add(drain->timer, &(struct timeval){ .tv_usec = POLL_US });
 }
 
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -256,6 +256,7 @@
 		.limit = answer->limit,
 		.draining = answer->draining,
 		.cold_full = answer->cold_full,
+		.stopping = answer->stopping,
 	};
 	struct routing_table *routing = f->node->routing;
 
--- a/packages/daemon/guard.h
+++ b/packages/daemon/guard.h
@@ -76,7 +76,8 @@
 /** Own cutoff, in steps of the overload package. */
 int32_t guard_cutoff(const struct guard *guard);
 size_t guard_open_works(const struct guard *guard);
-void guard_drain(struct guard *guard);
+/** Takes no more work, for the end of a planned stop. Not reversible. */
+void guard_close(struct guard *guard);
 /** After a pause of the process, once the sockets were drained. */
 void guard_woke(struct guard *guard, int64_t paused_us, int64_t now);
 
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -104,6 +104,7 @@
 	answer.limit = report.limit;
 	answer.draining = report.draining;
 	answer.cold_full = report.cold_full;
+	answer.stopping = report.stopping;
 	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
 	answer.retried = w->retried;
 	answer.arrived = w->sent;
--- a/packages/daemon/guard_bounds.c
+++ b/packages/daemon/guard_bounds.c
@@ -46,7 +46,8 @@
 	struct routing_report report = { 0 };
 	const struct overload_guard *o = guard->overload;
 
-	report.draining = guard->node->draining;
+	report.draining = guard->closed;
+	report.stopping = guard->node->draining && !guard->closed;
 	if (!o)
 		return report;
 	report.load = overload_guard_in_flight(o) + overload_guard_queued(o);
@@ -67,8 +68,9 @@
 	return HASH_COUNT(guard->works);
 }
 
-void guard_drain(struct guard *guard)
+void guard_close(struct guard *guard)
 {
+	guard->closed = true;
 	if (guard->overload)
 		overload_guard_drain(guard->overload);
 }
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -51,6 +51,8 @@
 	struct base_buf instance;
 	/** The own failure domain was out at the last configuration. */
 	bool domain_out;
+	/** The daemon stops and takes no more work. */
+	bool closed;
 	struct event *timer;
 	struct guard_work *works;
 	struct guard_work *by_token;
--- a/packages/daemon/members.c
+++ b/packages/daemon/members.c
@@ -31,6 +31,7 @@
 			.limit = report.limit,
 			.cold_full = report.cold_full,
 			.draining = report.draining,
+			.stopping = report.stopping,
 		},
 	};
 	if (node->snapshot) {
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -124,6 +124,7 @@
 		.limit = beat->limit,
 		.draining = beat->draining,
 		.cold_full = beat->cold_full,
+		.stopping = beat->stopping,
 	};
 
 	member->heard_at = now;
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -74,7 +74,9 @@
 	U64(peer_heartbeat, version),
 	DIGEST(peer_heartbeat, hash),
 	LIST(peer_heartbeat, domains, &domain_version),
+	BOOL(peer_heartbeat, stopping),
 };
+#define HEARTBEAT_REQUIRED 7
 
 static const struct field request_fields[] = {
 	I64(peer_request, deadline_us),
@@ -105,6 +107,7 @@
 	LIST(peer_answer, cutoffs, &cutoff),
 	BOOL(peer_answer, retried),
 	BOOL(peer_answer, arrived),
+	BOOL(peer_answer, stopping),
 };
 #define ANSWER_REQUIRED 12
 
@@ -215,7 +218,8 @@
 
 static const struct layout layouts[PEER_TYPE_END] = {
 	[PEER_HELLO] = LAYOUT(peer_hello, hello_fields),
-	[PEER_HEARTBEAT] = LAYOUT(peer_heartbeat, heartbeat_fields),
+	[PEER_HEARTBEAT] = LAYOUT_GROWN(peer_heartbeat, heartbeat_fields,
+					HEARTBEAT_REQUIRED),
 	[PEER_REQUEST] = LAYOUT(peer_request, request_fields),
 	[PEER_CANCEL] = { .name = "peer_cancel" },
 	[PEER_ANSWER] =
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -182,6 +182,8 @@
 	uint64_t version;
 	struct base_digest hash;
 	struct peer_domain_versions domains;
+	/** The daemon takes work for a short time before it drains. */
+	bool stopping;
 };
 
 struct peer_request {
@@ -225,6 +227,8 @@
 	bool retried;
 	/** The backend server has seen the request, also if it rejected it. */
 	bool arrived;
+	/** As in heartbeats. */
+	bool stopping;
 };
 
 struct peer_claim {
--- a/packages/peer/tests/samples.c
+++ b/packages/peer/tests/samples.c
@@ -68,6 +68,8 @@
 		.draining = true,
 		.cutoffs = { cutoffs, BASE_ARRAY_SIZE(cutoffs) },
 		.retried = true,
+		.arrived = true,
+		.stopping = true,
 	};
 }
 
@@ -158,6 +160,7 @@
 		.limit = UINT32_MAX,
 		.cold_full = true,
 		.draining = true,
+		.stopping = true,
 		.version = 42,
 		.hash = base_digest_of(BASE_STR("42")),
 		.domains = { domains, BASE_ARRAY_SIZE(domains) },
@@ -252,6 +255,8 @@
 		SAME(a->cutoffs.items[i].level, b->cutoffs.items[i].level);
 	}
 	SAME(a->retried, b->retried);
+	SAME(a->arrived, b->arrived);
+	SAME(a->stopping, b->stopping);
 }
 
 static void same_heartbeat(const struct peer_heartbeat *a,
@@ -263,6 +268,7 @@
 	SAME(a->limit, b->limit);
 	SAME(a->cold_full, b->cold_full);
 	SAME(a->draining, b->draining);
+	SAME(a->stopping, b->stopping);
 	SAME(a->version, b->version);
 	SAME_DIGEST(a->hash, b->hash);
 	SAME(a->domains.count, b->domains.count);
--- a/packages/routing/health.c
+++ b/packages/routing/health.c
@@ -94,12 +94,12 @@
 		return state->failure;
 	if (is_silent(state, now))
 		return ROUTING_OUT_SILENT;
-	if (!routing_health_fresh(state, now))
-		return ROUTING_OUT_NOT;
-	if (state->report.cold_full)
+	if (routing_health_fresh(state, now) && state->report.cold_full)
 		return ROUTING_OUT_COLD;
-	if (!state->report.limit)
+	if (routing_health_fresh(state, now) && !state->report.limit)
 		return ROUTING_OUT_NO_CAPACITY;
+	if (state->has_report && state->report.stopping)
+		return ROUTING_OUT_STOPPING;
 	return ROUTING_OUT_NOT;
 }
 
@@ -149,6 +149,8 @@
 		return "platform_leaving";
 	case ROUTING_OUT_DRAINING:
 		return "draining";
+	case ROUTING_OUT_STOPPING:
+		return "stopping";
 	case ROUTING_OUT_LINK:
 		return "link_failed";
 	case ROUTING_OUT_BACKEND:
--- a/packages/routing/internal.h
+++ b/packages/routing/internal.h
@@ -15,6 +15,8 @@
 	/* Only the platform's list ends this one. */
 	ROUTING_OUT_PLATFORM,
 	ROUTING_OUT_DRAINING,
+	/* It gets what no other server can take. */
+	ROUTING_OUT_STOPPING,
 	/* These are tried again after a back-off. */
 	ROUTING_OUT_LINK,
 	ROUTING_OUT_BACKEND,
@@ -98,7 +100,7 @@
 
 /* table.c */
 
-struct routing_service *routing_service_find(struct routing_table *table,
+struct routing_service *routing_service_find(const struct routing_table *table,
 					     uint32_t service);
 
 #endif
--- a/packages/routing/policy.c
+++ b/packages/routing/policy.c
@@ -93,11 +93,17 @@
 	return better(pool[first], pool[second], now);
 }
 
+/* Servers that may be chosen; points into the service's scratch room. */
+struct pool {
+	struct routing_state **servers;
+	size_t len;
+};
+
 /* The servers of a service as seen by one pick. */
 struct survey {
-	/* Usable servers; points into the service's scratch room. */
-	struct routing_state **usable;
-	size_t usable_len;
+	struct pool usable;
+	/* Those whose daemon is about to stop. */
+	struct pool stopping;
 	/* The failed server with the oldest due trial, by tier. */
 	struct routing_state *trial[TIER_COUNT];
 	/* One that the request should not try. */
@@ -126,7 +132,8 @@
 	struct routing_state *s;
 	size_t i;
 
-	sv->usable = svc->scratch;
+	sv->usable.servers = svc->scratch;
+	sv->stopping.servers = svc->scratch + svc->count;
 	for (i = 0; i < svc->count; i++) {
 		s = svc->servers[i];
 		if (is_excluded(query, s->conf.id)) {
@@ -136,7 +143,12 @@
 		routing_health_refresh(s, &table->rnd, now);
 		switch (routing_health_out(s, now)) {
 		case ROUTING_OUT_NOT:
-			sv->usable[sv->usable_len++] = s;
+			sv->usable.servers[sv->usable.len++] = s;
+			break;
+		case ROUTING_OUT_STOPPING:
+			/* They fill the room from its end. */
+			*--sv->stopping.servers = s;
+			sv->stopping.len++;
 			break;
 		case ROUTING_OUT_LINK:
 		case ROUTING_OUT_BACKEND:
@@ -156,23 +168,38 @@
 }
 
 /* Moves servers of the tier with headroom to the front; returns how many. */
-static size_t gather_headroom(struct survey *sv,
+static size_t gather_headroom(struct pool *pool,
 			      const struct routing_query *query, enum tier tier,
 			      int64_t now)
 {
 	struct routing_state *s;
 	size_t i, n = 0;
 
-	for (i = 0; i < sv->usable_len; i++) {
-		s = sv->usable[i];
+	for (i = 0; i < pool->len; i++) {
+		s = pool->servers[i];
 		if (tier_of(query, s) != tier || !has_headroom(s, now))
 			continue;
-		sv->usable[i] = sv->usable[n];
-		sv->usable[n++] = s;
+		pool->servers[i] = pool->servers[n];
+		pool->servers[n++] = s;
 	}
 	return n;
 }
 
+static struct routing_state *choose_stopping(struct routing_table *table,
+					     const struct routing_query *query,
+					     struct pool *pool, int64_t now)
+{
+	enum tier tier;
+	size_t n;
+
+	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
+		n = gather_headroom(pool, query, tier, now);
+		if (n)
+			return two_choices(table, pool->servers, n, now);
+	}
+	return NULL;
+}
+
 static struct routing_state *try_failed(struct routing_table *table,
 					struct routing_state *s, int64_t now)
 {
@@ -184,19 +211,27 @@
 				    const struct routing_query *query,
 				    struct survey *sv, int64_t now)
 {
+	struct pool *usable = &sv->usable;
+	struct pool *stopping = &sv->stopping;
+	struct routing_state *s;
 	enum tier tier;
 	size_t n;
 
 	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
 		if (sv->trial[tier])
 			return try_failed(table, sv->trial[tier], now);
-		n = gather_headroom(sv, query, tier, now);
+		n = gather_headroom(usable, query, tier, now);
 		if (n)
-			return two_choices(table, sv->usable, n, now);
+			return two_choices(table, usable->servers, n, now);
 	}
+	s = choose_stopping(table, query, stopping, now);
+	if (s)
+		return s;
 	/* No headroom anywhere: spread the excess, the guards refuse it. */
-	if (sv->usable_len)
-		return two_choices(table, sv->usable, sv->usable_len, now);
+	if (!usable->len)
+		usable = stopping;
+	if (usable->len)
+		return two_choices(table, usable->servers, usable->len, now);
 	if (sv->last_resort)
 		return try_failed(table, sv->last_resort, now);
 	return NULL;
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -4,8 +4,10 @@
  * entry's view of which servers may get work.
  *
  * A server is out while any source says so: the configuration, the platform's
- * list, a drain notice, failed calls or silence. Answers and heartbeats end the
- * last three; they never override the configuration or the platform's list.
+ * list, a drain notice, failed calls or silence. One whose daemon is stopping
+ * gets work only when no other server of its service has room. Answers and
+ * heartbeats end the last three; they never override the configuration or the
+ * platform's list.
  *
  * Pure decision code: no sockets, no clock. A table belongs to one thread.
  */
@@ -50,6 +52,11 @@
 	bool draining;
 	/** In cold start with all allowed slots taken. */
 	bool cold_full;
+	/**
+	 * Its daemon is about to stop and takes work until it says that it is
+	 * draining.
+	 */
+	bool stopping;
 };
 
 /** How a request failed to get an answer from its server. */
@@ -194,6 +201,10 @@
 				 const struct routing_query *query, int64_t now,
 				 uint32_t *server);
 
+/** Whether a server of the service other than @p server may get work. */
+bool routing_has_other(const struct routing_table *table, uint32_t service,
+		       uint32_t server, int64_t now);
+
 /**
  * Lists servers that are draining, silent or whose link failed, and that are
  * due for a probe: the daemon opens the link and sends a heartbeat, to which
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -48,7 +48,7 @@
 	return s;
 }
 
-struct routing_service *routing_service_find(struct routing_table *table,
+struct routing_service *routing_service_find(const struct routing_table *table,
 					     uint32_t service)
 {
 	struct routing_service *svc;
@@ -229,6 +229,20 @@
 	return table->policy->pick(table, query, now, server);
 }
 
+bool routing_has_other(const struct routing_table *table, uint32_t service,
+		       uint32_t server, int64_t now)
+{
+	const struct routing_service *svc =
+		routing_service_find(table, service);
+	size_t i;
+
+	for (i = 0; svc && i < svc->count; i++)
+		if (svc->servers[i]->conf.id != server &&
+		    routing_health_out(svc->servers[i], now) == ROUTING_OUT_NOT)
+			return true;
+	return false;
+}
+
 static bool probe_due(const struct routing_state *s, int64_t now)
 {
 	enum routing_out out = routing_health_out(s, now);
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -69,6 +69,49 @@
 	routing_table_destroy(t);
 }
 
+/* Says the same of all servers but the first @p from. */
+static void report_from(struct routing_table *t, uint32_t from,
+			const struct routing_report *report)
+{
+	uint32_t s;
+
+	for (s = from; s < SERVERS; s++)
+		routing_heartbeat(t, s, report, 0, 0);
+}
+
+/*
+ * Guards against a service without any server while many daemons are stopped in
+ * turn, and against work at one that stops while others have room.
+ */
+Test(stopping, gets_work_only_when_no_other_has_room)
+{
+	static const struct routing_report stopping = { .limit = SLOTS,
+							.stopping = true };
+	static const struct routing_report closed = { .limit = SLOTS,
+						      .draining = true };
+	struct routing_table *t = setup(1);
+	int i;
+
+	report_from(t, 1, &stopping);
+	cr_assert(routing_has_other(t, 0, 5, 0));
+	cr_assert(not(routing_has_other(t, 0, 0, 0)));
+	for (i = 0; i < SLOTS; i++) {
+		cr_assert(eq(u32, pick(t, 0), 0));
+		routing_sent(t, 0, 0);
+	}
+	/* The stopping one of the own domain comes before farther ones. */
+	cr_assert(eq(u32, pick(t, 0), 1));
+	report_from(t, 1, &closed);
+	cr_assert(eq(u32, pick(t, 0), 0));
+	report_from(t, 0, &closed);
+	cr_assert(eq(u32, pick(t, 0), UINT32_MAX));
+	report_from(t, 3, &stopping);
+	cr_assert(eq(u32, pick(t, 0), 3));
+	report_from(t, 3, &idle);
+	cr_assert(ge(u32, pick(t, 0), 3));
+	routing_table_destroy(t);
+}
+
 enum source { CONF, DOMAIN, PLATFORM, DRAIN, SEND, BACKEND, LINK };
 
 static void take_out(struct routing_table *t, enum source source)
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -250,11 +250,14 @@
 ask 2 GET /b/slow/7 -H "$KEY" &
 slow=$!
 sleep 0.2
-kill -TERM "${PID_OF[daemon-m2]}"
+kill -TERM "${PID_OF[daemon-m1]}" "${PID_OF[daemon-m2]}"
 sleep 0.3
 is_serving 2 && fail "a stopping daemon says that it is ready"
 ask 2 GET /b/x -H "$KEY"
 expect "callers are served until the platform has taken it out" "$STATUS" 200
+# Guards against a service without servers while all its daemons stop at once.
+ask 3 GET /b/x -H "$KEY"
+expect "guards that stop take what no other can" "$STATUS" 200
 wait $slow
 wait "${PID_OF[daemon-m2]}"
 expect "it ends in order" "$?" 0
