Avoid servers at which requests of a route would be late

Cause: routing took the nearest server whatever its speed. Change: the entry averages the time of each route at each server, failures as the whole time allowed. A server whose average is beyond 0.55 of the time and 1.5 times that of the quickest with room comes after the others, and is tried again with one request after 5 s. Tests: speed/*, three, which need the change to pass.

--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -269,6 +269,29 @@
 		routing_answered(routing, f->server, &report, now);
 }
 
+/* Time within which an answer earns full credit. */
+static int64_t allowed_time(const struct config_route *route)
+{
+	if (route->target_us && route->target_us < route->timeout_us)
+		return route->target_us;
+	return route->timeout_us;
+}
+
+/* A refusal for overload, which is quick, says nothing about the server. */
+static void note_time(struct flow *f, const struct peer_answer *answer, bool ok,
+		      int64_t now)
+{
+	int64_t allowed = allowed_time(f->route);
+	int64_t took = now - f->sent_at;
+
+	if (answer->outcome == PEER_NOT_RUN)
+		return;
+	if (!ok && took < allowed)
+		took = allowed;
+	routing_took(f->node->routing, f->server, roster_hash(f->route->name),
+		     took, now);
+}
+
 void flow_on_answer(struct flow *f, const struct peer_answer *answer,
 		    int64_t now)
 {
@@ -278,6 +301,7 @@
 	flow_detach(f);
 	f->local = NULL;
 	note_server(f, answer, now);
+	note_time(f, answer, ok, now);
 	note_cutoffs(f, answer, now);
 	f->retried = f->retried || answer->retried;
 	if (ok)
@@ -410,6 +434,7 @@
 	struct entry *entry = f->entry;
 
 	f->state = FLOW_SENT;
+	f->sent_at = now;
 	fill_request(f, &request, items, traceparent, now);
 	if (!node_is_self(f->node, vm)) {
 		send_remote(f, vm, &request, now);
@@ -461,6 +486,8 @@
 		.excluded = f->tried,
 		.excluded_len = f->tries,
 		.avoid_trial = !f->route->idempotent,
+		.route = roster_hash(f->route->name),
+		.allowed_us = allowed_time(f->route),
 	};
 	enum routing_reason reason;
 
@@ -496,6 +523,10 @@
 
 	if (f->state == FLOW_RATE_WAITING)
 		rate_link_cancel(f->node->rate_link, f->account, f->id);
+	if (!not_run)
+		routing_took(f->node->routing, f->server,
+			     roster_hash(f->route->name), now - f->sent_at,
+			     now);
 	cancel_try(f, now);
 	refuse_plain(f, HTTP_REFUSAL_DEADLINE, not_run, 0,
 		     not_run ? "out of time before it was sent"
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -68,6 +68,7 @@
 	uint32_t server;
 	uint64_t wire_id;
 	struct guard_work *local;
+	int64_t sent_at;
 	/** Tries that a backend server may have seen. */
 	uint32_t arrivals;
 	bool onward;
--- a/packages/routing/internal.h
+++ b/packages/routing/internal.h
@@ -26,6 +26,9 @@
 	ROUTING_OUT_NO_CAPACITY,
 };
 
+/* Average time of the requests of one route at one server. */
+struct routing_speed;
+
 /* All that an entry knows of one server. */
 struct routing_state {
 	struct routing_server conf;
@@ -54,6 +57,9 @@
 	int64_t heard_at;
 	int64_t interval;
 
+	/* By route. */
+	struct routing_speed *speeds;
+
 	/* Mark of routing_configure(). */
 	bool kept;
 	UT_hash_handle hh;
@@ -98,6 +104,23 @@
 			   struct base_rand *rnd, int64_t now);
 const char *routing_health_out_str(enum routing_out out);
 
+/* speed.c */
+
+void routing_speed_add(struct routing_state *s, uint64_t route, int64_t us,
+		       int64_t now);
+void routing_speed_forget(struct routing_state *s);
+/* 0 while it is not known. */
+double routing_speed_average(const struct routing_state *s, uint64_t route);
+/*
+ * Requests of the route are likely to be late there, and less so at the server
+ * whose average is @p quickest.
+ */
+bool routing_speed_is_slow(const struct routing_state *s,
+			   const struct routing_query *query, double quickest,
+			   int64_t now);
+/* The server was chosen. */
+void routing_speed_tried(struct routing_state *s, uint64_t route, int64_t now);
+
 /* table.c */
 
 struct routing_service *routing_service_find(const struct routing_table *table,
--- a/packages/routing/policy.c
+++ b/packages/routing/policy.c
@@ -2,6 +2,7 @@
 #include "internal.h"
 
 #include <assert.h>
+#include <math.h>
 
 /* Distance of a server from the entry. */
 enum tier {
@@ -185,19 +186,65 @@
 	return n;
 }
 
-static struct routing_state *choose_stopping(struct routing_table *table,
-					     const struct routing_query *query,
-					     struct pool *pool, int64_t now)
+static struct routing_state *choose_of(struct routing_table *table,
+				       const struct routing_query *query,
+				       struct pool *pool, enum tier tier,
+				       int64_t now)
 {
+	size_t n = gather_headroom(pool, query, tier, now);
+
+	return n ? two_choices(table, pool->servers, n, now) : NULL;
+}
+
+static struct routing_state *choose_nearest(struct routing_table *table,
+					    const struct routing_query *query,
+					    struct pool *pool, int64_t now)
+{
+	struct routing_state *s = NULL;
 	enum tier tier;
-	size_t n;
 
-	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
-		n = gather_headroom(pool, query, tier, now);
-		if (n)
-			return two_choices(table, pool->servers, n, now);
+	for (tier = TIER_DOMAIN; tier < TIER_COUNT && !s; tier++)
+		s = choose_of(table, query, pool, tier, now);
+	return s;
+}
+
+static double quickest_average(const struct pool *pool,
+			       const struct routing_query *query, int64_t now)
+{
+	double quickest = HUGE_VAL;
+	size_t i;
+
+	for (i = 0; i < pool->len; i++) {
+		const struct routing_state *s = pool->servers[i];
+		double average = routing_speed_average(s, query->route);
+
+		if (average < quickest && has_headroom(s, now))
+			quickest = average;
 	}
-	return NULL;
+	return quickest;
+}
+
+/* Splits the pool: those at which the request would be late come behind. */
+static struct pool split_slow(struct pool *pool,
+			      const struct routing_query *query, int64_t now)
+{
+	double quickest = quickest_average(pool, query, now);
+	struct pool slow = *pool;
+	struct routing_state *s;
+	size_t i, n = 0;
+
+	for (i = 0; query->allowed_us && i < pool->len; i++) {
+		s = pool->servers[i];
+		if (routing_speed_is_slow(s, query, quickest, now))
+			continue;
+		pool->servers[i] = pool->servers[n];
+		pool->servers[n++] = s;
+	}
+	if (query->allowed_us)
+		pool->len = n;
+	slow.servers += pool->len;
+	slow.len -= pool->len;
+	return slow;
 }
 
 static struct routing_state *try_failed(struct routing_table *table,
@@ -211,27 +258,28 @@
 				    const struct routing_query *query,
 				    struct survey *sv, int64_t now)
 {
-	struct pool *usable = &sv->usable;
-	struct pool *stopping = &sv->stopping;
+	struct pool all = sv->usable;
+	struct pool slow = split_slow(&sv->usable, query, now);
 	struct routing_state *s;
 	enum tier tier;
-	size_t n;
 
 	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
 		if (sv->trial[tier])
 			return try_failed(table, sv->trial[tier], now);
-		n = gather_headroom(usable, query, tier, now);
-		if (n)
-			return two_choices(table, usable->servers, n, now);
+		s = choose_of(table, query, &sv->usable, tier, now);
+		if (s)
+			return s;
 	}
-	s = choose_stopping(table, query, stopping, now);
+	s = choose_nearest(table, query, &slow, now);
+	if (!s)
+		s = choose_nearest(table, query, &sv->stopping, now);
 	if (s)
 		return s;
 	/* No headroom anywhere: spread the excess, the guards refuse it. */
-	if (!usable->len)
-		usable = stopping;
-	if (usable->len)
-		return two_choices(table, usable->servers, usable->len, now);
+	if (!all.len)
+		all = sv->stopping;
+	if (all.len)
+		return two_choices(table, all.servers, all.len, now);
 	if (sv->last_resort)
 		return try_failed(table, sv->last_resort, now);
 	return NULL;
@@ -263,6 +311,7 @@
 	chosen = choose(table, query, &sv, now);
 	if (!chosen)
 		return why_none(&sv);
+	routing_speed_tried(chosen, query->route, now);
 	*server = chosen->conf.id;
 	return ROUTING_PICKED;
 }
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -114,6 +114,14 @@
 	 * ROUTING_NOT_RUN, because its guard would say "not run" again.
 	 */
 	bool avoid_trial;
+	/** Identifies the route, whose times are compared; any number. */
+	uint64_t route;
+	/**
+	 * Time within which an answer is of full use. A server that probably
+	 * takes longer is avoided while a quicker one has room, also one in
+	 * another failure domain. 0 to compare no times.
+	 */
+	int64_t allowed_us;
 };
 
 struct routing_table;
@@ -129,6 +137,7 @@
 /**
  * The design: the better of two random choices by (own in flight + reported
  * load) / limit, own failure domain first, then own region, then anywhere.
+ * Servers at which requests of the route would be late come after the others.
  */
 extern const struct routing_policy routing_policy_two_choices;
 /**
@@ -166,6 +175,12 @@
 /** A request ended without an answer; the server is out until a trial. */
 void routing_failed(struct routing_table *table, uint32_t server,
 		    enum routing_failure failure, int64_t now);
+/**
+ * A request of the route took this long at the server. One that failed there
+ * counts as the time allowed, at least.
+ */
+void routing_took(struct routing_table *table, uint32_t server, uint64_t route,
+		  int64_t us, int64_t now);
 /**
  * A request ended for reasons of the caller (cancelled, out of time); it says
  * nothing about the server.
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -25,6 +25,13 @@
 	}
 }
 
+static void state_free(struct routing_table *table, struct routing_state *s)
+{
+	routing_speed_forget(s);
+	HASH_DEL(table->states, s);
+	free(s);
+}
+
 void routing_table_destroy(struct routing_table *table)
 {
 	struct routing_state *s, *next;
@@ -32,10 +39,8 @@
 	if (!table)
 		return;
 	clear_services(table);
-	HASH_ITER (hh, table->states, s, next) {
-		HASH_DEL(table->states, s);
-		free(s);
-	}
+	HASH_ITER (hh, table->states, s, next)
+		state_free(table, s);
 	free(table);
 }
 
@@ -78,8 +83,7 @@
 
 	HASH_ITER (hh, table->states, s, next) {
 		if (!s->kept) {
-			HASH_DEL(table->states, s);
-			free(s);
+			state_free(table, s);
 		} else {
 			s->kept = false;
 		}
@@ -170,6 +174,15 @@
 	routing_health_fail(s, ROUTING_OUT_LINK, &table->rnd, now);
 }
 
+void routing_took(struct routing_table *table, uint32_t server, uint64_t route,
+		  int64_t us, int64_t now)
+{
+	struct routing_state *s = find(table, server);
+
+	if (s)
+		routing_speed_add(s, route, us, now);
+}
+
 void routing_abandoned(struct routing_table *table, uint32_t server)
 {
 	struct routing_state *s = find(table, server);
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -112,6 +112,92 @@
 	routing_table_destroy(t);
 }
 
+#define ROUTE 77
+#define ALLOWED_US BASE_SECOND_US
+
+static uint32_t pick_route(struct routing_table *t, int64_t now)
+{
+	struct routing_query q = { .route = ROUTE, .allowed_us = ALLOWED_US };
+	uint32_t server = UINT32_MAX;
+
+	routing_pick(t, &q, now, &server);
+	return server;
+}
+
+/* Servers from the first on take that part of the time allowed. */
+static void take(struct routing_table *t, uint32_t first, uint32_t end,
+		 double part, int64_t now)
+{
+	uint32_t s;
+	int i;
+
+	for (s = first; s < end; s++)
+		for (i = 0; i < 30; i++)
+			routing_took(t, s, ROUTE, (int64_t)(part * ALLOWED_US),
+				     now);
+}
+
+/*
+ * Guards against requests that are late at a slow or failing server of the own
+ * failure domain while quicker ones have room, and against traffic between
+ * domains where the own servers are good enough.
+ */
+Test(speed, avoids_servers_where_the_request_would_be_late)
+{
+	struct routing_table *t = setup(1);
+	int64_t now = 0;
+	int i;
+
+	take(t, 0, 2, 0.5, now);
+	take(t, 2, SERVERS, 0.1, now);
+	cr_assert(lt(u32, pick_route(t, now), 2));
+	take(t, 0, 2, 0.9, now);
+	for (i = 0; i < 20; i++)
+		cr_assert(ge(u32, pick_route(t, now), 2));
+	/* Other routes are not concerned. */
+	cr_assert(lt(u32, pick(t, now), 2));
+	/* Without a clearly quicker one the own domain comes first. */
+	take(t, 2, SERVERS, 0.7, now);
+	cr_assert(lt(u32, pick_route(t, now), 2));
+	routing_table_destroy(t);
+}
+
+/* Guards against a server that never comes back, and a stampede to it. */
+Test(speed, tries_an_avoided_server_with_one_request)
+{
+	struct routing_table *t = setup(1);
+	int64_t now = 0;
+	int near = 0;
+	int i;
+
+	take(t, 0, 2, 0.9, now);
+	take(t, 2, SERVERS, 0.1, now);
+	now += 6 * BASE_SECOND_US;
+	take(t, 2, SERVERS, 0.1, now);
+	for (i = 0; i < 50; i++)
+		near += pick_route(t, now) < 2;
+	cr_assert(eq(int, near, 2));
+	take(t, 0, 2, 0.1, now);
+	cr_assert(lt(u32, pick_route(t, now), 2));
+	routing_table_destroy(t);
+}
+
+/* Guards against refusals while slow servers have room. */
+Test(speed, uses_slow_servers_when_no_other_has_room)
+{
+	struct routing_table *t = setup(1);
+	uint32_t s;
+	int i;
+
+	take(t, 0, 2, 0.9, 0);
+	take(t, 2, SERVERS, 0.1, 0);
+	for (s = 2; s < SERVERS; s++)
+		for (i = 0; i < SLOTS; i++)
+			routing_sent(t, s, 0);
+	cr_assert(lt(u32, pick_route(t, 0), 2));
+	routing_table_destroy(t);
+}
+
 enum source { CONF, DOMAIN, PLATFORM, DRAIN, SEND, BACKEND, LINK };
 
 static void take_out(struct routing_table *t, enum source source)
