Tell silent VMs by checks and send their idempotent requests elsewhere

Cause: a VM counted as silent after three missed heartbeats, whose interval grows with the links: at 12 VMs 1.2 s, so 3.6 s. Requests that had been sent there waited to the end of their time. Ruled out: shorter heartbeats for all links (36 KB/s at 24 links, 13 KB/s are the bound), ending the link (it may only be slow). Change: a server that has requests and says nothing for 250 ms is asked for a sign of life; 400 ms later it is silent. Idempotent requests to it then go to another server, within the route's tries and a budget of 3% of the successes. Tests: checks/tell_a_silent_server_soon; session_platform stops a daemon and checks that requests go elsewhere, and that a route with one try is sent once (fails when the pending try is not counted).

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -406,10 +406,22 @@
 			flow_on_link(f, true, now);
 }
 
+/* Requests that were sent to VMs which fell silent meanwhile. */
+static void resend_silent(struct entry *entry, int64_t now)
+{
+	struct flow *f, *next;
+
+	HASH_ITER (hh_wire, entry->by_wire, f, next)
+		if (routing_is_silent(entry->node->routing, f->server, now))
+			flow_on_silent(f, now);
+}
+
 void entry_tick(struct entry *entry, int64_t now)
 {
 	struct flow *f, *next;
 
+	resend_silent(entry, now);
+
 	HASH_ITER (hh, entry->flows, f, next) {
 		const struct config_vm *vm;
 		struct peer_link *link;
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -305,7 +305,7 @@
 	note_cutoffs(f, answer, now);
 	f->retried = f->retried || answer->retried;
 	if (ok)
-		retry_budget_record_success(flow_budget(f), now);
+		flow_note_success(f, now);
 	if (f->node->dialect->headers.call_token && !f->onward && !f->attempt &&
 	    answer->retried)
 		retry_budget_charge(&f->node->budget, now);
@@ -317,15 +317,30 @@
 		refuse_with_answer(f, answer, now);
 }
 
+/* What stands for the answer of a try that was lost on its way. */
+static const struct peer_answer lost_answer = {
+	.status = 502,
+	.outcome = PEER_UNKNOWN,
+	.reason = { "connection_lost", sizeof("connection_lost") - 1 },
+};
+
 void flow_on_lost(struct flow *f, int64_t now)
 {
-	struct peer_answer answer = {
-		.status = 502,
-		.outcome = PEER_UNKNOWN,
-		.reason = BASE_STR("connection_lost"),
-	};
+	flow_on_answer(f, &lost_answer, now);
+}
 
-	flow_on_answer(f, &answer, now);
+void flow_on_silent(struct flow *f, int64_t now)
+{
+	struct node *node = f->node;
+	uint32_t service = roster_service_id(node->roster, f->service->name);
+
+	if (f->state != FLOW_SENT ||
+	    !routing_has_other(node->routing, service, f->server, now) ||
+	    !flow_decide_resend(f, now))
+		return;
+	flow_log_try(f, &lost_answer, "resend");
+	cancel_try(f, now);
+	flow_route(f, now);
 }
 
 static void on_local_answer(void *ctx, const struct peer_answer *answer)
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -81,10 +81,13 @@
 	UT_hash_handle hh_wire;
 };
 
-/** Retries of one service, where a chain is not known. */
+/** Retries of one service. */
 struct entry_budget {
 	uint32_t service;
+	/** Of failed tries, where a chain is not known. */
 	struct retry_budget budget;
+	/** Of tries whose VM fell silent. */
+	struct retry_budget resends;
 	UT_hash_handle hh;
 };
 
@@ -124,10 +127,22 @@
  */
 bool flow_decide_retry(struct flow *f, const struct peer_answer *answer,
 		       int64_t now);
+/**
+ * Decides whether an idempotent request leaves a silent VM for another one, and
+ * counts it.
+ */
+bool flow_decide_resend(struct flow *f, int64_t now);
+/** A request of the flow's service has succeeded. */
+void flow_note_success(struct flow *f, int64_t now);
 /** The budget that a retry of the flow is taken from. */
 struct retry_budget *flow_budget(struct flow *f);
 /** The present try ended without an answer. */
 void flow_on_lost(struct flow *f, int64_t now);
+/**
+ * The VM of the present try is silent. An idempotent request goes to another
+ * one, where there is one and the budget has a retry; others wait on.
+ */
+void flow_on_silent(struct flow *f, int64_t now);
 /** The link that a waiting flow needs is up, or did not come up. */
 void flow_on_link(struct flow *f, bool up, int64_t now);
 /** Logs the choice of a server for the present try. */
--- a/packages/daemon/flow_retry.c
+++ b/packages/daemon/flow_retry.c
@@ -30,31 +30,67 @@
 #define SERVICE_RETRY_SHARE 0.04
 #define SERVICE_RETRY_CAP 2.0
 
-struct retry_budget *flow_budget(struct flow *f)
+/*
+ * A try whose VM fell silent has seldom reached its server, and what is found
+ * silent was sent within 0.7 s. With this share, all that is sent again in ten
+ * seconds after a failure domain was cut off stays under a tenth of the
+ * requests at four hops.
+ */
+#define RESEND_SHARE 0.03
+#define RESEND_CAP 10.0
+
+static struct entry_budget *service_budget(struct flow *f)
 {
-	struct node *node = f->node;
+	uint32_t service = roster_service_id(f->node->roster, f->service->name);
 	struct entry_budget *b;
-	uint32_t service;
 
-	if (node->dialect->headers.call_token)
-		return &node->budget;
-	service = roster_service_id(node->roster, f->service->name);
 	HASH_FIND(hh, f->entry->budgets, &service, sizeof(service), b);
 	if (b)
-		return &b->budget;
+		return b;
 	b = base_alloc(sizeof(*b));
 	b->service = service;
 	retry_budget_init(&b->budget, SERVICE_RETRY_SHARE, SERVICE_RETRY_CAP);
+	retry_budget_init(&b->resends, RESEND_SHARE, RESEND_CAP);
 	HASH_ADD(hh, f->entry->budgets, service, sizeof(b->service), b);
-	return &b->budget;
+	return b;
+}
+
+struct retry_budget *flow_budget(struct flow *f)
+{
+	if (f->node->dialect->headers.call_token)
+		return &f->node->budget;
+	return &service_budget(f)->budget;
 }
 
-/* Whether the route lets the request go to one more backend server. */
-static bool may_try_again(const struct flow *f)
+void flow_note_success(struct flow *f, int64_t now)
+{
+	retry_budget_record_success(flow_budget(f), now);
+	retry_budget_record_success(&service_budget(f)->resends, now);
+}
+
+/*
+ * Whether the route lets the request go to one more backend server when so many
+ * may have seen it.
+ */
+static bool may_try_again(const struct flow *f, uint32_t arrivals)
 {
 	return f->ex && f->tries < FLOW_TRIES_MAX &&
-	       (!f->route->max_attempts ||
-		f->arrivals < f->route->max_attempts);
+	       (!f->route->max_attempts || arrivals < f->route->max_attempts);
+}
+
+bool flow_decide_resend(struct flow *f, int64_t now)
+{
+	/* The silent VM's server may run it all the same. */
+	uint32_t arrivals = f->arrivals + 1;
+
+	if (!f->route->idempotent || !may_try_again(f, arrivals) ||
+	    now >= f->deadline ||
+	    !retry_budget_try_spend(&service_budget(f)->resends, now))
+		return false;
+	node_count(f->node, "resends");
+	f->arrivals = arrivals;
+	f->may_have_run = true;
+	return true;
 }
 
 bool flow_decide_retry(struct flow *f, const struct peer_answer *answer,
@@ -72,7 +108,7 @@
 	struct retry_decision decision;
 
 	f->arrivals += answer->arrived || answer->outcome != PEER_NOT_RUN;
-	if (is_final_refusal(answer) || !may_try_again(f)) {
+	if (is_final_refusal(answer) || !may_try_again(f, f->arrivals)) {
 		flow_log_try(f, answer, f->ex ? "final" : "caller_gone");
 		return false;
 	}
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -20,6 +20,7 @@
 /* A fresh or woken daemon asks this many peers and waits this long. */
 #define ASKED_PEERS 8
 #define PROBES_PER_TICK 4
+#define CHECKS_PER_TICK 16
 #define ASK_WAIT_US BASE_SECOND_US
 
 static void post_version(struct membership *m, uint64_t version,
@@ -346,6 +347,22 @@
 	}
 }
 
+/* Servers that are quiet while they have requests are asked for a sign. */
+static void send_checks(struct membership *m, int64_t now)
+{
+	uint32_t ids[CHECKS_PER_TICK];
+	size_t n =
+		routing_due_checks(m->node->routing, now, ids, CHECKS_PER_TICK);
+	struct member *member;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		HASH_FIND(hh, m->members, &ids[i], sizeof(ids[i]), member);
+		if (member && peer_link_is_up(member->link))
+			members_send_heartbeat(m, member, now);
+	}
+}
+
 /* A server that was out comes back in by its reply to a heartbeat. */
 static void send_probes(struct membership *m, int64_t now)
 {
@@ -393,6 +410,7 @@
 		relays_report_own_domain(m, now);
 	end_asking(m, now);
 	report_self(m, now);
+	send_checks(m, now);
 	send_probes(m, now);
 	entry_tick(m->node->entry, now);
 }
--- a/packages/routing/health.c
+++ b/packages/routing/health.c
@@ -54,8 +54,24 @@
 	state->failures--;
 }
 
+bool routing_health_check_due(const struct routing_state *state, int64_t now)
+{
+	return state->in_flight && now - state->heard_at >= ROUTING_QUIET_US &&
+	       now - state->asked_at >= ROUTING_QUIET_US;
+}
+
+void routing_health_checked(struct routing_state *state, int64_t now)
+{
+	if (state->asked_since <= state->heard_at)
+		state->asked_since = now;
+	state->asked_at = now;
+}
+
 static bool is_silent(const struct routing_state *state, int64_t now)
 {
+	if (state->asked_since > state->heard_at &&
+	    now - state->asked_since >= ROUTING_SIGN_US)
+		return true;
 	if (!state->link_used || now - state->sent_at > ROUTING_LINK_IDLE_US)
 		return false;
 	return now - state->heard_at >
--- a/packages/routing/internal.h
+++ b/packages/routing/internal.h
@@ -56,6 +56,9 @@
 	int64_t sent_at;
 	int64_t heard_at;
 	int64_t interval;
+	/* First and last ask for a sign of life. */
+	int64_t asked_since;
+	int64_t asked_at;
 
 	/* By route. */
 	struct routing_speed *speeds;
@@ -95,6 +98,9 @@
 /* A trial request or a probe leaves for the server. */
 void routing_health_tried(struct routing_state *state, struct base_rand *rnd,
 			  int64_t now);
+/* The server has requests and was not heard of for a while. */
+bool routing_health_check_due(const struct routing_state *state, int64_t now);
+void routing_health_checked(struct routing_state *state, int64_t now);
 bool routing_health_trial_due(const struct routing_state *state, int64_t now);
 bool routing_health_fresh(const struct routing_state *state, int64_t now);
 void routing_health_drain(struct routing_state *state, struct base_rand *rnd,
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -22,6 +22,14 @@
 #define ROUTING_HEARTBEAT_US (500 * BASE_MS_US)
 /** A peer sends heartbeats this long after the last request on the link. */
 #define ROUTING_LINK_IDLE_US (30 * BASE_SECOND_US)
+/**
+ * A server that has requests and says nothing for this long is asked for a sign
+ * of life. Most answers take longer than a heartbeat's way of some
+ * milliseconds.
+ */
+#define ROUTING_QUIET_US (250 * BASE_MS_US)
+/** Without a sign of life for this long after the first ask, it is silent. */
+#define ROUTING_SIGN_US (400 * BASE_MS_US)
 /** Reported load older than this, or than two intervals, is not compared. */
 #define ROUTING_REPORT_FRESH_US (2 * BASE_SECOND_US)
 /** Wait before the first trial of a failed server; doubles per failure. */
@@ -216,6 +224,18 @@
 				 const struct routing_query *query, int64_t now,
 				 uint32_t *server);
 
+/**
+ * Lists servers that have requests of this entry and are quiet: the daemon
+ * sends each a heartbeat, to which the peer replies with its own. Heartbeats
+ * alone come too seldom where there are many links.
+ * @return the number of ids written, at most @p max
+ */
+size_t routing_due_checks(struct routing_table *table, int64_t now,
+			  uint32_t *ids, size_t max);
+/** The server was heard of neither by heartbeats nor after checks. */
+bool routing_is_silent(const struct routing_table *table, uint32_t server,
+		       int64_t now);
+
 /** Whether a server of the service other than @p server may get work. */
 bool routing_has_other(const struct routing_table *table, uint32_t service,
 		       uint32_t server, int64_t now);
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -242,6 +242,31 @@
 	return table->policy->pick(table, query, now, server);
 }
 
+size_t routing_due_checks(struct routing_table *table, int64_t now,
+			  uint32_t *ids, size_t max)
+{
+	struct routing_state *s, *next;
+	size_t n = 0;
+
+	HASH_ITER (hh, table->states, s, next) {
+		routing_health_refresh(s, &table->rnd, now);
+		if (n == max || s->failure != ROUTING_OUT_NOT ||
+		    !routing_health_check_due(s, now))
+			continue;
+		routing_health_checked(s, now);
+		ids[n++] = s->conf.id;
+	}
+	return n;
+}
+
+bool routing_is_silent(const struct routing_table *table, uint32_t server,
+		       int64_t now)
+{
+	const struct routing_state *s = find(table, server);
+
+	return s && routing_health_out(s, now) == ROUTING_OUT_SILENT;
+}
+
 bool routing_has_other(const struct routing_table *table, uint32_t service,
 		       uint32_t server, int64_t now)
 {
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -112,6 +112,37 @@
 	routing_table_destroy(t);
 }
 
+/*
+ * Guards against requests that wait for a silent VM until their time is over,
+ * and against heartbeats to servers that answer.
+ */
+Test(checks, tell_a_silent_server_soon)
+{
+	struct routing_table *t = setup(1);
+	uint32_t ids[SERVERS];
+	int64_t now = 0;
+
+	report_from(t, 0, &idle);
+	routing_sent(t, 0, now);
+	cr_assert(eq(sz, routing_due_checks(t, now, ids, SERVERS), 0));
+	now += ROUTING_QUIET_US;
+	cr_assert(eq(sz, routing_due_checks(t, now, ids, SERVERS), 1));
+	cr_assert(eq(u32, ids[0], 0));
+	cr_assert(eq(sz, routing_due_checks(t, now, ids, SERVERS), 0));
+	/* Its reply ends the doubt. */
+	routing_heartbeat(t, 0, &idle, 0, now);
+	now += ROUTING_QUIET_US;
+	cr_assert(not(routing_is_silent(t, 0, now)));
+	cr_assert(eq(sz, routing_due_checks(t, now, ids, SERVERS), 1));
+	now += ROUTING_SIGN_US;
+	routing_due_checks(t, now, ids, SERVERS);
+	cr_assert(routing_is_silent(t, 0, now));
+	cr_assert(ne(u32, pick(t, now), 0));
+	routing_heartbeat(t, 0, &idle, 0, now);
+	cr_assert(not(routing_is_silent(t, 0, now)));
+	routing_table_destroy(t);
+}
+
 #define ROUTE 77
 #define ALLOWED_US BASE_SECOND_US
 
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -33,6 +33,7 @@
 	\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",
 	\"timeout\",\"priority\",\"max_attempts\",\"public\",\"service\"],
 	\"rows\":[[\"browse\",\"a.example\",\"/b/\",\"safe\",\"2s\",2,2,false,
+	\"front\"],[\"single\",\"a.example\",\"/s/\",\"safe\",\"1s\",2,1,false,
 	\"front\"],[\"order\",\"a.example\",\"/o/\",\"unsafe\",\"2s\",0,2,
 	false,\"front\"],[\"inner\",\"a.example\",\"/i/\",\"safe\",\"2s\",1,2,
 	true,\"back\"]]},
@@ -148,6 +149,28 @@
 wait_for 2 gone || fail "the work of a client that left goes on"
 echo "ok   the work of a client that left is ended"
 
+# Guards against requests that wait for a silent daemon until their time is
+# over. The retries are earned by the requests before.
+for n in $(seq 320); do ask $((n % 2 + 3)) GET /b/x -H "$KEY"; done
+kill -STOP "${PID_OF[daemon-m1]}"
+for n in 1 2 3 4; do
+	(ask 3 GET /b/x -H "$KEY" && echo "$STATUS" >"$WORK/silent-$n") &
+done
+wait $(jobs -p | tail -4)
+# Guards against more tries than the route allows.
+for n in 1 2 3 4; do
+	curl -s -o /dev/null --max-time 3 -H "Host: a.example" -H "$KEY" \
+		-H "X-Request-Id: single-$n" -H "X-Deadline-Ms: 2000" \
+		"http://$(ip_of 4):$P_OUT/s/x" &
+done
+wait $(jobs -p | tail -4)
+kill -CONT "${PID_OF[daemon-m1]}"
+sleep 0.2
+grep -h 'request=single-.* try=2' "$WORK"/daemon-m4.err &&
+	fail "a request was sent more often than its route allows"
+expect "requests go elsewhere when a daemon falls silent" \
+	"$(cat "$WORK"/silent-*| sort | uniq -c | xargs)" "4 200"
+
 # Guards against a key that works after it was taken away.
 put_config 00000007 '["k2"]' 1000
 wait_for 2 answers 1 401 GET /b/x -H "$KEY" || fail "a removed key works"
@@ -198,6 +221,7 @@
 sleep 1
 before=$(cat "$WORK/app-2.out" "$WORK/app-4.out" | grep -c ^run)
 for n in 1 2 3 4 5 6 7 8; do ask 2 GET /b/x -H "$KEY"; done
+cp "$WORK"/daemon-m3.err /tmp/w/m3.log
 expect "requests go elsewhere" "$STATUS" 200
 expect "an evacuated zone gets no work" \
 	"$(cat "$WORK/app-2.out" "$WORK/app-4.out" | grep -c ^run)" "$before"
