Stop the VM that the entry prefers in the test of single tries

Cause: machine 4 prefers the server of its own failure domain, so the test, with machine 1 stopped, sent nothing to a silent VM and could not fail. Change: it stops machine 2. With the pending try not counted, four requests go out twice and the test fails; with it, it passes.

--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -157,14 +157,16 @@
 	(ask 3 GET /b/x -H "$KEY" && echo "$STATUS" >"$WORK/silent-$n") &
 done
 wait $(jobs -p | tail -4)
-# Guards against more tries than the route allows.
+kill -CONT "${PID_OF[daemon-m1]}"
+# Guards against more tries than the route allows; machine 4 prefers 2.
+kill -STOP "${PID_OF[daemon-m2]}"
 for n in 1 2 3 4; do
 	curl -s -o /dev/null --max-time 3 -H "Host: a.example" -H "$KEY" \
 		-H "X-Request-Id: single-$n" -H "X-Deadline-Ms: 2000" \
 		"http://$(ip_of 4):$P_OUT/s/x" &
 done
 wait $(jobs -p | tail -4)
-kill -CONT "${PID_OF[daemon-m1]}"
+kill -CONT "${PID_OF[daemon-m2]}"
 sleep 0.2
 grep -h 'request=single-.* try=2' "$WORK"/daemon-m4.err &&
 	fail "a request was sent more often than its route allows"
