Keep a lapsed entry until its server may be back, not 2.2 s from its removal

A daemon that found the platform again at 12.97 s saw the entry of a server removed at 15.02 s, took it for a lapse, as that is 2.05 s after the return, and used the server for 2.2 s more; the server serves for 2 s.

Ruled out: the delay of the watch (the removal was seen 12 ms after its acknowledgement) and requests that waited (2 ms from entry to server).

Entries that vanish after the platform's return are kept until 2.2 s after that return. Both tests failed on the former code.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -423,6 +423,7 @@
 {
 	struct registry_task_settings registry = {
 		.platform = settings->platform,
+		.leave_us = settings->leave_us,
 		.peer_listen = settings->peer_listen,
 		.region = settings->region,
 		.codec = dialect->registry,
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -49,6 +49,8 @@
 	enum base_log_level log_level;
 	/** Longest time that open requests get at a planned stop. */
 	int64_t drain_us;
+	/** Time for which a leaving backend server still takes requests. */
+	int64_t leave_us;
 	/** Caller connections at a time. */
 	int64_t max_connections;
 	/** Largest request and answer body, in bytes. */
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -32,6 +32,8 @@
 	int64_t revision;
 	int64_t reload_revision;
 	int64_t back_at;
+	/* For which entries that vanish at once are kept. */
+	int64_t mass_us;
 	/* Removals of servers since the first of the present group. */
 	int64_t removals_since;
 	size_t removals;
@@ -40,12 +42,13 @@
 
 struct registry *registry_create(const struct registry_codec *codec,
 				 const struct registry_view_settings *settings,
-				 struct base_log *log)
+				 int64_t leave_us, struct base_log *log)
 {
 	struct registry *r = base_alloc(sizeof(*r));
 
 	r->codec = codec;
 	r->log = log;
+	r->mass_us = (int64_t)((double)leave_us * REGISTRY_LAPSE_LEAVE_PART);
 	r->view = codec->view_create(settings);
 	r->back_at = -REGISTRY_LAPSE_US;
 	r->removals_since = -REGISTRY_LAPSE_GATHER_US;
@@ -133,20 +136,27 @@
 	return n;
 }
 
-/* Whether the platform may have lost the entry while its server lives. */
-static bool may_lapse(struct registry *r, const struct registry_item *item,
-		      int64_t now)
+/*
+ * The time until which the server of a removed entry may be back: the platform
+ * may have lost the entry while the server lives.
+ */
+static int64_t may_be_back_until(struct registry *r,
+				 const struct registry_item *item, int64_t now)
 {
+	int64_t until = r->back_at + REGISTRY_LAPSE_US;
+
 	if (!r->codec->is_server(item->key))
-		return false;
+		return now;
 	if (now - r->removals_since > REGISTRY_LAPSE_GATHER_US) {
 		r->removals_since = now;
 		r->removals = 0;
 	}
 	r->removals++;
-	return now - r->back_at < REGISTRY_LAPSE_US ||
-	       (double)r->removals >
-		       REGISTRY_LAPSE_SHARE * (double)count_servers(r) + 1;
+	if ((double)r->removals >
+		    REGISTRY_LAPSE_SHARE * (double)count_servers(r) + 1 &&
+	    until < now + r->mass_us)
+		until = now + r->mass_us;
+	return until;
 }
 
 static void drop(struct registry *r, struct mirrored *m, const char *event)
@@ -166,15 +176,17 @@
 			int64_t now)
 {
 	struct mirrored *m = find(r, item->key);
+	int64_t until;
 
 	if (!m || m->lapses_at)
 		return;
 	m->removed_revision = item->revision;
-	if (!may_lapse(r, item, now)) {
+	until = may_be_back_until(r, item, now);
+	if (until <= now) {
 		drop(r, m, "registry_item_removed");
 		return;
 	}
-	m->lapses_at = now + REGISTRY_LAPSE_US;
+	m->lapses_at = until;
 	log_item(r, "registry_item_lapsed", item, NULL);
 }
 
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -15,14 +15,24 @@
 #define REGISTRY_LAPSE_US (2200 * BASE_MS_US)
 /** More entries than this share vanishing at once are taken for a lapse. */
 #define REGISTRY_LAPSE_SHARE 0.34
+/**
+ * Part of the time for which a leaving server still takes requests. Entries
+ * that vanish at once are kept so long; the rest is left for requests on their
+ * way, as the servers may have left after all.
+ */
+#define REGISTRY_LAPSE_LEAVE_PART 0.75
 /** Removals that are this close together count as one. */
 #define REGISTRY_LAPSE_GATHER_US BASE_SECOND_US
 
 struct registry;
 
+/**
+ * @param leave_us  for which a server still takes requests after its entry is
+ *                  removed
+ */
 struct registry *registry_create(const struct registry_codec *codec,
 				 const struct registry_view_settings *settings,
-				 struct base_log *log);
+				 int64_t leave_us, struct base_log *log);
 void registry_destroy(struct registry *r);
 
 /** Revision of the newest change that is known; 0 before any. */
--- a/packages/daemon/registry_task.c
+++ b/packages/daemon/registry_task.c
@@ -176,7 +176,8 @@
 
 	t->outbox = settings->outbox;
 	t->log = settings->log;
-	t->registry = registry_create(settings->codec, &view, settings->log);
+	t->registry = registry_create(settings->codec, &view,
+				      settings->leave_us, settings->log);
 	client.registry = t->registry;
 	t->client = registry_client_create(base, &client, err);
 	if (t->client)
--- a/packages/daemon/registry_task.h
+++ b/packages/daemon/registry_task.h
@@ -15,6 +15,8 @@
 	/** "IP:PORT"; peers listen on the same port. */
 	const char *peer_listen;
 	const char *region;
+	/** Time for which a leaving server still takes requests. */
+	int64_t leave_us;
 	const struct registry_codec *codec;
 	/** Receives struct data_message. */
 	struct base_mailbox *outbox;
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -89,6 +89,10 @@
 	{ 'D', SETTING_DURATION, "drain-seconds", "BILBERRYHINGE_DRAIN_SECONDS",
 	  FIELD(drain_us), "30", 1, 3600, BASE_SECOND_US, "SECONDS",
 	  "Longest time that open requests get at a planned stop" },
+	{ 'L', SETTING_DURATION, "leave-seconds", "BILBERRYHINGE_LEAVE_SECONDS",
+	  FIELD(leave_us), "2", 0, 3600, BASE_SECOND_US, "SECONDS",
+	  "Time for which a leaving backend server still takes requests after "
+	  "its entry is removed from the platform" },
 	{ 'm', SETTING_NUMBER, "max-connections",
 	  "BILBERRYHINGE_MAX_CONNECTIONS", FIELD(max_connections), "4096", 1,
 	  100000, 1, "COUNT", "Caller connections at a time" },
--- a/packages/daemon/tests/test_registry.c
+++ b/packages/daemon/tests/test_registry.c
@@ -65,11 +65,14 @@
 	.is_server = is_server,
 };
 
+/* The users' platform lets a leaving server serve for so long. */
+#define LEAVE_US (2 * BASE_SECOND_US)
+
 static struct registry *make(void)
 {
 	struct registry_view_settings settings = { 0 };
 
-	return registry_create(&codec, &settings, NULL);
+	return registry_create(&codec, &settings, LEAVE_US, NULL);
 }
 
 static void change(struct registry *r, const char *key, const char *value,
@@ -147,6 +150,44 @@
 	registry_destroy(r);
 }
 
+/*
+ * Guards against a leaving server that is used for longer than it serves: it
+ * left 2.05 s after the platform's return and was kept for 2.2 s more.
+ */
+Test(registry, keeps_no_server_that_left_after_the_return_for_long)
+{
+	int64_t back = 10 * BASE_SECOND_US;
+	int64_t left = back + 2050 * BASE_MS_US;
+	struct registry *r = make();
+
+	change(r, "s1", "x", 1, 0);
+	change(r, "s2", "x", 2, 0);
+	registry_platform_back(r, back);
+	registry_take_changed(r);
+	change(r, "s1", NULL, 3, left);
+	registry_tick(r, left + LEAVE_US / 2);
+	cr_assert(registry_take_changed(r));
+	registry_destroy(r);
+}
+
+/* Guards against servers that leave together and are used after that. */
+Test(registry, keeps_servers_that_vanish_together_while_they_would_serve)
+{
+	int64_t now = 10 * BASE_SECOND_US;
+	struct registry *r = make();
+
+	change(r, "s1", "x", 1, 0);
+	change(r, "s2", "x", 2, 0);
+	change(r, "s1", NULL, 3, now);
+	change(r, "s2", NULL, 4, now);
+	registry_take_changed(r);
+	registry_tick(r, now + LEAVE_US / 2);
+	cr_assert(not(registry_take_changed(r)));
+	registry_tick(r, now + LEAVE_US - 200 * BASE_MS_US);
+	cr_assert(registry_take_changed(r));
+	registry_destroy(r);
+}
+
 /* Guards against entries that stay after their removal was not seen. */
 Test(registry, a_reload_removes_what_it_does_not_name)
 {
