Send no retry that cannot end in time

Such a try loads its server and holds the answer back until the deadline, where the caller gets 504 in place of the server's answer. Ruled out: the budget (it had room) and max_attempts. Change: no further try when less time is left than half of the average of the route at the quickest server; the answer at hand is final. Test: session_platform; a call that was reset with 180 ms left got 504 after a second run, and gets 502 at once now.

--- a/fakes/app.c
+++ b/fakes/app.c
@@ -5,7 +5,8 @@
  *     run id=ID service=SERVICE tenant=TENANT caller=CALLER method=M path=P
  *
  * The path decides what it does: /slow/ answers after 600 ms, /late/ sends the
- * same answer a second time, /reset/ closes without an answer after it ran.
+ * same answer a second time, /reset/ closes without an answer after it ran,
+ * with /slow/ before it after 600 ms.
  * GET /test?id=ID&service=S&cold_ms=MS makes it another incarnation.
  */
 #include "fake.h"
@@ -87,12 +88,22 @@
 	event_del(job->closed);
 }
 
+/* The answer is written to a connection that is closed already. */
+static void reset(evhtp_request_t *req)
+{
+	shutdown(req->conn->sock, SHUT_RDWR);
+	fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
+}
+
 static void on_slow(evutil_socket_t fd, short events, void *arg)
 {
 	struct job *job = arg;
 
 	evhtp_request_unset_hook(job->req, evhtp_hook_on_request_fini);
-	answer(job->app, job->req);
+	if (strstr(job->req->uri->path->full, "/reset/"))
+		reset(job->req);
+	else
+		answer(job->app, job->req);
 	job_free(job);
 }
 
@@ -127,13 +138,6 @@
 	base_buf_release(&late);
 }
 
-/* The answer is written to a connection that is closed already. */
-static void reset(evhtp_request_t *req)
-{
-	shutdown(req->conn->sock, SHUT_RDWR);
-	fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
-}
-
 static void run(struct app *app, evhtp_request_t *req)
 {
 	const char *path = req->uri->path->full;
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -126,11 +126,7 @@
 
 	if (!node->work_ends_at || f->deadline <= node->work_ends_at)
 		return true;
-	needed = SPREAD *
-		 routing_quickest_us(
-			 node->routing,
-			 roster_service_id(node->roster, f->service->name),
-			 roster_hash(f->route->name));
+	needed = SPREAD * flow_usual_us(f);
 	if (needed < LEAST_WORK_US)
 		needed = LEAST_WORK_US;
 	return now + needed <= node->work_ends_at;
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -492,6 +492,16 @@
 					  : HTTP_REFUSAL_NO_SERVER;
 }
 
+int64_t flow_usual_us(const struct flow *f)
+{
+	const struct node *node = f->node;
+
+	return routing_quickest_us(
+		node->routing,
+		roster_service_id(node->roster, f->service->name),
+		roster_hash(f->route->name));
+}
+
 void flow_route(struct flow *f, int64_t now)
 {
 	struct node *node = f->node;
--- a/packages/daemon/flow_retry.c
+++ b/packages/daemon/flow_retry.c
@@ -78,13 +78,23 @@
 	       (!f->route->max_attempts || arrivals < f->route->max_attempts);
 }
 
+/*
+ * Few requests end in less than half of the average, even at the quickest
+ * server. A try that cannot end in time only holds the answer back and loads
+ * its server.
+ */
+static bool is_too_late(const struct flow *f, int64_t now)
+{
+	return f->deadline - now <= flow_usual_us(f) / 2;
+}
+
 bool flow_decide_resend(struct flow *f, int64_t now)
 {
 	/* The silent VM's server may run it all the same. */
 	uint32_t arrivals = f->arrivals + 1;
 
 	if (!f->route->idempotent || !may_try_again(f, arrivals) ||
-	    now >= f->deadline ||
+	    is_too_late(f, now) ||
 	    !retry_budget_try_spend(&service_budget(f)->resends, now))
 		return false;
 	node_count(f->node, "resends");
@@ -112,6 +122,10 @@
 		flow_log_try(f, answer, f->ex ? "final" : "caller_gone");
 		return false;
 	}
+	if (is_too_late(f, now)) {
+		flow_log_try(f, answer, "no_time_left");
+		return false;
+	}
 	decision = retry_decide(&failed, flow_budget(f), now);
 	flow_log_try(f, answer,
 		     decision.action == RETRY_ACTION_GIVE_UP
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -70,7 +70,8 @@
 	ID=r$NEXT
 	STATUS=$(curl -s -o "$WORK/body" -D "$WORK/headers" -w '%{http_code}' \
 		--max-time 5 -X "$2" -H "Host: a.example" \
-		-H "X-Request-Id: $ID" -H "X-Deadline-Ms: 3000" "${@:4}" \
+		-H "X-Request-Id: $ID" -H "X-Deadline-Ms: ${DEADLINE:-3000}" \
+		"${@:4}" \
 		"http://$(ip_of "$1"):$P_OUT$3")
 	BODY=$(cat "$WORK/body" 2>/dev/null)
 	HEADERS=$(tr -d '\r' <"$WORK/headers" 2>/dev/null)
@@ -173,6 +174,22 @@
 expect "requests go elsewhere when a daemon falls silent" \
 	"$(cat "$WORK"/silent-*| sort | uniq -c | xargs)" "4 200"
 
+# Guards against a retry with too little time left to be of use: the calls take
+# 600 ms, and the retries are earned by the quick ones before.
+asked=()
+for n in $(seq 120); do ask 3 GET /i/x -H "$KEY"; done
+for n in $(seq 40); do
+	ask 3 GET /i/slow/$n -H "$KEY" &
+	asked+=($!)
+done
+wait "${asked[@]}"
+NEXT=$((NEXT + 1)) # the calls above have one id
+DEADLINE=780 ask 3 GET /i/slow/reset/1 -H "$KEY"
+expect "a call that fails with 180 ms left ends" "$STATUS" 502
+sleep 0.2
+expect "a retry is not sent when it cannot end in time" \
+	"$(runs_of $ID)" 1
+
 # Guards against a key that works after it was taken away.
 put_config 00000007 '["k2"]' 1000
 wait_for 2 answers 1 401 GET /b/x -H "$KEY" || fail "a removed key works"
