Name fields of the platform that cannot be read

Cause: durations, numbers and values of the platform that could not be read became zero without a word; a rate of "many" was taken for no rate. Change: such an optional field still counts as missing, so that the rest holds, and the line registry_item_changed names the first one (problem=). Items without key or revision are counted and logged. Refusing the whole configuration was ruled out: one bad field would keep the former one in force.

--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -31,6 +31,8 @@
 	int64_t revision;
 	/** The range goes on after the last key. */
 	bool more;
+	/** Items without key or revision, which are left out. */
+	size_t unreadable;
 	/** Owned by the page. */
 	void *memory;
 };
@@ -67,7 +69,8 @@
 	/**
 	 * Decodes a value. One that cannot be read takes the place of the
 	 * former one, except for the configuration, which stays.
-	 * @return false with @p err set when the value cannot be read
+	 * @return false with @p err set when the value cannot be read; when it
+	 *         is taken without a field that cannot be read, @p err names it
 	 */
 	bool (*view_put)(struct registry_view *view,
 			 const struct registry_item *item,
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -120,10 +120,11 @@
 	base_buf_reset(&m->value);
 	base_buf_add_str(&m->value, item->value);
 	r->changed = true;
-	if (r->codec->view_put(r->view, item, &err))
-		log_item(r, "registry_item_changed", item, NULL);
-	else
+	if (!r->codec->view_put(r->view, item, &err))
 		log_item(r, "registry_item_unreadable", item, err.message);
+	else
+		log_item(r, "registry_item_changed", item,
+			 err.message[0] ? err.message : NULL);
 }
 
 static size_t count_servers(const struct registry *r)
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -146,6 +146,18 @@
 	return answer->status == 429 ? "too many calls" : "refused";
 }
 
+static void log_unreadable(struct registry_client *c,
+			   const struct registry_page *page)
+{
+	struct base_log_line line = base_log_begin(c->s.log, BASE_LOG_WARN,
+						   "registry_items_unreadable");
+
+	count(c, "registry_items_unreadable");
+	base_log_int(&line, "count", (int64_t)page->unreadable);
+	base_log_int(&line, "revision", page->revision);
+	base_log_end(&line);
+}
+
 static void on_answer(void *ctx, enum http_result result,
 		      const struct http_answer *answer)
 {
@@ -171,6 +183,8 @@
 		return;
 	}
 	set_state(c, true, "answered", now);
+	if (page.unreadable)
+		log_unreadable(c, &page);
 	if (c->watching)
 		on_events(c, &page, now);
 	else
