--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -213,7 +213,7 @@
 	}
 	while (evbuffer_get_length(in)) {
 		if (!m->headers_complete &&
-		    !head_is_whole(in, MAX_ANSWER_HEAD, &fault))
+		    !head_is_whole(in, m->type, MAX_ANSWER_HEAD, &fault))
 			return;
 		if (!fault) {
 			head_message_read(m, in);
--- a/packages/http/head.c
+++ b/packages/http/head.c
@@ -178,12 +178,48 @@
 	return true;
 }
 
-bool head_is_whole(struct evbuffer *in, size_t max_head, enum head_fault *fault)
+/*
+ * The parser as Debian builds it takes any four bytes for the "TTP/" of a first
+ * line, line ends too, and then reads on behind the head that was checked.
+ */
+static bool names_protocol(enum http_parser_type type, const char *head,
+			   size_t len)
 {
-	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-	struct evbuffer_ptr bare = evbuffer_search(in, "\n\n", 2, NULL);
+	static const char name[] = "HTTP/";
+	const char *end = memchr(head, '\r', len);
+	struct base_str line = { head, end ? (size_t)(end - head) : len };
+	const char *space;
+
+	if (type == HTTP_REQUEST) {
+		space = line.len ? memrchr(line.ptr, ' ', line.len) : NULL;
+		if (!space)
+			return false;
+		line.len -= (size_t)(space + 1 - line.ptr);
+		line.ptr = space + 1;
+	}
+	return base_str_starts_with(line, BASE_STR(name));
+}
+
+/* Some callers send an empty line behind a body. */
+static void skip_empty_lines(struct evbuffer *in)
+{
+	char line[2];
+
+	while (evbuffer_copyout(in, line, sizeof(line)) == sizeof(line) &&
+	       !memcmp(line, "\r\n", sizeof(line)))
+		evbuffer_drain(in, sizeof(line));
+}
+
+bool head_is_whole(struct evbuffer *in, enum http_parser_type type,
+		   size_t max_head, enum head_fault *fault)
+{
+	struct evbuffer_ptr end, bare;
+	const char *head;
 	size_t len;
 
+	skip_empty_lines(in);
+	end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	bare = evbuffer_search(in, "\n\n", 2, NULL);
 	*fault = HEAD_OK;
 	if (end.pos < 0) {
 		if (bare.pos >= 0)
@@ -193,10 +229,12 @@
 		return *fault != HEAD_OK;
 	}
 	len = (size_t)end.pos + 4;
-	if (len > max_head)
+	if (len > max_head) {
 		*fault = HEAD_FAULT_HEAD_TOO_LARGE;
-	else if (!is_clean((const char *)evbuffer_pullup(in, (ev_ssize_t)len),
-			   len))
+		return true;
+	}
+	head = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
+	if (!is_clean(head, len) || !names_protocol(type, head, len))
 		*fault = HEAD_FAULT_SYNTAX;
 	return true;
 }
--- a/packages/http/head.h
+++ b/packages/http/head.h
@@ -42,12 +42,14 @@
 void head_message_release(struct head_message *m);
 
 /**
- * Checks that a whole head is in @p in, and its bytes.
+ * Checks that a whole head is in @p in, and its bytes. Empty lines before it
+ * are dropped; two of them would be taken for a head, and the bytes of the real
+ * one would not be checked.
  * @param[out] fault  set when the head is not acceptable
  * @return true when a whole head is there or @p fault is set
  */
-bool head_is_whole(struct evbuffer *in, size_t max_head,
-		   enum head_fault *fault);
+bool head_is_whole(struct evbuffer *in, enum http_parser_type type,
+		   size_t max_head, enum head_fault *fault);
 /**
  * Reads from @p in up to the end of one message. Bytes behind it stay there.
  * Check m->fault and m->complete afterwards.
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -296,16 +296,6 @@
 		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
-/* Some callers send an empty line behind a body. */
-static void skip_empty_lines(struct evbuffer *in)
-{
-	char line[2];
-
-	while (evbuffer_copyout(in, line, sizeof(line)) == sizeof(line) &&
-	       !memcmp(line, "\r\n", sizeof(line)))
-		evbuffer_drain(in, sizeof(line));
-}
-
 /* Reads the head, then the body; true when a whole request is there. */
 static bool read_request(struct connection *c, struct evbuffer *in)
 {
@@ -314,9 +304,8 @@
 	const char *problem;
 	bool first = !m->headers_complete;
 
-	if (first)
-		skip_empty_lines(in);
-	if (first && !head_is_whole(in, c->server->max_headers, &fault))
+	if (first &&
+	    !head_is_whole(in, m->type, c->server->max_headers, &fault))
 		return false;
 	if (!fault) {
 		head_message_read(m, in);
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -373,6 +373,22 @@
 		     HTTP_RESULT_TOO_LARGE));
 }
 
+/*
+ * Guards against a head that the parser reads on behind the bytes that were
+ * checked: after empty lines, or with line ends in the name of the protocol.
+ */
+Test(client, checks_the_whole_head_of_an_answer)
+{
+	cr_assert(eq(int,
+		     ask_raw("\r\n\r\nHTTP/1.1 200 OK\r\nX: a\nY: b\r\n"
+			     "Content-Length: 0\r\n\r\n"),
+		     HTTP_RESULT_INVALID));
+	cr_assert(eq(int,
+		     ask_raw("H\r\n\r\n1.1 200 OK\r\nContent-Length: 0"
+			     "\r\n\r\n"),
+		     HTTP_RESULT_INVALID));
+}
+
 /* Guards against trace headers that would be forwarded malformed. */
 Test(trace, accepts_only_valid_parents)
 {
--- a/packages/http/tests/test_strict.c
+++ b/packages/http/tests/test_strict.c
@@ -137,6 +137,7 @@
 		{ "GET http://a/b HTTP/1.1\r\nHost: a\r\n\r\n", 400, 0 },
 		{ "GET /a HTTP/2.0\r\nHost: a\r\n\r\n", 505, 0 },
 		{ "\x01\x02random\r\n\r\n", 400, 0 },
+		{ "GET /a H\r\n\r\n1.1\r\nHost: a\r\n\r\n", 400, 0 },
 	};
 	struct strict s;
 	size_t i;
