Add a soak of the real processes, and keep SIGHUP from ending one

tests/session_soak.sh plays random, overlapping faults on six daemons of the platform's dialect with their servers and store, under callers: kill, stop, freeze, reload, servers that return as other instances, entries that vanish, evacuations, a store that fails, new configurations. Scaffolding that session_platform had moves to tests/platform_lib.sh.

Without the handler, at the start and after the end of the loop, the default action holds. The signal is ignored from the first step of the start on. In the few milliseconds before main nothing can keep it off, so the soak sends signals to daemons that have started.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -464,6 +464,8 @@
 
 	node->settings = settings;
 	node->dialect = dialect;
+	/* Without a handler, at the start and the end, it ends the process. */
+	signal(SIGHUP, SIG_IGN);
 	if (sodium_init() < 0) {
 		base_error_set(err, "libsodium cannot be initialised");
 		free(d);
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -4,64 +4,7 @@
 # which failure it guards against.
 BUILD=$1
 . "$(dirname "$0")/lib.sh"
-export BILBERRYHINGE_FLEET_SECRET=$SECRET
-
-# Each machine has a loopback address of its own; ports are equal on all.
-free_port; STORE=127.0.0.1:$PORT
-free_port; P_APP=$PORT
-free_port; P_OUT=$PORT
-free_port; P_READY=$PORT
-free_port; P_PEER=$PORT
-free_port; P_ADMIN=$PORT
-ip_of() { echo "127.0.7.$1"; }
-
-put_item() { # KEY BODY
-	curl -sf -X PUT --data-binary "$2" "http://$STORE/test/item?key=$1" \
-		>/dev/null || fail "the store took no $1"
-}
-
-put_server() { # MACHINE ID SERVICE STATE
-	put_item "servers/$2" "{\"address\":\"$(ip_of "$1"):$P_APP\",
-		\"born\":1700000000000,\"info\":{\"service\":\"$3\",
-		\"version\":\"v1\",\"zone\":\"z$(($1 % 2))\",\"slots\":20},
-		\"status\":{\"state\":\"$4\",\"sequence\":1,
-		\"cold_left\":\"0ms\"}}"
-}
-
-put_config() { # VERSION KEYS RATE
-	put_item op/config "{\"version\":\"$1\",
-	\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",
-	\"timeout\",\"priority\",\"max_attempts\",\"public\",\"service\"],
-	\"rows\":[[\"browse\",\"a.example\",\"/b/\",\"safe\",\"2s\",2,2,false,
-	\"front\"],[\"single\",\"a.example\",\"/s/\",\"safe\",\"1s\",2,1,false,
-	\"front\"],[\"order\",\"a.example\",\"/o/\",\"unsafe\",\"2s\",0,2,
-	false,\"front\"],[\"inner\",\"a.example\",\"/i/\",\"safe\",\"2s\",1,2,
-	true,\"back\"]]},
-	\"services\":{\"columns\":[\"name\",\"health_path\",
-	\"max_connections\",\"cold_start\",\"cold_per_s\"],\"rows\":[
-	[\"front\",\"/health\",100,\"3s\",16],
-	[\"back\",\"/health\",100,\"3s\",16]]},
-	\"limits\":{\"max_header_bytes\":8192,\"header_timeout\":\"3s\",
-	\"idle_timeout\":\"15s\",\"max_body_bytes\":1000000},
-	\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"rate_per_s\",
-	\"burst\"],\"rows\":[[\"t1\",$2,$3,$3]]}}"
-}
-
-start_machine() { # MACHINE SERVICE
-	start "daemon-m$1" "$BIN/bilberryhinged" --dialect=platform \
-		--vm="$(ip_of "$1")" --domain="z$(($1 % 2))" --service="$2" \
-		--caller-listen="$(ip_of "$1"):$P_OUT" \
-		--ready-listen="$(ip_of "$1"):$P_READY" \
-		--peer-listen="$(ip_of "$1"):$P_PEER" \
-		--admin-listen="$(ip_of "$1"):$P_ADMIN" \
-		--onward-listen=127.0.0.1:0 \
-		--backend="$(ip_of "$1"):$P_APP" --platform="$STORE" \
-		--drain-seconds=6s
-}
-
-is_serving() {
-	curl -sf "http://$(ip_of "$1"):$P_READY/-/ready" >/dev/null
-}
+. "$(dirname "$0")/platform_lib.sh"
 
 NEXT=0
 # ask MACHINE METHOD PATH [CURL-ARGS]: sets STATUS, BODY, HEADERS and ID.
--- /dev/null
+++ b/tests/session_soak.sh
@@ -0,0 +1,228 @@
+#!/usr/bin/env bash
+# Random faults of the real processes under load: daemons are killed, stopped,
+# frozen and told to reload, servers end and return as other instances, entries
+# vanish, failure domains are evacuated, the store fails and configurations
+# change, several at a time. Guards against what no single fault shows: a request
+# that runs twice or after a refusal, answers of other requests, refusals without
+# a time to come back, daemons that end by themselves, a fleet that stays broken.
+# SEED=7 SOAK_SECONDS=600 plays others and for longer.
+BUILD=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/platform_lib.sh"
+SEED=${SEED:-1}
+SOAK_SECONDS=${SOAK_SECONDS:-25}
+RANDOM=$SEED
+CALLERS=6
+# Time within which everything is served after the last fault, in seconds.
+RECOVERY=15
+KEY="Authorization: Bearer k1"
+MACHINES=(1 2 3 4 5 6)
+declare -A INSTANCE GENERATION STARTS
+service_of() { [ "$1" -le 4 ] && echo front || echo back; }
+
+start_app() { # MACHINE
+	GENERATION[$1]=$((${GENERATION[$1]:-0} + 1))
+	INSTANCE[$1]=i-$1-${GENERATION[$1]}
+	start "app-$1-${GENERATION[$1]}" "$BIN/fake_app" \
+		"$(ip_of "$1"):$P_APP" "${INSTANCE[$1]}" "$(service_of "$1")"
+	PID_OF[app-$1]=${PID_OF[app-$1-${GENERATION[$1]}]}
+}
+
+delete_item() { curl -sf -X DELETE "http://$STORE/test/item?key=$1" >/dev/null; }
+store_mode() { curl -sf -X PUT "http://$STORE/test/mode?$1" >/dev/null; }
+announce() { put_server "$1" "${INSTANCE[$1]}" "$(service_of "$1")" ready; }
+pause() { sleep "$(($1 / 1000)).$(printf %03d $(($1 % 1000)))"; }
+
+# call CALLER NUMBER: one line of what was asked and what came.
+call() {
+	local id=c$1-$2 path method=GET machine out=$WORK/soak-$1
+	machine=$((($1 + $2) % ${#MACHINES[@]} + 1))
+	case $(($2 % 4)) in
+	0) path=/o/$id method=POST ;;
+	1) path=/b/slow/$id ;;
+	2) path=/i/$id ;;
+	*) path=/b/$id ;;
+	esac
+	curl -s -o "$out.body" -D "$out.head" --max-time 5 -X $method \
+		-H "Host: a.example" -H "X-Request-Id: $id" -H "$KEY" \
+		-H "X-Deadline-Ms: 2000" -w '%{http_code} %{exitcode}' \
+		"http://$(ip_of $machine):$P_OUT$path" >"$out.code"
+	echo "$id $method $path $(cat "$out.code")" \
+		"back=$(grep -ci '^retry-after: [0-9]' "$out.head")" \
+		"body=$(tr ' \n' '_.' <"$out.body" | cut -c1-120)" >>"$out.log"
+}
+
+caller() { # CALLER
+	local n=0
+	while [ ! -e "$WORK/stop" ]; do
+		n=$((n + 1))
+		: >"$WORK/soak-$1.head"
+		: >"$WORK/soak-$1.body"
+		call "$1" $n
+		sleep 0.03
+	done
+}
+
+is_alive() { kill -0 "${PID_OF[$1]}" 2>/dev/null; }
+has_ended() { ! is_alive "$1"; }
+
+has_started() { # MACHINE NUMBER: so many daemons have started there
+	[ "$(grep -c 'event=started' "$WORK/daemon-m$1.err")" -ge "$2" ]
+}
+
+# A signal before the program has begun ends it; no daemon can keep that off.
+start_daemon() {
+	STARTS[$1]=$((${STARTS[$1]:-0} + 1))
+	start_machine "$1" "$(service_of "$1")"
+	wait_for 10 has_started "$1" "${STARTS[$1]}" ||
+		fail "the daemon of machine $1 does not start (seed $SEED)"
+}
+
+# Faults overlap, at most one a machine: what ends the fault of a machine, and
+# when, in milliseconds of the soak.
+declare -A REPAIR REPAIR_AT
+passed_ms() { echo $((${EPOCHREALTIME/./} / 1000 - START_MS)); }
+
+# begin_fault MACHINE: one drawn fault.
+begin_fault() {
+	local m=$1 kind=$((RANDOM % 10)) ms=$((RANDOM % 2000 + 200))
+	echo "fault kind=$kind machine=$m ms=$ms"
+	is_alive "daemon-m$m" || fail "the daemon of machine $m ended by itself"
+	REPAIR_AT[$m]=$(($(passed_ms) + ms))
+	case $kind in
+	0)
+		kill -KILL "${PID_OF[daemon-m$m]}"
+		REPAIR[$m]="start_daemon $m"
+		;;
+	1)
+		kill -TERM "${PID_OF[daemon-m$m]}"
+		REPAIR[$m]="start_stopped $m"
+		;;
+	2)
+		kill -STOP "${PID_OF[daemon-m$m]}"
+		REPAIR[$m]="kill -CONT ${PID_OF[daemon-m$m]}"
+		;;
+	3)
+		kill -HUP "${PID_OF[daemon-m$m]}"
+		;;
+	4)
+		store_mode busy
+		REPAIR[$m]="store_mode up"
+		;;
+	5)
+		store_mode silent
+		REPAIR[$m]="store_mode up"
+		;;
+	6)
+		kill -KILL "${PID_OF[app-$m]}"
+		delete_item "servers/${INSTANCE[$m]}"
+		REPAIR[$m]="restart_app $m"
+		;;
+	7)
+		delete_item "servers/${INSTANCE[$m]}"
+		REPAIR[$m]="announce $m"
+		;;
+	8)
+		put_item "op/evacuate/z$((m % 2))" '{}'
+		REPAIR[$m]="delete_item op/evacuate/z$((m % 2))"
+		;;
+	9)
+		VERSION=$((VERSION + 1))
+		put_config "$(printf %08x $VERSION)" '["k1","k2"]' 1000
+		;;
+	esac
+}
+
+start_stopped() { # MACHINE
+	wait_for 10 has_ended "daemon-m$1" ||
+		fail "machine $1 does not stop (seed $SEED)"
+	start_daemon "$1"
+}
+
+restart_app() { # MACHINE
+	start_app "$1"
+	announce "$1"
+}
+
+# repair MS: ends the faults that are due by then.
+repair() {
+	local m
+	for m in "${!REPAIR[@]}"; do
+		[ "${REPAIR_AT[$m]}" -le "$1" ] || continue
+		${REPAIR[$m]}
+		unset "REPAIR[$m]"
+	done
+}
+
+runs() { cat "$WORK"/app-*.out | grep '^run '; }
+asked() { cat "$WORK"/soak-*.log; }
+
+# none TEXT: fails with the first lines of the input, which should be empty.
+none() {
+	local found
+	found=$(head -5)
+	[ -z "$found" ] || fail "$1 (seed $SEED): $found"
+	echo "ok   no $1"
+}
+
+start store "$BIN/fake_store" "$STORE"
+for m in "${MACHINES[@]}"; do start_app "$m"; done
+wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
+	fail "the store does not listen"
+VERSION=3
+put_config 00000003 '["k1","k2"]' 1000
+for m in "${MACHINES[@]}"; do
+	announce "$m"
+	start_daemon "$m"
+done
+for m in "${MACHINES[@]}"; do
+	wait_for 10 is_serving "$m" || fail "machine $m is not ready"
+done
+sleep 4 # what was cold is warm
+echo "seed $SEED, $SOAK_SECONDS s"
+callers=()
+for c in $(seq $CALLERS); do
+	caller "$c" &
+	callers+=($!)
+done
+START_MS=$((${EPOCHREALTIME/./} / 1000))
+while [ "$(passed_ms)" -lt $((SOAK_SECONDS * 1000)) ]; do
+	m=$((RANDOM % ${#MACHINES[@]} + 1))
+	[ -n "${REPAIR[$m]:-}" ] || begin_fault $m
+	pause $((RANDOM % 700))
+	repair "$(passed_ms)"
+done
+repair $((SOAK_SECONDS * 1000 + 10000))
+
+# All callers are served again: the last 20 calls of each.
+all_served() {
+	local c
+	for c in $(seq $CALLERS); do
+		[ "$(tail -20 "$WORK/soak-$c.log" | grep -c ' 200 0 ')" -eq 20 ] ||
+			return 1
+	done
+}
+wait_for $RECOVERY all_served ||
+	fail "not all are served again (seed $SEED): $(asked | grep -v ' 200 0 ' | tail -5)"
+touch "$WORK/stop"
+wait "${callers[@]}"
+for m in "${MACHINES[@]}"; do
+	is_alive "daemon-m$m" || fail "the daemon of machine $m ended by itself"
+done
+echo "$(asked | grep -c ' 200 0 ') of $(asked | wc -l) calls served"
+
+runs | grep 'method=POST' | sed 's/^run id=\([^ ]*\) .*/\1/' | sort | uniq -d |
+	none "request that is not idempotent and ran twice"
+asked | awk '$2 == "POST" && ($4 == 429 || $4 == 503) { print $1 }' | sort |
+	comm -12 - <(runs | sed 's/^run id=\([^ ]*\) .*/\1/' | sort -u) |
+	none "request that ran and was refused as not run"
+asked | awk '($4 == 429 || $4 == 503) && !/back=1/' |
+	none "refusal without a time to come back"
+asked | awk '$4 == 200 && $5 == 0 && !index($0, "body=" "front_" $3 "") &&
+	!index($0, "body=" "back_" $3 "")' |
+	none "answer of another request"
+runs | sed 's/^run id=\([^ ]*\) .*/\1/' | sort -u |
+	comm -23 - <(asked | awk '{ print $1 }' | sort -u) |
+	none "run that nobody asked for"
+asked | awk '$4 != 200 && $4 != 429 && $4 != 503 && $4 != 502 && $4 != 504 &&
+	$4 != "000"' | none "refusal of a proper request"
