--- /dev/null
+++ b/tests/session_cold_again.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# A server that turns cold while it runs, of which the platform's store knows
+# nothing, gets no more than a cold server bears. Guards against a guard that
+# learns of coldness from the store alone: it was away when the servers of an
+# evacuated failure domain turned cold.
+BUILD=$1
+. "$(dirname "$0")/lib.sh"
+. "$(dirname "$0")/platform_lib.sh"
+KEY="Authorization: Bearer k1"
+# Of the configuration: 16 a second; the users allow 1.5 times that and 5.
+ALLOWED=29
+
+start store "$BIN/fake_store" "$STORE"
+start app-1 "$BIN/fake_app" "$(ip_of 1):$P_APP" i-1 front
+start app-2 "$BIN/fake_app" "$(ip_of 2):$P_APP" i-2 back
+wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
+	fail "the store does not listen"
+put_config 00000003 '["k1"]' 1000
+put_server 1 i-1 front ready
+put_server 2 i-2 back ready
+start_machine 1 front
+start_machine 2 back
+for m in 1 2; do
+	wait_for 10 is_serving $m || fail "machine $m is not ready"
+done
+
+ask_often() { # PREFIX COUNT
+	local n calls=()
+	for n in $(seq "$2"); do
+		curl -s -o /dev/null --max-time 3 -H "Host: a.example" \
+			-H "$KEY" -H "X-Request-Id: $1-$n" \
+			-H "X-Deadline-Ms: 900" \
+			"http://$(ip_of 2):$P_OUT/b/x" &
+		calls+=($!)
+	done
+	wait "${calls[@]}"
+}
+runs_of() { grep -c "^run id=$1-" "$WORK/app-1.out"; }
+
+sleep 4 # what was cold is warm
+ask_often warm 60
+expect "a warm server runs what comes" "$(runs_of warm)" 60
+curl -sf "http://$(ip_of 1):$P_APP/test?cold_ms=3000" >/dev/null
+sleep 0.5
+ask_often cold 60
+count=$(runs_of cold)
+[ "$count" -le $ALLOWED ] ||
+	fail "a server that turned cold ran $count of 60 requests, at most $ALLOWED are allowed"
+echo "ok   a server that turned cold ran $count of 60 requests"
