--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -16,10 +16,8 @@
 	const char *(*feed)(struct base_str input, struct base_rand *rnd);
 };
 
-/** @return NULL when there is no target of that name */
-const struct fuzz_target *fuzz_target_find(const char *name);
-/** The names of all targets, separated by spaces. */
-const char *fuzz_target_names(void);
+/** The targets, one after the other; NULL behind the last. */
+const struct fuzz_target *fuzz_target_at(size_t i);
 
 /** Changes the input at random, mostly in a few places. */
 void fuzz_mutate(struct base_buf *input, struct base_rand *rnd);
--- a/fuzz/main.c
+++ b/fuzz/main.c
@@ -25,6 +25,22 @@
 	size_t count;
 };
 
+static const struct fuzz_target *find_target(const char *name,
+					     struct argp_state *state)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf names = BASE_BUF_INIT;
+	const struct fuzz_target *target;
+	size_t i;
+
+	for (i = 0; (target = fuzz_target_at(i)); i++) {
+		if (!strcmp(target->name, name))
+			return target;
+		base_buf_addf(&names, " %s", target->name);
+	}
+	argp_error(state, "no target '%s', only%s", name, names.ptr);
+	return NULL;
+}
+
 static error_t parse_option(int key, char *arg, struct argp_state *state)
 {
 	struct options *o = state->input;
@@ -44,10 +60,7 @@
 		break;
 	case ARGP_KEY_ARG:
 		if (state->arg_num == 0) {
-			o->target = fuzz_target_find(arg);
-			if (!o->target)
-				argp_error(state, "no target '%s', only %s",
-					   arg, fuzz_target_names());
+			o->target = find_target(arg, state);
 		} else if (state->arg_num == 1) {
 			o->corpus = arg;
 		} else {
--- a/fuzz/targets.c
+++ b/fuzz/targets.c
@@ -129,6 +129,16 @@
 	return problem;
 }
 
+static struct registry_view *make_view(void)
+{
+	struct registry_view_settings settings = {
+		.peer_port = 7000,
+		.region = BASE_STR("region"),
+	};
+
+	return store_view_create(&settings);
+}
+
 static const char *check_snapshot(struct registry_view *view)
 {
 	struct base_digest digest = { { 0 } };
@@ -151,10 +161,6 @@
 /* An answer of the store: its items decode into a snapshot that holds. */
 static const char *feed_store(struct base_str input, struct base_rand *rnd)
 {
-	struct registry_view_settings settings = {
-		.peer_port = 7000,
-		.region = BASE_STR("region"),
-	};
 	struct registry_view *view;
 	struct registry_page page;
 	struct base_error err = { "" };
@@ -163,7 +169,7 @@
 
 	if (!store_codec.page_parse(input, &page, &err))
 		return err.message[0] ? NULL : "a refusal without a reason";
-	view = store_view_create(&settings);
+	view = make_view();
 	for (i = 0; i < page.count; i++) {
 		if (page.items[i].removed)
 			store_view_remove(view, page.items[i].key);
@@ -191,11 +197,7 @@
 /* Items as they are in the registry: key, line feed, value, byte 0x1e. */
 static const char *feed_item(struct base_str input, struct base_rand *rnd)
 {
-	struct registry_view_settings settings = {
-		.peer_port = 7000,
-		.region = BASE_STR("region"),
-	};
-	struct registry_view *view = store_view_create(&settings);
+	struct registry_view *view = make_view();
 	const char *problem = NULL;
 	int64_t revision = 0;
 
@@ -246,17 +248,7 @@
 	{ "vms", feed_vms },
 };
 
-const struct fuzz_target *fuzz_target_find(const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < BASE_ARRAY_SIZE(targets); i++)
-		if (!strcmp(targets[i].name, name))
-			return &targets[i];
-	return NULL;
-}
-
-const char *fuzz_target_names(void)
+const struct fuzz_target *fuzz_target_at(size_t i)
 {
-	return "request answer peer store item manifest vms";
+	return i < BASE_ARRAY_SIZE(targets) ? &targets[i] : NULL;
 }
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -89,7 +89,7 @@
 
 	if (d->guard_closed || past < node->dialect->callers_leave_us ||
 	    (node->dialect->callers_leave_us &&
-	     past < node->settings->drain_us - FLUSH_US - FINISH_US &&
+	     now < node->work_ends_at - FINISH_US &&
 	     is_last_of_service(node, now)))
 		return;
 	d->guard_closed = true;
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -13,28 +13,25 @@
  */
 #define LEAST_WORK_US (500 * BASE_MS_US)
 
-static void refuse(struct flow *f, enum http_refusal refusal,
-		   const char *detail, int64_t now)
+/* With 0 the caller hears the usual time to come back. */
+static void refuse_until(struct flow *f, enum http_refusal refusal,
+			 int64_t retry_after_us, const char *detail,
+			 int64_t now)
 {
 	struct flow_refusal r = {
 		.refusal = refusal,
 		.not_run = true,
+		.retry_after_us = retry_after_us,
 		.detail = detail,
 	};
 
 	flow_refuse(f, &r, now);
 }
 
-static void refuse_stopping(struct flow *f, int64_t now)
+static void refuse(struct flow *f, enum http_refusal refusal,
+		   const char *detail, int64_t now)
 {
-	struct flow_refusal r = {
-		.refusal = HTTP_REFUSAL_DRAINING,
-		.not_run = true,
-		.retry_after_us = FLOW_RESTART_US,
-		.detail = "the daemon stops before the request would end",
-	};
-
-	flow_refuse(f, &r, now);
+	refuse_until(f, refusal, 0, detail, now);
 }
 
 static struct base_str header(const struct flow *f, const char *name)
@@ -197,7 +194,9 @@
 		return false;
 	}
 	if (!ends_before_stop(f, now)) {
-		refuse_stopping(f, now);
+		refuse_until(f, HTTP_REFUSAL_DRAINING, FLOW_RESTART_US,
+			     "the daemon stops before the request would end",
+			     now);
 		return false;
 	}
 	return check_idempotency_key(f, now);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -277,6 +277,12 @@
 	return route->timeout_us;
 }
 
+static void note_took(struct flow *f, int64_t took, int64_t now)
+{
+	routing_took(f->node->routing, f->server, roster_hash(f->route->name),
+		     took, now);
+}
+
 /* A refusal for overload, which is quick, says nothing about the server. */
 static void note_time(struct flow *f, const struct peer_answer *answer, bool ok,
 		      int64_t now)
@@ -288,8 +294,7 @@
 		return;
 	if (!ok && took < allowed)
 		took = allowed;
-	routing_took(f->node->routing, f->server, roster_hash(f->route->name),
-		     took, now);
+	note_took(f, took, now);
 }
 
 void flow_on_answer(struct flow *f, const struct peer_answer *answer,
@@ -331,11 +336,9 @@
 
 void flow_on_silent(struct flow *f, int64_t now)
 {
-	struct node *node = f->node;
-	uint32_t service = roster_service_id(node->roster, f->service->name);
-
 	if (f->state != FLOW_SENT ||
-	    !routing_has_other(node->routing, service, f->server, now) ||
+	    !routing_has_other(f->node->routing, flow_service_id(f), f->server,
+			       now) ||
 	    !flow_decide_resend(f, now))
 		return;
 	flow_log_try(f, &lost_answer, "resend");
@@ -492,14 +495,15 @@
 					  : HTTP_REFUSAL_NO_SERVER;
 }
 
-int64_t flow_usual_us(const struct flow *f)
+uint32_t flow_service_id(const struct flow *f)
 {
-	const struct node *node = f->node;
+	return roster_service_id(f->node->roster, f->service->name);
+}
 
-	return routing_quickest_us(
-		node->routing,
-		roster_service_id(node->roster, f->service->name),
-		roster_hash(f->route->name));
+int64_t flow_usual_us(const struct flow *f)
+{
+	return routing_quickest_us(f->node->routing, flow_service_id(f),
+				   roster_hash(f->route->name));
 }
 
 void flow_route(struct flow *f, int64_t now)
@@ -507,7 +511,7 @@
 	struct node *node = f->node;
 	const struct config_vm *vm;
 	struct routing_query query = {
-		.service = roster_service_id(node->roster, f->service->name),
+		.service = flow_service_id(f),
 		.excluded = f->tried,
 		.excluded_len = f->tries,
 		.avoid_trial = !f->route->idempotent,
@@ -549,9 +553,7 @@
 	if (f->state == FLOW_RATE_WAITING)
 		rate_link_cancel(f->node->rate_link, f->account, f->id);
 	if (!not_run)
-		routing_took(f->node->routing, f->server,
-			     roster_hash(f->route->name), now - f->sent_at,
-			     now);
+		note_took(f, now - f->sent_at, now);
 	cancel_try(f, now);
 	refuse_plain(f, HTTP_REFUSAL_DEADLINE, not_run, 0,
 		     not_run ? "out of time before it was sent"
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -120,6 +120,8 @@
 void flow_answer(struct flow *f, const struct peer_answer *answer, int64_t now);
 /** Sends the request to a server, or refuses it when there is none. */
 void flow_route(struct flow *f, int64_t now);
+/** The flow's service, as the routing table knows it. */
+uint32_t flow_service_id(const struct flow *f);
 /** Average time of the route at the quickest server; 0 when not known. */
 int64_t flow_usual_us(const struct flow *f);
 /** The present try ended with this answer; retries or ends the flow. */
--- a/packages/daemon/flow_retry.c
+++ b/packages/daemon/flow_retry.c
@@ -41,7 +41,7 @@
 
 static struct entry_budget *service_budget(struct flow *f)
 {
-	uint32_t service = roster_service_id(f->node->roster, f->service->name);
+	uint32_t service = flow_service_id(f);
 	struct entry_budget *b;
 
 	HASH_FIND(hh, f->entry->budgets, &service, sizeof(service), b);
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -1,6 +1,8 @@
 /* Tests of the HTTP package against real sockets on loopback. */
 #include "http.h"
 
+#include "sockets.h"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <event2/event.h>
@@ -208,17 +210,6 @@
 	event_base_dispatch(base);
 }
 
-static int connect_raw(const char *address)
-{
-	struct sockaddr_storage addr;
-	socklen_t len;
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	http_address_parse(base_str_from(address), &addr, &len, NULL);
-	cr_assert(eq(int, connect(fd, (struct sockaddr *)&addr, len), 0));
-	return fd;
-}
-
 /* Guards against a daemon that ends while a caller still reads its answer. */
 Test(server, knows_of_replies_that_are_not_read_yet)
 {
@@ -231,7 +222,7 @@
 
 	setup(&f);
 	f.hold = true;
-	fd = connect_raw(http_server_address(f.server));
+	fd = test_connect(http_server_address(f.server));
 	cr_assert(gt(int, (int)write(fd, request, sizeof(request) - 1), 0));
 	event_base_dispatch(f.base);
 	http_exchange_reply(f.held, 200, NULL,
--- a/packages/http/tests/test_strict.c
+++ b/packages/http/tests/test_strict.c
@@ -1,6 +1,8 @@
 /* Requests and answers that two readers may take differently. */
 #include "http.h"
 
+#include "sockets.h"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <event2/event.h>
@@ -49,22 +51,11 @@
 	event_base_free(s->base);
 }
 
-static int connect_to(const char *address)
-{
-	struct sockaddr_storage addr;
-	socklen_t len;
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	http_address_parse(base_str_from(address), &addr, &len, NULL);
-	cr_assert(eq(int, connect(fd, (struct sockaddr *)&addr, len), 0));
-	return fd;
-}
-
 /* Sends bytes and returns the status of the first answer, 0 without one. */
 static int exchange(struct strict *s, const void *bytes, size_t len)
 {
 	struct timeval settle = { .tv_usec = SETTLE_US };
-	int fd = connect_to(http_server_address(s->server));
+	int fd = test_connect(http_server_address(s->server));
 	char answer[4096] = "";
 	int status = 0;
 
@@ -218,7 +209,7 @@
 
 	setup(&s);
 	http_server_set_limits(s.server, &limits);
-	fd = connect_to(http_server_address(s.server));
+	fd = test_connect(http_server_address(s.server));
 	cr_assert(eq(long, (long)write(fd, "GET /", 5), 5L));
 	event_base_loopexit(s.base, &wait);
 	event_base_dispatch(s.base);
@@ -369,13 +360,9 @@
 	event_base_free(got.base);
 }
 
-/* Guards against a rejection that is waited for to the end of the time. */
-Test(strict, takes_a_rejection_without_an_id)
+/* What comes of one request to a backend server with these answers. */
+static struct got ask_backend(const char *const *answers)
 {
-	static const char *const answers[] = {
-		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
-		NULL,
-	};
 	struct got got = { .base = event_base_new() };
 	struct http_client *client;
 	struct backend b;
@@ -383,11 +370,23 @@
 	backend_start(&b, got.base, answers);
 	client = make_client(got.base, b.address);
 	ask(client, &got, "1");
-	cr_assert(eq(int, got.result, HTTP_RESULT_ANSWERED));
-	cr_assert(eq(int, got.status, 421));
 	http_client_destroy(client);
 	backend_stop(&b);
 	event_base_free(got.base);
+	return got;
+}
+
+/* Guards against a rejection that is waited for to the end of the time. */
+Test(strict, takes_a_rejection_without_an_id)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+		NULL,
+	};
+	struct got got = ask_backend(answers);
+
+	cr_assert(eq(int, got.result, HTTP_RESULT_ANSWERED));
+	cr_assert(eq(int, got.status, 421));
 }
 
 /* Guards against bytes behind an answer that meet the next request. */
@@ -423,15 +422,7 @@
 		"Content-Length: 5\r\n\r\noneHTTP",
 		NULL,
 	};
-	struct got got = { .base = event_base_new() };
-	struct http_client *client;
-	struct backend b;
+	struct got got = ask_backend(answers);
 
-	backend_start(&b, got.base, answers);
-	client = make_client(got.base, b.address);
-	ask(client, &got, "1");
 	cr_assert(eq(int, got.result, HTTP_RESULT_INVALID));
-	http_client_destroy(client);
-	backend_stop(&b);
-	event_base_free(got.base);
 }
--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -60,3 +60,8 @@
 	curl -sf "http://$(ip_of "$1"):$P_READY/-/ready" >/dev/null
 }
 
+start_store() {
+	start store "$BIN/fake_store" "$STORE"
+	wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
+		fail "the store does not listen"
+}
--- a/tests/session_cold_again.sh
+++ b/tests/session_cold_again.sh
@@ -10,11 +10,9 @@
 # Of the configuration: 16 a second; the users allow 1.5 times that and 5.
 ALLOWED=29
 
-start store "$BIN/fake_store" "$STORE"
+start_store
 start app-1 "$BIN/fake_app" "$(ip_of 1):$P_APP" i-1 front
 start app-2 "$BIN/fake_app" "$(ip_of 2):$P_APP" i-2 back
-wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
-	fail "the store does not listen"
 put_config 00000003 '["k1"]' 1000
 put_server 1 i-1 front ready
 put_server 2 i-2 back ready
--- a/tests/session_platform.sh
+++ b/tests/session_platform.sh
@@ -29,14 +29,12 @@
 	[ "$STATUS" = "$2" ]
 }
 
-start store "$BIN/fake_store" "$STORE"
+start_store
 for m in 1 2 3 4; do
 	service=front
 	[ "$m" -le 2 ] || service=back
 	start "app-$m" "$BIN/fake_app" "$(ip_of $m):$P_APP" "i-$m" $service
 done
-wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
-	fail "the store does not listen"
 for m in 1 2; do start_machine $m front; done
 for m in 3 4; do start_machine $m back; done
 KEY="Authorization: Bearer k1"
--- a/tests/session_soak.sh
+++ b/tests/session_soak.sh
@@ -165,10 +165,8 @@
 	echo "ok   no $1"
 }
 
-start store "$BIN/fake_store" "$STORE"
+start_store
 for m in "${MACHINES[@]}"; do start_app "$m"; done
-wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
-	fail "the store does not listen"
 VERSION=3
 put_config 00000003 '["k1","k2"]' 1000
 for m in "${MACHINES[@]}"; do
