Log the rate limit that a backend server states and its end

Change: the guard reads the header from answers of its server, health checks included, logs backend_rate_limited and backend_rate_limit_ended and counts both changes and unreadable values. Answers overtake each other, so only one whose request was sent after the limit was last stated ends it. No decision changes.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -79,6 +79,12 @@
  * @return false when it is empty, has other characters or is out of range
  */
 bool base_str_to_i64(struct base_str s, int64_t *out);
+/**
+ * Parses a non-negative decimal number such as "12" or "0.5", without sign and
+ * exponent.
+ * @return false, with *out unchanged, for any other text
+ */
+bool base_str_to_decimal(struct base_str s, double *out);
 
 /**
  * A growable byte buffer that owns its memory. It is NUL-terminated after the
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <errno.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -68,6 +69,33 @@
 	return true;
 }
 
+bool base_str_to_decimal(struct base_str s, double *out)
+{
+	double value = 0;
+	double unit = 1;
+	bool fraction = false;
+	bool digits = false;
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		if (s.ptr[i] == '.' && digits && !fraction) {
+			fraction = true;
+			digits = false;
+			continue;
+		}
+		if (s.ptr[i] < '0' || s.ptr[i] > '9')
+			return false;
+		digits = true;
+		unit /= fraction ? 10 : 1;
+		value = fraction ? value + unit * (s.ptr[i] - '0')
+				 : value * 10 + (s.ptr[i] - '0');
+	}
+	if (!digits || !isfinite(value))
+		return false;
+	*out = value;
+	return true;
+}
+
 void base_buf_release(struct base_buf *buf)
 {
 	free(buf->ptr);
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -10,6 +10,7 @@
 Test(str, parses_whole_decimal_numbers_only)
 {
 	int64_t v = 0;
+	double d = 0;
 
 	cr_assert(base_str_to_i64(BASE_STR("-42"), &v));
 	cr_assert(eq(i64, v, -42));
@@ -17,6 +18,16 @@
 	cr_assert(not(base_str_to_i64(BASE_STR(" 12"), &v)));
 	cr_assert(not(base_str_to_i64(BASE_STR(""), &v)));
 	cr_assert(not(base_str_to_i64(BASE_STR("9223372036854775808"), &v)));
+	cr_assert(base_str_to_decimal(BASE_STR("11.25"), &d));
+	cr_assert(epsilon_eq(dbl, d, 11.25, 1e-9));
+	cr_assert(base_str_to_decimal(BASE_STR("3"), &d));
+	cr_assert(epsilon_eq(dbl, d, 3, 1e-9));
+	cr_assert(not(base_str_to_decimal(BASE_STR(""), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR("-1"), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR("1."), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR(".5"), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR("1e3"), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR("1.2.3"), &d)));
 }
 
 Test(buf, grows_and_stays_terminated)
--- a/packages/daemon/backend_health.c
+++ b/packages/daemon/backend_health.c
@@ -14,6 +14,7 @@
 	struct http_client *client;
 	struct http_call *call;
 	struct event *timer;
+	int64_t sent_at;
 	backend_health_cb cb;
 	void *ctx;
 };
@@ -38,7 +39,7 @@
 {
 	struct backend_health *h = ctx;
 	const struct dialect_headers *names = &h->node->dialect->headers;
-	struct backend_health_report report = { 0 };
+	struct backend_health_report report = { .sent_at = h->sent_at };
 	int64_t cold_ms = 0;
 
 	h->call = NULL;
@@ -46,6 +47,7 @@
 		schedule_check(h);
 		return;
 	}
+	report.headers = &answer->headers;
 	report.instance = find_header(answer, names->instance);
 	if (base_str_to_i64(find_header(answer, names->cold_ms), &cold_ms))
 		report.cold_us = cold_ms * BASE_MS_US;
@@ -64,6 +66,7 @@
 		return;
 	request.path = node->self->service->health_path;
 	node_counter_add(node, "backend_checks");
+	h->sent_at = base_now_us();
 	h->call = http_client_send(h->client, &request, CHECK_TIMEOUT_US,
 				   on_answer, h);
 	if (!h->call)
--- a/packages/daemon/backend_health.h
+++ b/packages/daemon/backend_health.h
@@ -16,6 +16,9 @@
 	struct base_str instance;
 	/** Time for which the server stays cold; 0 when it is warm. */
 	int64_t cold_us;
+	const struct http_headers *headers;
+	/** When the check was sent. */
+	int64_t sent_at;
 };
 
 /** @return false to repeat the check, when another server has answered */
--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -117,6 +117,13 @@
 	 * cold, in milliseconds.
 	 */
 	const char *cold_ms;
+	/**
+	 * In answers of a backend server in need: requests a second that it
+	 * takes from all VMs together, as a decimal number.
+	 */
+	const char *rate_limit;
+	/** In answers of a backend server that leaves: 1. */
+	const char *leaving;
 	/**
 	 * In requests to backend servers: token of the request, which the
 	 * server repeats in its onward calls.
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -84,8 +84,11 @@
 	if (!g->overload || !node->self ||
 	    !is_expected_instance(g, report->instance))
 		return false;
+	if (!base_str_equal(base_buf_str(&g->instance), report->instance))
+		guard_clear_notices(g, now);
 	base_buf_reset(&g->instance);
 	base_buf_add_str(&g->instance, report->instance);
+	guard_read_notices(g, report->headers, report->sent_at, now);
 	overload_guard_server_ready(g->overload, report->cold_us, now);
 	line = base_log_begin(node->log, BASE_LOG_INFO, "backend_ready");
 	base_log_str(&line, "instance", report->instance);
@@ -167,6 +170,9 @@
 	struct guard_failure failure;
 
 	w->call = NULL;
+	if (result == HTTP_RESULT_RESPONSE &&
+	    http->status != STATUS_MISDIRECTED)
+		guard_read_notices(g, &http->headers, w->sent_at, now);
 	if (result == HTTP_RESULT_RESPONSE && proves_not_run(g, http)) {
 		finish_not_run(w, http, now);
 		return;
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -52,6 +52,15 @@
 	UT_hash_handle hh_token;
 };
 
+/** What the backend server has stated about itself in its answers. */
+struct guard_notices {
+	bool has_rate_limit;
+	/** Requests a second that it takes from all VMs together. */
+	double rate_limit_per_s;
+	/** When an answer last stated a rate limit. */
+	int64_t rate_limit_stated_at;
+};
+
 struct guard {
 	struct node *node;
 	/** NULL until the local VM is in a snapshot. */
@@ -61,6 +70,7 @@
 	struct backend_health *health;
 	/** Instance id of the backend server that work is sent to. */
 	struct base_buf instance;
+	struct guard_notices notices;
 	/** The local failure domain was out in the last snapshot. */
 	bool domain_out;
 	/** The daemon stops; new work is refused. */
@@ -106,6 +116,15 @@
 /** The same for a work item that has certainly not run. */
 void guard_work_fail_not_run(struct guard_work *w, enum http_refusal refusal,
 			     int64_t retry_after_us, int64_t now);
+/**
+ * Reads what the backend server states about itself in the headers of an
+ * answer, health checks included.
+ * @param sent_at  when the request of the answer was sent
+ */
+void guard_read_notices(struct guard *g, const struct http_headers *headers,
+			int64_t sent_at, int64_t now);
+/** Forgets the statements, as another instance of the server answers now. */
+void guard_clear_notices(struct guard *g, int64_t now);
 /** Relays a complete answer of the backend server and frees the work item. */
 void guard_work_answer(struct guard_work *w, const struct http_response *http,
 		       int64_t now);
