--- a/fakes/app.c
+++ b/fakes/app.c
@@ -2,8 +2,8 @@
  * Stand-in for an application server of the users' platform. Prints a line for
  * each request that it runs:
  *
- *     run id=ID service=SERVICE tenant=TENANT caller=CALLER method=M path=P
- *     key=AUTHORIZATION
+ *     run id=ID at=MS service=SERVICE tenant=TENANT caller=CALLER method=M
+ *     path=P key=AUTHORIZATION
  *
  * Segments of the path select the behaviour:
  *
@@ -13,12 +13,14 @@
  *                 with /slow/ after 600 ms
  *
  * GET /test?id=ID&service=S&cold_ms=MS sets the instance id, the service and
- * the cold-start time, as after a restart.
+ * the cold-start time, as after a restart; limit=PER_S and leaving=1 are stated
+ * in all responses until they are set to empty values.
  */
 #include "fake.h"
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -30,6 +32,8 @@
 	char id[64];
 	char service[64];
 	char cold_ms[16];
+	char limit[16];
+	char leaving[16];
 };
 
 struct job {
@@ -49,20 +53,29 @@
 
 static void print_run(const struct app *app, evhtp_request_t *req)
 {
-	printf("run id=%s service=%s tenant=%s caller=%s method=%s path=%s "
-	       "key=%s\n",
-	       header_or_dash(req, "X-Request-Id"), app->service,
-	       header_or_dash(req, "X-Tenant"),
+	printf("run id=%s at=%" PRId64 " service=%s tenant=%s caller=%s "
+	       "method=%s path=%s key=%s\n",
+	       header_or_dash(req, "X-Request-Id"), base_now_us() / BASE_MS_US,
+	       app->service, header_or_dash(req, "X-Tenant"),
 	       header_or_dash(req, "X-Caller-Service"),
 	       htparser_get_methodstr_m(req->method), req->uri->path->full,
 	       header_or_dash(req, "Authorization"));
 	fflush(stdout);
 }
 
+static void add_notices(const struct app *app, evhtp_request_t *req)
+{
+	if (*app->limit)
+		fake_add_header(req, "Server-Limit", app->limit);
+	if (*app->leaving)
+		fake_add_header(req, "Server-Leaving", app->leaving);
+}
+
 static void reply_ok(struct app *app, evhtp_request_t *req)
 {
 	struct base_buf body = BASE_BUF_INIT;
 
+	add_notices(app, req);
 	fake_add_header(req, "X-Request-Id",
 			header_or_dash(req, "X-Request-Id"));
 	fake_add_header(req, "X-Server-Seal", app->id);
@@ -161,18 +174,22 @@
 		reply_ok(app, req);
 }
 
-static void configure(struct app *app, evhtp_request_t *req)
+static void set_parameter(evhtp_request_t *req, const char *name, char *value,
+			  size_t size)
 {
-	const char *id = evhtp_kv_find(req->uri->query, "id");
-	const char *service = evhtp_kv_find(req->uri->query, "service");
-	const char *cold = evhtp_kv_find(req->uri->query, "cold_ms");
+	const char *text = evhtp_kv_find(req->uri->query, name);
 
-	if (id)
-		snprintf(app->id, sizeof(app->id), "%s", id);
-	if (service)
-		snprintf(app->service, sizeof(app->service), "%s", service);
-	if (cold)
-		snprintf(app->cold_ms, sizeof(app->cold_ms), "%s", cold);
+	if (text)
+		snprintf(value, size, "%s", text);
+}
+
+static void configure(struct app *app, evhtp_request_t *req)
+{
+	set_parameter(req, "id", app->id, sizeof(app->id));
+	set_parameter(req, "service", app->service, sizeof(app->service));
+	set_parameter(req, "cold_ms", app->cold_ms, sizeof(app->cold_ms));
+	set_parameter(req, "limit", app->limit, sizeof(app->limit));
+	set_parameter(req, "leaving", app->leaving, sizeof(app->leaving));
 	fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
 }
 
@@ -188,6 +205,7 @@
 		fake_add_header(req, "X-Instance-Id", app->id);
 		if (*app->cold_ms)
 			fake_add_header(req, "X-Cold-Ms", app->cold_ms);
+		add_notices(app, req);
 		fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
 	} else if (strcmp(expected, app->id) != 0) {
 		fake_add_header(req, "X-Instance-Id", app->id);
