Start work no faster than the backend server states

Cause: no part of the daemon read the rate. Class of fault: a guard that derives the load its server bears from its own measurements only.

Ruled out: a limit lost with the guard's restart (the excess began before it, and health checks carry the limit) and excess by retries.

Change: the guard, the only process that sends work to its server, limits starts by a token bucket with the stated rate, on top of the other limits. It reports the work that the rate sustains as its limit, so that entries prefer servers with headroom and its queue stays short. The bucket is the one of the cold start ramp, taken out into bucket.c.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -85,7 +85,7 @@
 	    !is_expected_instance(g, report->instance))
 		return false;
 	if (!base_str_equal(base_buf_str(&g->instance), report->instance))
-		guard_clear_notices(g, now);
+		guard_clear_notices(g);
 	base_buf_reset(&g->instance);
 	base_buf_add_str(&g->instance, report->instance);
 	guard_read_notices(g, report->headers, report->sent_at, now);
--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -20,18 +20,19 @@
 		return;
 	n->has_rate_limit = true;
 	n->rate_limit_per_s = per_s;
+	overload_guard_set_stated_rate(g->overload, per_s, now);
 	node_counter_add(g->node, "backend_rate_limits");
 	log_rate_limit(g, "backend_rate_limited", per_s);
 }
 
-static void end_rate_limit(struct guard *g, int64_t now)
+static void end_rate_limit(struct guard *g)
 {
-	(void)now;
 	if (!g->notices.has_rate_limit)
 		return;
 	log_rate_limit(g, "backend_rate_limit_ended",
 		       g->notices.rate_limit_per_s);
 	g->notices.has_rate_limit = false;
+	overload_guard_clear_stated_rate(g->overload);
 }
 
 void guard_read_notices(struct guard *g, const struct http_headers *headers,
@@ -53,11 +54,11 @@
 	 * the limit was last stated shows that the server no longer states it.
 	 */
 	else if (sent_at > g->notices.rate_limit_stated_at)
-		end_rate_limit(g, now);
+		end_rate_limit(g);
 }
 
-void guard_clear_notices(struct guard *g, int64_t now)
+void guard_clear_notices(struct guard *g)
 {
-	end_rate_limit(g, now);
+	end_rate_limit(g);
 	g->notices = (struct guard_notices){ 0 };
 }
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -124,7 +124,7 @@
 void guard_read_notices(struct guard *g, const struct http_headers *headers,
 			int64_t sent_at, int64_t now);
 /** Forgets the statements, as another instance of the server answers now. */
-void guard_clear_notices(struct guard *g, int64_t now);
+void guard_clear_notices(struct guard *g);
 /** Relays a complete answer of the backend server and frees the work item. */
 void guard_work_answer(struct guard_work *w, const struct http_response *http,
 		       int64_t now);
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -1,9 +1,11 @@
 /* The guard: combines limiter, queue, cold start ramp and cutoff. */
+#include "bucket.h"
 #include "cutoff.h"
 #include "queue.h"
 #include "ramp.h"
 
 #include <assert.h>
+#include <math.h>
 #include <uthash.h>
 
 /*
@@ -12,6 +14,11 @@
  */
 #define SHED_QUEUE_DIVISOR 8
 #define SERVICE_TIME_GAIN 0.05
+/*
+ * With a stated rate, at least the work of this time may be in flight. Requests
+ * to a fast server would otherwise be refused when a short wait serves them.
+ */
+#define STATED_RATE_MIN_TIME_US (250 * BASE_MS_US)
 #define RETRY_AFTER_MIN_US (100 * BASE_MS_US)
 #define RETRY_AFTER_MAX_US (2 * BASE_SECOND_US)
 
@@ -47,6 +54,9 @@
 	struct work_id *probes;
 	/* Average time in the backend server; 0 if unknown. */
 	double service_time_us;
+	/* The server states a rate; it limits the starts. */
+	bool has_stated_rate;
+	struct overload_bucket stated_starts;
 	int64_t now;
 	bool draining;
 };
@@ -161,7 +171,8 @@
 	overload_ramp_configure(&guard->ramp, config);
 }
 
-uint32_t overload_guard_limit(const struct overload_guard *guard, int64_t now)
+static uint32_t concurrency_limit(const struct overload_guard *guard,
+				  int64_t now)
 {
 	uint32_t limit =
 		min_u32(guard->config.slots, guard->config.connections);
@@ -170,6 +181,28 @@
 	return min_u32(limit, overload_ramp_limit(&guard->ramp, now));
 }
 
+/*
+ * A stated rate sustains as much work in flight as starts during the service
+ * time. With the whole concurrency limit as its capacity, the server would
+ * look idle to the entries, and its queue would take far longer to empty.
+ */
+uint32_t overload_guard_limit(const struct overload_guard *guard, int64_t now)
+{
+	uint32_t limit = concurrency_limit(guard, now);
+	double time_us = guard->service_time_us;
+	double sustained;
+
+	if (!guard->has_stated_rate)
+		return limit;
+	if (time_us < STATED_RATE_MIN_TIME_US)
+		time_us = STATED_RATE_MIN_TIME_US;
+	sustained = ceil(guard->stated_starts.rate_per_s * time_us /
+			 BASE_SECOND_US);
+	if (sustained < 1)
+		sustained = 1;
+	return sustained < limit ? (uint32_t)sustained : limit;
+}
+
 static void update_cutoff(struct overload_guard *guard)
 {
 	struct overload_load load = {
@@ -221,9 +254,13 @@
 static int64_t retry_after_us(struct overload_guard *guard)
 {
 	uint32_t limit = overload_guard_limit(guard, guard->now);
-	double wait_us =
-		guard->service_time_us *
-		(1 + (double)overload_queue_length(guard->queue) / limit);
+	double time_us = guard->service_time_us;
+	double wait_us;
+
+	if (guard->has_stated_rate && time_us < STATED_RATE_MIN_TIME_US)
+		time_us = STATED_RATE_MIN_TIME_US;
+	wait_us = time_us *
+		  (1 + (double)overload_queue_length(guard->queue) / limit);
 
 	if (wait_us < RETRY_AFTER_MIN_US)
 		wait_us = RETRY_AFTER_MIN_US;
@@ -268,8 +305,14 @@
 	return false;
 }
 
+/*
+ * Whether there is idempotent work that could make room for non-idempotent
+ * work. What runs already occupies slots, but no part of a stated rate.
+ */
 static bool holds_idempotent_work(const struct overload_guard *guard)
 {
+	if (guard->has_stated_rate)
+		return overload_queue_idempotent_length(guard->queue) > 0;
 	return guard->idempotent_in_flight ||
 	       overload_queue_idempotent_length(guard->queue);
 }
@@ -291,15 +334,22 @@
 	return true;
 }
 
+static bool may_start_by_stated_rate(const struct overload_guard *guard)
+{
+	return !guard->has_stated_rate ||
+	       overload_bucket_has_token(&guard->stated_starts, guard->now);
+}
+
 static bool next_start(struct overload_guard *guard,
 		       struct overload_action *action)
 {
-	uint32_t limit = overload_guard_limit(guard, guard->now);
+	uint32_t limit = concurrency_limit(guard, guard->now);
 	struct overload_work work;
 	struct running *run;
 
 	if (guard->in_flight >= limit ||
 	    !overload_ramp_may_start(&guard->ramp, guard->now) ||
+	    !may_start_by_stated_rate(guard) ||
 	    !overload_queue_pop(guard->queue, guard->now, &work))
 		return false;
 	HASH_FIND(hh, guard->running, &work.id, sizeof(work.id), run);
@@ -314,6 +364,8 @@
 	HASH_ADD(hh, guard->running, id, sizeof(run->id), run);
 	overload_cutoff_count_started(&guard->cutoff);
 	overload_ramp_work_started(&guard->ramp, guard->now);
+	if (guard->has_stated_rate)
+		overload_bucket_take(&guard->stated_starts, guard->now);
 	*action = (struct overload_action){ .type = OVERLOAD_ACTION_START,
 					    .id = work.id };
 	return true;
@@ -448,9 +500,28 @@
 	overload_ramp_server_ready(&guard->ramp, cold_us, now);
 }
 
+void overload_guard_set_stated_rate(struct overload_guard *guard,
+				    double rate_per_s, int64_t now)
+{
+	now = advance_clock(guard, now);
+	assert(rate_per_s >= 0);
+	if (!guard->has_stated_rate) {
+		guard->stated_starts.rate_per_s = rate_per_s;
+		overload_bucket_fill(&guard->stated_starts, now);
+	}
+	overload_bucket_set_rate(&guard->stated_starts, rate_per_s, now);
+	guard->has_stated_rate = true;
+}
+
+void overload_guard_clear_stated_rate(struct overload_guard *guard)
+{
+	guard->has_stated_rate = false;
+}
+
 bool overload_guard_is_held(const struct overload_guard *guard)
 {
-	return guard->ramp.cold_rate_per_s > 0 && guard->ramp.unavailable;
+	return guard->ramp.cold_starts.rate_per_s > 0 &&
+	       guard->ramp.unavailable;
 }
 
 void overload_guard_resumed(struct overload_guard *guard, int64_t paused_us,
@@ -490,8 +561,9 @@
 }
 
 /*
- * The earliest of the next deadline decision, the next cutoff update and, while
- * work waits for a cold server, the next millisecond.
+ * The earliest of the next deadline decision, the next cutoff update, the next
+ * start that a stated rate permits and, while work waits for a cold server, the
+ * next millisecond.
  */
 int64_t overload_guard_next_timer_at(const struct overload_guard *guard)
 {
@@ -506,6 +578,12 @@
 			earliest = guard->now + BASE_MS_US;
 		at = earliest < at ? earliest : at;
 	}
+	if (overload_queue_length(guard->queue) && guard->has_stated_rate &&
+	    !may_start_by_stated_rate(guard)) {
+		earliest = overload_bucket_next_token_at(&guard->stated_starts,
+							 guard->now);
+		at = earliest < at ? earliest : at;
+	}
 	if (overload_queue_length(guard->queue) &&
 	    overload_ramp_is_cold(&guard->ramp, guard->now)) {
 		earliest = guard->now + BASE_MS_US;
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -235,6 +235,15 @@
  */
 void overload_guard_server_ready(struct overload_guard *guard, int64_t cold_us,
 				 int64_t now);
+/**
+ * The backend server states how many requests a second it takes. The rate
+ * limits the starts of work in addition to all other limits.
+ * @param rate_per_s  not negative; with 0, no work starts after a first burst
+ */
+void overload_guard_set_stated_rate(struct overload_guard *guard,
+				    double rate_per_s, int64_t now);
+/** The backend server no longer states a rate. */
+void overload_guard_clear_stated_rate(struct overload_guard *guard);
 /** Returns whether starts are suspended, see overload_guard_hold(). */
 bool overload_guard_is_held(const struct overload_guard *guard);
 /**
@@ -254,8 +263,9 @@
 uint32_t overload_guard_in_flight(const struct overload_guard *guard);
 uint32_t overload_guard_queued(const struct overload_guard *guard);
 /**
- * Returns the concurrency limit at @p now: the smallest of the slots, the
- * connections and the limits of the limiter and of the cold start ramp.
+ * Returns the work that can be in flight at @p now: the smallest of the slots,
+ * the connections, the limits of the limiter and of the cold start ramp, and
+ * what a stated rate sustains. At least 1.
  */
 uint32_t overload_guard_limit(const struct overload_guard *guard, int64_t now);
 /** Returns whether the server has not finished warming up after a start. */
--- a/packages/overload/ramp.c
+++ b/packages/overload/ramp.c
@@ -29,7 +29,13 @@
 				   ? config->cold_slots
 				   : config->slots;
 	ramp->cold_us = config->cold_us;
-	ramp->cold_rate_per_s = config->cold_rate_per_s;
+	ramp->cold_starts.rate_per_s = config->cold_rate_per_s;
+}
+
+/* The server reports itself whether it is cold. */
+static bool has_cold_rate(const struct overload_ramp *ramp)
+{
+	return ramp->cold_starts.rate_per_s > 0;
 }
 
 /* Treats the server as cold from now on. */
@@ -58,28 +64,6 @@
 	ramp->next_trial_at = now + TRIAL_INTERVAL_US;
 }
 
-/* The burst of a cold server is its rate times this duration. */
-#define COLD_BURST_S 0.25
-/* Lower bound of the burst at any rate. */
-#define COLD_BURST_MIN_REQUESTS 1.0
-
-static double cold_burst(const struct overload_ramp *ramp)
-{
-	double burst = ramp->cold_rate_per_s * COLD_BURST_S;
-
-	return burst > COLD_BURST_MIN_REQUESTS ? burst
-					       : COLD_BURST_MIN_REQUESTS;
-}
-
-static double cold_tokens(const struct overload_ramp *ramp, int64_t now)
-{
-	double refill = (double)(now - ramp->tokens_updated_at) *
-			ramp->cold_rate_per_s / BASE_SECOND_US;
-	double tokens = ramp->tokens + refill;
-
-	return tokens < cold_burst(ramp) ? tokens : cold_burst(ramp);
-}
-
 void overload_ramp_hold(struct overload_ramp *ramp)
 {
 	ramp->unavailable = true;
@@ -88,10 +72,8 @@
 void overload_ramp_server_ready(struct overload_ramp *ramp, int64_t cold_us,
 				int64_t now)
 {
-	if (ramp->unavailable || now >= ramp->cold_until) {
-		ramp->tokens = cold_burst(ramp);
-		ramp->tokens_updated_at = now;
-	}
+	if (ramp->unavailable || now >= ramp->cold_until)
+		overload_bucket_fill(&ramp->cold_starts, now);
 	ramp->unavailable = false;
 	if (now + cold_us > ramp->cold_until)
 		ramp->cold_until = now + cold_us;
@@ -101,12 +83,13 @@
 {
 	if (ramp->unavailable)
 		return false;
-	return now >= ramp->cold_until || cold_tokens(ramp, now) >= 1;
+	return now >= ramp->cold_until ||
+	       overload_bucket_has_token(&ramp->cold_starts, now);
 }
 
 bool overload_ramp_may_start(const struct overload_ramp *ramp, int64_t now)
 {
-	if (ramp->cold_rate_per_s > 0)
+	if (has_cold_rate(ramp))
 		return may_start_by_rate(ramp, now);
 	return !ramp->unavailable ||
 	       (now >= ramp->next_trial_at && !ramp->trial_in_flight);
@@ -115,10 +98,8 @@
 void overload_ramp_work_started(struct overload_ramp *ramp, int64_t now)
 {
 	ramp->trial_in_flight = true;
-	if (ramp->cold_rate_per_s > 0 && now < ramp->cold_until) {
-		ramp->tokens = cold_tokens(ramp, now) - 1;
-		ramp->tokens_updated_at = now;
-	}
+	if (has_cold_rate(ramp) && now < ramp->cold_until)
+		overload_bucket_take(&ramp->cold_starts, now);
 }
 
 void overload_ramp_work_ended(struct overload_ramp *ramp, int64_t started_at)
@@ -137,7 +118,7 @@
 
 bool overload_ramp_is_cold(const struct overload_ramp *ramp, int64_t now)
 {
-	if (ramp->cold_rate_per_s > 0)
+	if (has_cold_rate(ramp))
 		return ramp->unavailable || now < ramp->cold_until;
 	return ramp->warming_since < 0 ||
 	       now - ramp->warming_since < ramp->cold_us;
@@ -148,7 +129,7 @@
 	uint32_t rest = ramp->slots - ramp->cold_slots;
 	int64_t warming;
 
-	if (ramp->cold_rate_per_s > 0)
+	if (has_cold_rate(ramp))
 		return ramp->slots;
 	if (ramp->warming_since < 0)
 		return ramp->cold_slots;
@@ -183,8 +164,7 @@
 				 const struct overload_sample *sample,
 				 int64_t now)
 {
-	if (ramp->cold_rate_per_s > 0 ||
-	    sample->started_at <= ramp->restarted_at)
+	if (has_cold_rate(ramp) || sample->started_at <= ramp->restarted_at)
 		return false;
 	if (ramp->warming_since < 0 && !sample->failed) {
 		ramp->warming_since = now;
--- a/packages/overload/ramp.h
+++ b/packages/overload/ramp.h
@@ -7,6 +7,7 @@
 #ifndef OVERLOAD_RAMP_H
 #define OVERLOAD_RAMP_H
 
+#include "bucket.h"
 #include "overload.h"
 
 struct overload_ramp {
@@ -17,10 +18,8 @@
 	 * With a rate, the server reports until when it is cold, and a token
 	 * bucket limits the starts.
 	 */
-	double cold_rate_per_s;
+	struct overload_bucket cold_starts;
 	int64_t cold_until;
-	double tokens;
-	int64_t tokens_updated_at;
 	/* Answers to work started earlier are no evidence of the state. */
 	int64_t restarted_at;
 	/* When the warm-up began; -1 until the server has answered. */
