Refuse the excess of a limited server there and reroute it

Cause: the limited guards tightened their cutoff, which entries apply to the whole service. Ruled out: the time without the restarting daemon (13 to 16 s) alone, as refusals began at 6 s.

Change: a guard with a stated rate keeps its cutoff open and refuses by the bound of its queue; entries try another server. A limited server that has answered nothing for 1 s gets a health check, as a limit of 0 would never be seen to end.

--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -1,5 +1,12 @@
 /* What the backend server states about itself in its answers. */
 #include "guard_work.h"
+#include "backend_health.h"
+
+/*
+ * A limited server that has answered nothing for this long is asked whether it
+ * still states the limit; with a very low limit, no request would tell.
+ */
+#define NOTICE_CHECK_INTERVAL_US BASE_SECOND_US
 
 static void log_rate_limit(struct guard *g, const char *event, double per_s)
 {
@@ -44,6 +51,7 @@
 
 	if (!name)
 		return;
+	g->notices.answered_at = now;
 	text = http_headers_find(headers, base_str_from(name));
 	if (base_str_to_decimal(text, &per_s))
 		set_rate_limit(g, per_s, now);
@@ -57,6 +65,13 @@
 		end_rate_limit(g);
 }
 
+void guard_tick(struct guard *g, int64_t now)
+{
+	if (g->notices.has_rate_limit &&
+	    now - g->notices.answered_at >= NOTICE_CHECK_INTERVAL_US)
+		backend_health_check(g->health, now);
+}
+
 void guard_clear_notices(struct guard *g)
 {
 	end_rate_limit(g);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -59,6 +59,8 @@
 	double rate_limit_per_s;
 	/** When an answer last stated a rate limit. */
 	int64_t rate_limit_stated_at;
+	/** Arrival of the last answer. */
+	int64_t answered_at;
 };
 
 struct guard {
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -431,6 +431,7 @@
 	if (m->node->snapshot)
 		relays_report_own_domain(m, now);
 	finish_query(m, now);
+	guard_tick(m->node->guard, now);
 	report_self(m, now);
 	send_liveness_checks(m, now);
 	send_probes(m, now);
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -203,6 +203,11 @@
 	return sustained < limit ? (uint32_t)sustained : limit;
 }
 
+/*
+ * Entries apply a cutoff to the whole service. A stated rate is that of one
+ * server, and the others may have headroom, so its excess is refused here, by
+ * the bound of the queue, and the entries try another server.
+ */
 static void update_cutoff(struct overload_guard *guard)
 {
 	struct overload_load load = {
@@ -211,6 +216,8 @@
 		.limit = overload_guard_limit(guard, guard->now),
 	};
 
+	if (guard->has_stated_rate)
+		return;
 	overload_cutoff_update(&guard->cutoff, &load, guard->now);
 }
 
@@ -508,6 +515,7 @@
 	if (!guard->has_stated_rate) {
 		guard->stated_starts.rate_per_s = rate_per_s;
 		overload_bucket_fill(&guard->stated_starts, now);
+		overload_cutoff_init(&guard->cutoff, now);
 	}
 	overload_bucket_set_rate(&guard->stated_starts, rate_per_s, now);
 	guard->has_stated_rate = true;
--- a/tests/session_rate_limit.sh
+++ b/tests/session_rate_limit.sh
@@ -87,3 +87,16 @@
 send_steadily after 60
 expect "all requests are served when the server states no limit any more" \
 	"$(sleep 1; grep -c '^after-.* 200 ' "$WORK/results")" 60
+
+# Guards against a server that states 0 and is never asked again.
+curl -sf "http://$(ip_of 1):$APP_PORT/test?limit=0" >/dev/null
+sleep 0.5
+send_steadily zero 30
+sleep 3.5
+served=$(grep -c '^zero-.* 200 ' "$WORK/results")
+[ "$served" -le 6 ] || fail "a server that takes nothing ran $served of 30 requests"
+curl -sf "http://$(ip_of 1):$APP_PORT/test?limit=" >/dev/null
+sleep 2
+send_steadily ended 30
+expect "a server that stated 0 is used again when it states no limit" \
+	"$(sleep 1; grep -c '^ended-.* 200 ' "$WORK/results")" 30
