Send no new work to a server that states that it leaves

What callers would see: requests sent to a server that is about to end, and lost or refused there, until the platform lists it as leaving.

Change: the guard reads the statement from all answers, health checks included. A health check a second finds out when the server no longer says so, and another instance starts without the statement. Values that cannot be read are logged.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -272,16 +272,19 @@
 }
 
 /*
- * Whether the local backend server may run the work. An entry may have sent it
- * with an older configuration, in which the backend server is not leaving, its
- * failure domain is not out, or the address serves another service. The same
- * may also have changed while the work was queued.
+ * Whether the local backend server may run the work. The server may have said
+ * that it leaves before the platform lists it so. An entry may have sent the
+ * work with an older configuration, in which the backend server is not leaving,
+ * its failure domain is not out, or the address serves another service. The
+ * same may also have changed while the work was queued.
  */
 static bool accepts_work(const struct guard *g, const struct peer_context *c)
 {
 	const struct config_vm *self = g->node->self;
 	struct base_str own = base_str_from(g->node->settings->service);
 
+	if (g->notices.leaving)
+		return false;
 	if (!c->service.len)
 		return true;
 	return self && base_str_equal(self->service->name, c->service) &&
--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -3,8 +3,8 @@
 #include "backend_health.h"
 
 /*
- * A limited server that has answered nothing for this long is asked whether it
- * still states the limit; with a very low limit, no request would tell.
+ * A limited or leaving server that has answered nothing for this long is asked
+ * whether it still says so. It may get no requests whose answers would tell.
  */
 #define NOTICE_CHECK_INTERVAL_US BASE_SECOND_US
 
@@ -18,6 +18,18 @@
 	base_log_end(&line);
 }
 
+static void log_unreadable(struct guard *g, const char *name,
+			   struct base_str value)
+{
+	struct base_log_line line = base_log_begin(
+		g->node->log, BASE_LOG_WARN, "backend_statement_unreadable");
+
+	node_counter_add(g->node, "backend_statements_unreadable");
+	base_log_cstr(&line, "header", name);
+	base_log_str(&line, "value", value);
+	base_log_end(&line);
+}
+
 static void set_rate_limit(struct guard *g, double per_s, int64_t now)
 {
 	struct guard_notices *n = &g->notices;
@@ -42,38 +54,80 @@
 	overload_guard_clear_stated_rate(g->overload);
 }
 
-void guard_read_notices(struct guard *g, const struct http_headers *headers,
-			int64_t sent_at, int64_t now)
+static void read_rate_limit(struct guard *g, const struct http_headers *headers,
+			    int64_t sent_at, int64_t now)
 {
 	const char *name = g->node->dialect->headers.rate_limit;
-	struct base_str text;
+	struct base_str text = BASE_STR_NONE;
 	double per_s;
 
-	if (!name)
-		return;
-	g->notices.answered_at = now;
-	text = http_headers_find(headers, base_str_from(name));
+	if (name)
+		text = http_headers_find(headers, base_str_from(name));
 	if (base_str_to_decimal(text, &per_s))
 		set_rate_limit(g, per_s, now);
 	else if (text.ptr)
-		node_counter_add(g->node, "backend_rate_limits_unreadable");
-	/*
-	 * Answers overtake each other. Only one whose request was sent after
-	 * the limit was last stated shows that the server no longer states it.
-	 */
+		log_unreadable(g, name, text);
 	else if (sent_at > g->notices.rate_limit_stated_at)
 		end_rate_limit(g);
 }
 
+static void set_leaving(struct guard *g, bool leaving)
+{
+	struct base_log_line line;
+
+	if (g->notices.leaving == leaving)
+		return;
+	g->notices.leaving = leaving;
+	node_counter_add(g->node, "backend_leavings");
+	line = base_log_begin(g->node->log, BASE_LOG_INFO,
+			      leaving ? "backend_leaving"
+				      : "backend_leaving_ended");
+	base_log_str(&line, "instance", base_buf_str(&g->instance));
+	base_log_end(&line);
+}
+
+static void read_leaving(struct guard *g, const struct http_headers *headers,
+			 int64_t sent_at, int64_t now)
+{
+	const char *name = g->node->dialect->headers.leaving;
+	struct base_str text = BASE_STR_NONE;
+
+	if (name)
+		text = http_headers_find(headers, base_str_from(name));
+	if (base_str_equal(text, BASE_STR("1"))) {
+		g->notices.leaving_stated_at = now;
+		set_leaving(g, true);
+	} else if (text.ptr) {
+		log_unreadable(g, name, text);
+	} else if (sent_at > g->notices.leaving_stated_at) {
+		set_leaving(g, false);
+	}
+}
+
+/*
+ * Answers overtake each other. Only one whose request was sent after a
+ * statement was last made shows that the server no longer makes it.
+ */
+void guard_read_notices(struct guard *g, const struct http_headers *headers,
+			int64_t sent_at, int64_t now)
+{
+	g->notices.answered_at = now;
+	read_rate_limit(g, headers, sent_at, now);
+	read_leaving(g, headers, sent_at, now);
+}
+
 void guard_tick(struct guard *g, int64_t now)
 {
-	if (g->notices.has_rate_limit &&
-	    now - g->notices.answered_at >= NOTICE_CHECK_INTERVAL_US)
+	const struct guard_notices *n = &g->notices;
+
+	if ((n->has_rate_limit || n->leaving) &&
+	    now - n->answered_at >= NOTICE_CHECK_INTERVAL_US)
 		backend_health_check(g->health, now);
 }
 
 void guard_clear_notices(struct guard *g)
 {
 	end_rate_limit(g);
+	set_leaving(g, false);
 	g->notices = (struct guard_notices){ 0 };
 }
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -59,6 +59,10 @@
 	double rate_limit_per_s;
 	/** When an answer last stated a rate limit. */
 	int64_t rate_limit_stated_at;
+	/** The server leaves and gets no new work. */
+	bool leaving;
+	/** When an answer last stated that it leaves. */
+	int64_t leaving_stated_at;
 	/** Arrival of the last answer. */
 	int64_t answered_at;
 };
