Log that a platform's registry was restored from a copy

Change: the registry's codec names the header of its era; the client logs platform_restored_from_copy when it changes, and counts it. No decision changes.

--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -69,6 +69,11 @@
 	void (*page_release)(struct registry_page *page);
 	/** The status means that the requested revision is no longer stored. */
 	bool (*is_revision_compacted)(int status);
+	/**
+	 * Header of all answers whose number rises by one each time the
+	 * registry was restored from an older copy of itself.
+	 */
+	const char *era_header;
 	/** The key is that of a backend server's entry. */
 	bool (*is_server)(struct base_str key);
 
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -34,6 +34,8 @@
 	struct base_buf last_key;
 	/* Revision after which the next watch waits for changes. */
 	int64_t revision;
+	/* Era that the last answer stated; 0 before any. */
+	int64_t era;
 	int64_t backoff_us;
 	int64_t call_started_at;
 	int64_t watch_restarted_at;
@@ -168,6 +170,35 @@
 	base_log_end(&line);
 }
 
+static void log_era(struct registry_client *c, int64_t era)
+{
+	struct base_log_line line = base_log_begin(
+		c->settings.log, BASE_LOG_WARN, "platform_restored_from_copy");
+
+	count(c, "registry_restores");
+	base_log_int(&line, "era", era);
+	base_log_int(&line, "former_era", c->era);
+	base_log_int(&line, "revision",
+		     registry_revision(c->settings.registry));
+	base_log_end(&line);
+}
+
+/* Records the era that an answer states. */
+static void read_era(struct registry_client *c,
+		     const struct http_response *answer)
+{
+	const char *name = c->settings.codec->era_header;
+	int64_t era = 0;
+
+	if (name)
+		base_str_to_i64(http_headers_find(&answer->headers,
+						  base_str_from(name)),
+				&era);
+	if (c->era && era != c->era)
+		log_era(c, era);
+	c->era = era;
+}
+
 static void on_answer(void *ctx, enum http_result result,
 		      const struct http_response *answer)
 {
@@ -177,6 +208,8 @@
 	int64_t now = base_now_us();
 
 	c->call = NULL;
+	if (result == HTTP_RESULT_RESPONSE)
+		read_era(c, answer);
 	if (result == HTTP_RESULT_RESPONSE &&
 	    c->settings.codec->is_revision_compacted(answer->status)) {
 		count(c, "registry_history_gone");
