--- a/fakes/store.c
+++ b/fakes/store.c
@@ -7,13 +7,18 @@
  *     DELETE /test/item?key=K   removes the key
  *     PUT /test/mode?MODE       up, busy (503 to all readers), silent (no
  *                               response) or forget (410 to watches)
+ *     PUT /test/save            keeps a copy of all items
+ *     PUT /test/restore         goes back to the copy and its revision, raises
+ *                               the era and cuts the watches
  */
 #include "fake.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
 
@@ -41,6 +46,11 @@
 	struct item items[ITEMS_MAX];
 	size_t count;
 	int64_t revision;
+	/* The copy made by the last /test/save. */
+	struct item saved_items[ITEMS_MAX];
+	size_t saved_count;
+	int64_t saved_revision;
+	int64_t era;
 	char mode[16];
 	TAILQ_HEAD(, watch) watches;
 };
@@ -199,6 +209,10 @@
 		fake_reply(req, 410, BASE_STR("{}"));
 		return;
 	}
+	if (revision > s->revision) {
+		fake_reply(req, 410, BASE_STR("{}"));
+		return;
+	}
 	if (revision < s->revision) {
 		reply_events(s, req, revision);
 		return;
@@ -249,6 +263,51 @@
 	reply_to_watches(s);
 }
 
+static void copy_items(struct item *to, size_t *to_count,
+		       const struct item *from, size_t from_count)
+{
+	size_t i;
+
+	for (i = 0; i < *to_count; i++) {
+		free(to[i].key);
+		base_buf_release(&to[i].value);
+	}
+	for (i = 0; i < from_count; i++) {
+		to[i] = from[i];
+		to[i].key = base_str_dup(base_str_from(from[i].key));
+		to[i].value = BASE_BUF_INIT;
+		base_buf_add_str(&to[i].value, base_buf_str(&from[i].value));
+	}
+	*to_count = from_count;
+}
+
+static void cut_watches(struct store *s)
+{
+	struct watch *w;
+
+	while ((w = TAILQ_FIRST(&s->watches))) {
+		evhtp_request_unset_hook(w->req, evhtp_hook_on_request_fini);
+		fake_reply(w->req, 503, BASE_STR("{}"));
+		watch_free(w);
+	}
+}
+
+static void save(struct store *s, evhtp_request_t *req)
+{
+	copy_items(s->saved_items, &s->saved_count, s->items, s->count);
+	s->saved_revision = s->revision;
+	fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
+}
+
+static void restore(struct store *s, evhtp_request_t *req)
+{
+	copy_items(s->items, &s->count, s->saved_items, s->saved_count);
+	s->revision = s->saved_revision;
+	s->era++;
+	fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
+	cut_watches(s);
+}
+
 static void serve_reader(struct store *s, evhtp_request_t *req,
 			 const char *path)
 {
@@ -271,9 +330,16 @@
 	struct store *s = arg;
 	const char *path = req->uri->path->full;
 	const char *query = (const char *)req->uri->query_raw;
+	char era[24];
 
+	snprintf(era, sizeof(era), "%" PRId64, s->era);
+	fake_add_header(req, "Store-Era", era);
 	if (!strcmp(path, "/test/item")) {
 		change_item(s, req, req->method == htp_method_DELETE);
+	} else if (!strcmp(path, "/test/save")) {
+		save(s, req);
+	} else if (!strcmp(path, "/test/restore")) {
+		restore(s, req);
 	} else if (!strcmp(path, "/test/mode")) {
 		snprintf(s->mode, sizeof(s->mode), "%s", query ? query : "up");
 		fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
@@ -284,10 +350,11 @@
 
 int main(int argc, char **argv)
 {
-	struct store store = { .loop = fake_loop_create(), .revision = 1 };
+	static struct store store = { .revision = 1, .era = 1 };
 
 	if (argc != 2)
 		fake_die("usage: fake_store IP:PORT");
+	store.loop = fake_loop_create();
 	TAILQ_INIT(&store.watches);
 	fake_listen(store.loop, argv[1], on_request, &store);
 	fake_handle_signals(store.loop);
--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -22,7 +22,7 @@
 	put_item "servers/$2" "{\"address\":\"$(ip_of "$1"):$APP_PORT\",
 		\"born\":1700000000000,\"info\":{\"service\":\"$3\",
 		\"version\":\"v1\",\"zone\":\"z$(($1 % 2))\",\"slots\":20},
-		\"status\":{\"state\":\"$4\",\"sequence\":1,
+		\"status\":{\"state\":\"$4\",\"sequence\":${SEQUENCE:-1},
 		\"cold_left\":\"0ms\"}}"
 }
 
