Order the revisions of a registry over restores from a copy

Cause: the mirror compared revisions of two histories. A restored store gives its revisions out again, so a change under a number already seen was never read, and an old entry under a higher one counted as new. Class of fault: a counter taken for an order across a reset of its owner.

Ruled out: a refused version (no line of it) and lost watches (a later change arrived), see docs/incidents/config.md.

Change: the client reads the era that each answer states; when it rises, it discards what revisions it knew and reads all items again. The mirror counts revisions as era * 10^12 + revision, which orders the mirrors of peers too. What the copy lists is compared with what the mirror remembers: an older configuration is never taken; an older or removed entry of a server or an evacuation is set aside for 6 s, in which writers write again and leases of servers that have left expire; what the copy lacks is held as after an outage.

--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -40,6 +40,16 @@
 	void *memory;
 };
 
+/**
+ * Place of a write in the order of its writer, which does not depend on
+ * revisions: by @p start, then by @p sequence.
+ */
+struct registry_write_order {
+	/** Start of the writer; 0 when it has none. */
+	int64_t start;
+	int64_t sequence;
+};
+
 /** Decoded contents of the registry; defined by each codec. */
 struct registry_view;
 
@@ -76,6 +86,13 @@
 	const char *era_header;
 	/** The key is that of a backend server's entry. */
 	bool (*is_server)(struct base_str key);
+	/**
+	 * Reads the place of a value in the order of its writer.
+	 * @return false when the writer of the key states none, or the value
+	 *         cannot be read; NULL when no writer does
+	 */
+	bool (*write_order)(struct base_str key, struct base_str value,
+			    struct registry_write_order *order);
 
 	struct registry_view *(*view_create)(
 		const struct registry_view_settings *settings);
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -1,5 +1,6 @@
 /* Mirror of a platform's registry. */
 #include "registry.h"
+#include "registry_restore.h"
 
 #include <assert.h>
 #include <jansson.h>
@@ -28,11 +29,14 @@
 	struct registry_view *view;
 	struct base_log *log;
 	struct mirror_item *items;
+	struct registry_restores *restores;
 	/* The part that registry_add_part() stored last. */
 	struct base_buf part;
 	int64_t revision;
 	int64_t reload_revision;
 	int64_t reconnected_at;
+	/* When the mirror first took a revision of the present era. */
+	int64_t restored_at;
 	/* Time for which entries that are removed in one group are kept. */
 	int64_t mass_removal_hold_us;
 	/* Time of the first removal in the current group of server entries. */
@@ -52,6 +56,8 @@
 	r->mass_removal_hold_us =
 		(int64_t)((double)leave_us * REGISTRY_MASS_REMOVAL_HOLD_RATIO);
 	r->view = codec->view_create(settings);
+	r->restores = registry_restores_create(codec);
+	r->restored_at = -REGISTRY_RESTORE_SETTLE_US;
 	r->reconnected_at = -REGISTRY_REREGISTER_TIMEOUT_US;
 	r->removal_group_start = -REGISTRY_REMOVAL_GROUP_US;
 	return r;
@@ -74,6 +80,7 @@
 		return;
 	HASH_ITER (hh, r->items, m, next)
 		free_item(r, m);
+	registry_restores_destroy(r->restores);
 	r->codec->view_destroy(r->view);
 	base_buf_release(&r->part);
 	free(r);
@@ -149,8 +156,11 @@
 {
 	int64_t until = r->reconnected_at + REGISTRY_REREGISTER_TIMEOUT_US;
 
+	/* Its writer may write it again, as it was lost in a restore. */
 	if (!r->codec->is_server(item->key))
-		return now;
+		return r->restored_at + REGISTRY_RESTORE_SETTLE_US;
+	if (until < r->restored_at + REGISTRY_REREGISTER_TIMEOUT_US)
+		until = r->restored_at + REGISTRY_REREGISTER_TIMEOUT_US;
 	if (now - r->removal_group_start > REGISTRY_REMOVAL_GROUP_US) {
 		r->removal_group_start = now;
 		r->removal_group_count = 0;
@@ -164,15 +174,27 @@
 	return until;
 }
 
+static struct registry_item last_write(const struct mirror_item *m)
+{
+	return (struct registry_item){
+		.key = base_str_from(m->key),
+		.value = base_buf_str(&m->value),
+		.revision = m->revision,
+		.created = m->created,
+	};
+}
+
 static void delete_item(struct registry *r, struct mirror_item *m,
-			const char *event)
+			const char *event, int64_t now)
 {
+	struct registry_item last = last_write(m);
 	struct registry_item item = {
 		.key = base_str_from(m->key),
 		.revision = m->removed_revision,
 	};
 
 	log_item(r, event, &item, NULL);
+	registry_restores_record_removal(r->restores, &last, now);
 	r->codec->view_remove(r->view, item.key);
 	r->changed = true;
 	free_item(r, m);
@@ -189,34 +211,76 @@
 	m->removed_revision = item->revision;
 	until = hold_until(r, item, now);
 	if (until <= now) {
-		delete_item(r, m, "registry_item_removed");
+		delete_item(r, m, "registry_item_removed", now);
 		return;
 	}
 	m->expires_at = until;
 	log_item(r, "registry_item_lapsed", item, NULL);
 }
 
+/* The first revision of a later era shows that the registry was restored. */
+static void advance_revision(struct registry *r, int64_t revision, int64_t now)
+{
+	if (revision <= r->revision)
+		return;
+	if (r->revision &&
+	    registry_era_of(revision) > registry_era_of(r->revision))
+		r->restored_at = now;
+	r->revision = revision;
+}
+
+/*
+ * Sets an item aside that the registry may list only because it was restored.
+ * An older configuration is not taken at all: its writer never goes back.
+ * Returns false when the item is to be applied.
+ */
+static bool set_aside(struct registry *r, struct mirror_item *m,
+		      const struct registry_item *item)
+{
+	struct registry_item known;
+
+	if (m) {
+		known = last_write(m);
+		if (!registry_restores_is_older(r->restores, item, &known))
+			return false;
+		m->seen_in_reload = true;
+	} else if (!registry_restores_was_removed(r->restores, item)) {
+		return false;
+	}
+	log_item(r, "registry_item_set_aside", item, NULL);
+	if (!m || r->codec->is_server(item->key))
+		registry_restores_defer(r->restores, item,
+					r->restored_at +
+						REGISTRY_RESTORE_SETTLE_US);
+	return true;
+}
+
 void registry_apply(struct registry *r, const struct registry_item *item,
 		    int64_t now)
 {
 	struct mirror_item *m = find_item(r, item->key);
 
-	if (item->revision > r->revision)
-		r->revision = item->revision;
+	advance_revision(r, item->revision, now);
 	if (m && m->revision >= item->revision) {
 		m->seen_in_reload = true;
 		return;
 	}
+	registry_restores_drop_deferred(r->restores, item->key);
 	if (item->removed)
 		handle_removal(r, item, now);
-	else
+	else if (!set_aside(r, m, item))
 		put_item(r, item);
 }
 
-void registry_begin_reload(struct registry *r, int64_t revision)
+void registry_begin_reload(struct registry *r, int64_t revision, int64_t now)
 {
 	struct mirror_item *m, *next;
 
+	/* Before the items, so that those of a former era are recognized. */
+	if (registry_era_of(revision) > registry_era_of(r->revision))
+		advance_revision(
+			r, registry_era_revision(registry_era_of(revision), 0),
+			now);
 	r->reload_revision = revision;
 	HASH_ITER (hh, r->items, m, next)
 		m->seen_in_reload = false;
@@ -236,8 +300,7 @@
 		if (!m->seen_in_reload && m->revision <= r->reload_revision)
 			handle_removal(r, &item, now);
 	}
-	if (r->reload_revision > r->revision)
-		r->revision = r->reload_revision;
+	advance_revision(r, r->reload_revision, now);
 }
 
 void registry_platform_reconnected(struct registry *r, int64_t now)
@@ -248,10 +311,16 @@
 void registry_tick(struct registry *r, int64_t now)
 {
 	struct mirror_item *m, *next;
+	struct registry_item due;
 
+	while (registry_restores_next_due(r->restores, now, &due)) {
+		m = find_item(r, due.key);
+		if (!m || m->revision < due.revision)
+			put_item(r, &due);
+	}
 	HASH_ITER (hh, r->items, m, next)
 		if (m->expires_at && now >= m->expires_at)
-			delete_item(r, m, "registry_item_removed");
+			delete_item(r, m, "registry_item_removed", now);
 }
 
 bool registry_test_and_clear_changed(struct registry *r)
@@ -394,7 +463,7 @@
 		return false;
 	}
 	if (ok)
-		registry_begin_reload(r, revision);
+		registry_begin_reload(r, revision, now);
 	json_array_foreach (ok ? items : NULL, i, json) {
 		struct registry_item item = { 0 };
 
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -43,7 +43,10 @@
 				 int64_t leave_us, struct base_log *log);
 void registry_destroy(struct registry *r);
 
-/** Revision of the newest change that was applied; 0 before any. */
+/**
+ * Revision of the newest change that was applied, counted over restores as in
+ * registry_restore.h; 0 before any.
+ */
 int64_t registry_revision(const struct registry *r);
 /**
  * Applies a change read from the platform or from a peer's mirror. A change
@@ -56,7 +59,7 @@
  * registry_end_reload() are treated as removed.
  * @param revision  revision at which the reload began
  */
-void registry_begin_reload(struct registry *r, int64_t revision);
+void registry_begin_reload(struct registry *r, int64_t revision, int64_t now);
 void registry_end_reload(struct registry *r, int64_t now);
 /**
  * The platform answers again after an outage. Server entries that are removed
@@ -64,7 +67,10 @@
  * time is over.
  */
 void registry_platform_reconnected(struct registry *r, int64_t now);
-/** Drops removed entries whose hold time is over. */
+/**
+ * Drops removed entries whose hold time is over, and applies those that were
+ * set aside after a restore and are still listed.
+ */
 void registry_tick(struct registry *r, int64_t now);
 /**
  * Returns whether the result of registry_snapshot() has changed since the last
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -1,5 +1,6 @@
 /* HTTP client of a platform's registry: range reads, watches and back-off. */
 #include "registry_client.h"
+#include "registry_restore.h"
 
 #include <event2/event.h>
 
@@ -108,8 +109,13 @@
 {
 	size_t i;
 
-	for (i = 0; i < page->count; i++)
-		registry_apply(c->settings.registry, &page->items[i], now);
+	for (i = 0; i < page->count; i++) {
+		struct registry_item item = page->items[i];
+
+		item.revision = registry_era_revision(c->era, item.revision);
+		item.created = registry_era_revision(c->era, item.created);
+		registry_apply(c->settings.registry, &item, now);
+	}
 }
 
 static void on_range(struct registry_client *c,
@@ -118,7 +124,9 @@
 	if (!c->reading_pages) {
 		c->reading_pages = true;
 		c->revision = page->revision;
-		registry_begin_reload(c->settings.registry, page->revision);
+		registry_begin_reload(
+			c->settings.registry,
+			registry_era_revision(c->era, page->revision), now);
 	}
 	apply_page(c, page, now);
 	if (page->more && page->count) {
@@ -183,20 +191,44 @@
 	base_log_end(&line);
 }
 
-/* Records the era that an answer states. */
-static void read_era(struct registry_client *c,
-		     const struct http_response *answer)
+/*
+ * Reads the era that an answer states. Returns false when the answer must not
+ * be used, as it belongs to another era than the calls before it.
+ */
+static bool check_era(struct registry_client *c,
+		      const struct http_response *answer, int64_t now)
 {
 	const char *name = c->settings.codec->era_header;
+	struct base_str text = BASE_STR_NONE;
 	int64_t era = 0;
+	bool is_first_page = !c->watching && !c->reading_pages;
 
 	if (name)
-		base_str_to_i64(http_headers_find(&answer->headers,
-						  base_str_from(name)),
-				&era);
-	if (c->era && era != c->era)
+		text = http_headers_find(&answer->headers, base_str_from(name));
+	if (text.ptr && (!base_str_to_i64(text, &era) || era < 0 ||
+			 era > REGISTRY_ERA_MAX)) {
+		handle_failure(c, "era cannot be read", now);
+		return false;
+	}
+	/* Answers of failing calls may lack it. */
+	if (!text.ptr || era == c->era)
+		return true;
+	if (era < c->era) {
+		handle_failure(c, "answer of a former era", now);
+		return false;
+	}
+	if (c->era)
 		log_era(c, era);
 	c->era = era;
+	c->watching = false;
+	c->reading_pages = false;
+	base_buf_reset(&c->last_key);
+	if (is_first_page || answer->status != 200)
+		return true;
+	/* All items are read again, as the revisions known do not count. */
+	set_state(c, true, "restored", now);
+	schedule_call(c, 0);
+	return false;
 }
 
 static void on_answer(void *ctx, enum http_result result,
@@ -208,8 +240,8 @@
 	int64_t now = base_now_us();
 
 	c->call = NULL;
-	if (result == HTTP_RESULT_RESPONSE)
-		read_era(c, answer);
+	if (result == HTTP_RESULT_RESPONSE && !check_era(c, answer, now))
+		return;
 	if (result == HTTP_RESULT_RESPONSE &&
 	    c->settings.codec->is_revision_compacted(answer->status)) {
 		count(c, "registry_history_gone");
