Extend the soak to open connections, series of faults and restores

It checks besides that no planned stop leaves a request that was read without a response, that limits and departures are kept, that no daemon goes back to an older configuration and that the newest is in force 2 s after the last fault.

--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -4,14 +4,15 @@
 
 export BILBERRYHINGE_FLEET_SECRET=$SECRET
 
-# Each VM has its own loopback address; the ports are the same on all VMs.
+# Each VM has its own loopback address; the ports are the same on all VMs. VM_NET
+# sets another network for runs beside each other.
 free_port; STORE=127.0.0.1:$PORT
 free_port; APP_PORT=$PORT
 free_port; CALLER_PORT=$PORT
 free_port; READY_PORT=$PORT
 free_port; PEER_PORT=$PORT
 free_port; ADMIN_PORT=$PORT
-ip_of() { echo "127.0.7.$1"; }
+ip_of() { echo "${VM_NET:-127.0.7}.$1"; }
 
 put_item() { # KEY BODY
 	curl -sf -X PUT --data-binary "$2" "http://$STORE/test/item?key=$1" \
--- a/tests/session_soak.sh
+++ b/tests/session_soak.sh
@@ -1,25 +1,41 @@
 #!/usr/bin/env bash
-# Injects random faults, several at a time, into the real processes under load:
-# daemons are killed, stopped, paused and reloaded, servers are killed and
-# return as new instances, their store entries disappear, failure domains are
-# evacuated, the store fails and the configuration changes. Guards against
-# failures that only combined faults cause: a request that runs twice or after a
-# refusal, the response of another request, a refusal without Retry-After, a
-# daemon that exits, and a fleet that does not recover.
-# SEED=7 SOAK_SECONDS=600 runs other faults for a longer time.
+# Injects random faults, several at a time and in series, into the real processes
+# under load: daemons are killed, stopped, paused and reloaded, servers are
+# killed and return as new instances, state limits and leave, their store
+# entries disappear, failure domains are evacuated, the store fails and comes
+# back from an older copy, and the configuration changes. Clients go on using
+# open connections until the daemon closes them. Guards against failures that
+# only combined faults cause: a request that runs twice or after a refusal, the
+# response of another request, a refusal without Retry-After, a request that a
+# planned stop cuts off, a limit or a departure that is not kept, a configuration
+# that goes back, a daemon that exits, and a fleet that does not recover.
+# SEED=7 SOAK_SECONDS=600 SOAK_VMS=60 runs other faults for a longer time on more
+# VMs.
 BUILD=$1
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/platform_lib.sh"
 SEED=${SEED:-1}
-SOAK_SECONDS=${SOAK_SECONDS:-25}
+SOAK_SECONDS=${SOAK_SECONDS:-30}
+SOAK_VMS=${SOAK_VMS:-6}
 RANDOM=$SEED
 CALLERS=6
 # All requests must be served again this long after the last fault.
 RECOVERY_S=15
 KEY="Authorization: Bearer k1"
-VM_NUMBERS=(1 2 3 4 5 6)
-declare -A INSTANCE GENERATION STARTS
-service_of() { [ "$1" -le 4 ] && echo front || echo back; }
+CONNECTIONS_PER_VM=2
+# Bounds of the users' platform: a stated limit counts from STABLE_MS on, with
+# half as much again and 5 requests in 4 s; a server that states that it leaves
+# gets nothing DRAIN_MS after the first answer; a request is read LOSS_SLACK_MS
+# after it was sent.
+STABLE_MS=3000
+DRAIN_MS=2000
+LOSS_SLACK_MS=200
+# Longest time of a request at a server.
+SLOW_MS=600
+mapfile -t VM_NUMBERS < <(seq "$SOAK_VMS")
+declare -A INSTANCE GENERATION STARTS LIMITED LEAVING
+SEQUENCE=1
+service_of() { [ $(($1 * 3)) -le $((SOAK_VMS * 2)) ] && echo front || echo back; }
 
 start_app() { # VM_NUMBER
 	GENERATION[$1]=$((${GENERATION[$1]:-0} + 1))
@@ -31,7 +47,91 @@
 
 delete_item() { curl -sf -X DELETE "http://$STORE/test/item?key=$1" >/dev/null; }
 store_mode() { curl -sf -X PUT "http://$STORE/test/mode?$1" >/dev/null; }
-register_server() { put_server "$1" "${INSTANCE[$1]}" "$(service_of "$1")" ready; }
+store_command() { curl -sf -X PUT "http://$STORE/test/$1" >/dev/null; }
+set_app() { # VM_NUMBER PARAMETERS
+	curl -sf "http://$(ip_of "$1"):$APP_PORT/test?$2" >/dev/null
+}
+# Entries in the store as their writers want them.
+declare -A REGISTERED EVACUATED
+register_server() { # VM_NUMBER
+	SEQUENCE=$((SEQUENCE + 1))
+	REGISTERED[$1]=1
+	SEQUENCE=$SEQUENCE put_server "$1" "${INSTANCE[$1]}" \
+		"$(service_of "$1")" ready
+}
+unregister_server() { # VM_NUMBER
+	unset "REGISTERED[$1]"
+	delete_item "servers/${INSTANCE[$1]}"
+}
+evacuate() { # ZONE
+	EVACUATED[$1]=1
+	put_item "op/evacuate/$1" '{}'
+}
+take_back() { # ZONE
+	unset "EVACUATED[$1]"
+	delete_item "op/evacuate/$1"
+}
+KEYS='"k1","k2"'
+# Publishes a configuration with a further key, named after its version.
+change_config() {
+	VERSION=$((VERSION + 1))
+	KEYS="$KEYS,\"v$VERSION\""
+	put_config "$(printf %08x $VERSION)" "[$KEYS]" 1000
+}
+
+# Brings the store back from the last copy; its writers write again.
+restore_store() {
+	local m zone
+	store_command restore
+	sleep_ms $((RANDOM % 1500))
+	put_config "$(printf %08x $VERSION)" "[$KEYS]" 1000
+	for m in "${VM_NUMBERS[@]}"; do
+		if [ -n "${REGISTERED[$m]:-}" ]; then
+			register_server "$m"
+		else
+			delete_item "servers/${INSTANCE[$m]}"
+		fi
+	done
+	for zone in z0 z1; do
+		if [ -n "${EVACUATED[$zone]:-}" ]; then
+			evacuate $zone
+		else
+			delete_item "op/evacuate/$zone"
+		fi
+	done
+	store_command save
+}
+
+# Times of events on the clock of the stand-ins, in milliseconds.
+now_ms() { awk '{ print int($1 * 1000) }' /proc/uptime; }
+kill_daemon() { # VM_NUMBER
+	echo "$(ip_of "$1"):$CALLER_PORT $(now_ms)" >>"$WORK/kills"
+	kill -KILL "${PID_OF[daemon-m$1]}"
+	echo "$(ip_of "$1"):$CALLER_PORT $(now_ms)" >>"$WORK/kills"
+}
+
+# A server states one of its limit and its departure at a time. Both are
+# independent of the other faults of the VM, and end with its server.
+state_limit() { # VM_NUMBER PER_S
+	LIMITED[$1]="$2 $(now_ms)"
+	set_app "$1" "limit=$2"
+}
+state_leaving() { # VM_NUMBER
+	set_app "$1" "leaving=1"
+	LEAVING[$1]=$(now_ms)
+}
+end_statements() { # VM_NUMBER
+	[ -z "${LIMITED[$1]:-}" ] || echo "app-$1-${GENERATION[$1]}" \
+		"${LIMITED[$1]} $(now_ms)" >>"$WORK/limits"
+	[ -z "${LEAVING[$1]:-}" ] || echo "app-$1-${GENERATION[$1]}" \
+		"${LEAVING[$1]} $(now_ms)" >>"$WORK/leavings"
+	unset "LIMITED[$1]" "LEAVING[$1]"
+}
+withdraw_statements() { # VM_NUMBER
+	[ -n "${LIMITED[$1]:-}${LEAVING[$1]:-}" ] || return 0
+	end_statements "$1"
+	set_app "$1" "limit=&leaving="
+}
 sleep_ms() { sleep "$(($1 / 1000)).$(printf %03d $(($1 % 1000)))"; }
 
 # call CALLER NUMBER: sends a request and logs one line with the request and the
@@ -90,13 +190,13 @@
 
 # begin_fault VM_NUMBER: injects a random fault.
 begin_fault() {
-	local m=$1 kind=$((RANDOM % 10)) ms=$((RANDOM % 2000 + 200))
+	local m=$1 kind=$((RANDOM % 13)) ms=$((RANDOM % 2000 + 200)) n
 	echo "fault kind=$kind machine=$m ms=$ms"
 	is_alive "daemon-m$m" || fail "the daemon of VM $m exited unexpectedly"
 	REPAIR_AT[$m]=$(($(elapsed_ms) + ms))
 	case $kind in
 	0)
-		kill -KILL "${PID_OF[daemon-m$m]}"
+		kill_daemon "$m"
 		REPAIR[$m]="start_daemon $m"
 		;;
 	1)
@@ -108,7 +208,7 @@
 		REPAIR[$m]="kill -CONT ${PID_OF[daemon-m$m]}"
 		;;
 	3)
-		kill -HUP "${PID_OF[daemon-m$m]}"
+		for n in 1 2 3; do kill -HUP "${PID_OF[daemon-m$m]}"; done
 		;;
 	4)
 		store_mode busy
@@ -120,20 +220,40 @@
 		;;
 	6)
 		kill -KILL "${PID_OF[app-$m]}"
-		delete_item "servers/${INSTANCE[$m]}"
+		end_statements "$m"
+		unregister_server "$m"
 		REPAIR[$m]="restart_app $m"
 		;;
 	7)
-		delete_item "servers/${INSTANCE[$m]}"
+		unregister_server "$m"
 		REPAIR[$m]="register_server $m"
 		;;
 	8)
-		put_item "op/evacuate/z$((m % 2))" '{}'
-		REPAIR[$m]="delete_item op/evacuate/z$((m % 2))"
+		evacuate "z$((m % 2))"
+		REPAIR[$m]="take_back z$((m % 2))"
 		;;
 	9)
-		VERSION=$((VERSION + 1))
-		put_config "$(printf %08x $VERSION)" '["k1","k2"]' 1000
+		for n in $(seq $((RANDOM % 3 + 1))); do change_config; done
+		;;
+	10)
+		# A stop in the midst of other signals.
+		kill -HUP "${PID_OF[daemon-m$m]}"
+		kill -TERM "${PID_OF[daemon-m$m]}"
+		kill -HUP "${PID_OF[daemon-m$m]}"
+		kill -TERM "${PID_OF[daemon-m$m]}"
+		REPAIR[$m]="restart_after_stop $m"
+		;;
+	11)
+		# VMs are stopped and started one after the other.
+		for n in $m $((m % SOAK_VMS + 1)) $(((m + 1) % SOAK_VMS + 1)); do
+			[ "$n" = "$m" ] || [ -z "${REPAIR[$n]:-}" ] || continue
+			kill -TERM "${PID_OF[daemon-m$n]}"
+			REPAIR[$n]="restart_after_stop $n"
+			REPAIR_AT[$n]=$(($(elapsed_ms) + ms))
+		done
+		;;
+	12)
+		restore_store
 		;;
 	esac
 }
@@ -144,6 +264,39 @@
 	start_daemon "$1"
 }
 
+# begin_statement VM_NUMBER: lets its server state a limit or that it leaves, or
+# withdraw what it states.
+begin_statement() {
+	[ -n "${REGISTERED[$1]:-}" ] || return
+	if [ -n "${LIMITED[$1]:-}${LEAVING[$1]:-}" ]; then
+		withdraw_statements "$1"
+	elif [ $((RANDOM % 3)) -eq 0 ]; then
+		state_leaving "$1"
+	else
+		state_limit "$1" $((RANDOM % 8 + 2))
+	fi
+}
+
+# probe VM_NUMBER: a version that the daemon has used stays in force.
+declare -A ACCEPTED
+probe() {
+	local m=$1 version=$VERSION status start=$1-${STARTS[$1]}
+	[ "${ACCEPTED[$start]:-0}" -eq 0 ] || version=${ACCEPTED[$start]}
+	[ $((RANDOM % 2)) -eq 0 ] || version=$VERSION
+	[ "$version" -gt 3 ] || return
+	status=$(curl -s -o /dev/null --max-time 1 -w '%{http_code}' \
+		-H "Host: a.example" -H "Authorization: Bearer v$version" \
+		-H "X-Request-Id: p$RANDOM$RANDOM" -H "X-Deadline-Ms: 900" \
+		"http://$(ip_of "$m"):$CALLER_PORT/b/probe")
+	if [ "$status" = 200 ]; then
+		[ "${ACCEPTED[$start]:-0}" -ge "$version" ] ||
+			ACCEPTED[$start]=$version
+	elif [ "$status" = 401 ] &&
+		[ "$version" -le "${ACCEPTED[$start]:-0}" ]; then
+		fail "VM $m no longer accepts a key of version $version (seed $SEED)"
+	fi
+}
+
 restart_app() { # VM_NUMBER
 	start_app "$1"
 	register_server "$1"
@@ -160,9 +313,10 @@
 }
 
 # Lines of all requests that the application servers ran.
-run_log() { cat "$WORK"/app-*.out | grep '^run '; }
-# Lines of all calls, written by call.
-call_log() { cat "$WORK"/soak-*.log; }
+run_log() { cat "$WORK"/app-*.out | grep '^run ' | grep -v 'path=/b/probe'; }
+# Lines of all calls, written by call and by the clients.
+client_log() { grep -v '^stray' "$WORK"/clients.out; }
+call_log() { cat "$WORK"/soak-*.log; client_log; }
 
 # expect_empty TEXT: fails and prints the first lines of standard input unless
 # it is empty.
@@ -176,7 +330,7 @@
 start_store
 for m in "${VM_NUMBERS[@]}"; do start_app "$m"; done
 VERSION=3
-put_config 00000003 '["k1","k2"]' 1000
+put_config 00000003 "[$KEYS]" 1000
 for m in "${VM_NUMBERS[@]}"; do
 	register_server "$m"
 	start_daemon "$m"
@@ -186,6 +340,14 @@
 done
 sleep 4 # longer than the cold start of 3 s
 echo "seed $SEED, $SOAK_SECONDS s"
+: >"$WORK/kills"
+: >"$WORK/limits"
+: >"$WORK/leavings"
+store_command save
+targets=()
+for m in "${VM_NUMBERS[@]}"; do targets+=("$(ip_of "$m"):$CALLER_PORT"); done
+start clients "$BIN/fake_clients" k $((SOAK_VMS * CONNECTIONS_PER_VM)) \
+	"${targets[@]}"
 callers=()
 for c in $(seq $CALLERS); do
 	caller "$c" &
@@ -195,10 +357,15 @@
 while [ "$(elapsed_ms)" -lt $((SOAK_SECONDS * 1000)) ]; do
 	m=$((RANDOM % ${#VM_NUMBERS[@]} + 1))
 	[ -n "${REPAIR[$m]:-}" ] || begin_fault $m
+	[ $((RANDOM % 3)) -ne 0 ] ||
+		begin_statement $((RANDOM % ${#VM_NUMBERS[@]} + 1))
+	[ $((RANDOM % 4)) -ne 0 ] || store_command save
+	probe $((RANDOM % ${#VM_NUMBERS[@]} + 1))
 	sleep_ms $((RANDOM % 700))
 	repair "$(elapsed_ms)"
 done
 repair $((SOAK_SECONDS * 1000 + 10000))
+for m in "${VM_NUMBERS[@]}"; do withdraw_statements "$m"; done
 
 # Succeeds when the last 20 calls of every caller were served.
 all_served() {
@@ -210,8 +377,23 @@
 }
 wait_for $RECOVERY_S all_served ||
 	fail "not all callers are served within $RECOVERY_S s after the last fault (seed $SEED): $(call_log | grep -v ' 200 0 ' | tail -5)"
+accepts_newest() { # VM_NUMBER
+	[ "$(curl -s -o /dev/null --max-time 2 -w '%{http_code}' \
+		-H "Host: a.example" -H "Authorization: Bearer v$VERSION" \
+		-H "X-Request-Id: e$RANDOM$RANDOM" -H "X-Deadline-Ms: 1900" \
+		"http://$(ip_of "$1"):$CALLER_PORT/b/probe")" = 200 ]
+}
+change_config
+sleep 2
+for m in "${VM_NUMBERS[@]}"; do
+	accepts_newest "$m" ||
+		fail "version $VERSION is not in force at VM $m after 2 s (seed $SEED)"
+done
 touch "$WORK/stop"
 wait "${callers[@]}"
+kill -TERM "${PID_OF[clients]}"
+wait_for 10 has_ended clients ||
+	fail "the clients do not end within 10 s (seed $SEED)"
 for m in "${VM_NUMBERS[@]}"; do
 	is_alive "daemon-m$m" || fail "the daemon of VM $m exited unexpectedly"
 done
@@ -232,3 +414,56 @@
 	expect_empty "executed request that no caller sent"
 call_log | awk '$4 != 200 && $4 != 429 && $4 != 503 && $4 != 502 && $4 != 504 &&
 	$4 != "000"' | expect_empty "unexpected status for a valid request"
+grep '^stray' "$WORK/clients.out" |
+	expect_empty "bytes on a connection without a request"
+
+# A client loses a request when its connection ends without a response although
+# the daemon must have read it, and no kill of the daemon explains that. Clients
+# themselves give up after 5 s.
+run_log | sed 's/^run id=\([^ ]*\) .*/\1/' | sort -u >"$WORK/ran"
+client_log | awk -v slack=$LOSS_SLACK_MS -v kills="$WORK/kills" \
+	-v ran="$WORK/ran" '
+	BEGIN {
+		while ((getline line <kills) > 0) {
+			split(line, k, " ")
+			killed[k[1], ++count[k[1]]] = k[2]
+		}
+		while ((getline line <ran) > 0) run[line] = 1
+	}
+	$5 != 0 {
+		for (i = 6; i <= NF; i++) {
+			n = index($i, "=")
+			field[substr($i, 1, n - 1)] = substr($i, n + 1)
+		}
+		vm = field["vm"]
+		if (field["ended"] - field["sent"] >= 5000) next
+		if (field["ended"] - field["sent"] < slack && !run[$1]) next
+		for (i = 1; i <= count[vm]; i++)
+			if (killed[vm, i] >= field["sent"] - 100 &&
+			    killed[vm, i] <= field["ended"] + 100) next
+		print
+	}' | expect_empty "request that a daemon read and left without a response"
+
+# runs_in_4_s APP FROM TO: prints the most runs in 4 s within a time.
+runs_in_4_s() {
+	sed -n 's/^run id=.* at=\([0-9]*\) .*/\1/p' "$WORK/$1.out" |
+		awk -v from="$2" -v to="$3" '$1 >= from && $1 <= to {
+			at[++n] = $1
+			while (at[n] - at[first + 1] >= 4000) first++
+			if (n - first > most) most = n - first
+		} END { print most + 0 }'
+}
+while read -r app limit from to; do
+	most=$(runs_in_4_s "$app" $((from + STABLE_MS)) "$to")
+	[ "$most" -le $((limit * 6 + 5)) ] ||
+		echo "$app took $limit a second and got $most in 4 s"
+done <"$WORK/limits" | expect_empty "server that got more than the limit it stated"
+while read -r app from to; do
+	first=$(sed -n 's/^run id=.* at=\([0-9]*\) .*/\1/p' "$WORK/$app.out" |
+		awk -v from="$from" '$1 >= from' | head -1)
+	[ -n "$first" ] || continue
+	most=$(runs_in_4_s "$app" $((first + SLOW_MS + DRAIN_MS)) "$to")
+	[ "$most" -eq 0 ] || echo "$app got $most after it stated that it leaves"
+done <"$WORK/leavings" | expect_empty "leaving server that got requests"
+echo "$(wc -l <"$WORK/limits") limits, $(wc -l <"$WORK/leavings") departures," \
+	"$(client_log | wc -l) requests on open connections"
