End a call whose server sends unrelated bytes without end

Found by test_endless: heads, bodies and framing without end were cut off before; empty lines, interim responses and responses to other requests were dropped until the deadline of the call, at the cost of processor time.

Change: the client counts the bytes of a call that are not part of its response and fails the call beyond one response of the largest size.

Evidence: endless/bytes_before_the_response failed before and passes now; test_http 26 passed with sanitizers.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -38,6 +38,10 @@
 	struct http_call *call;
 	int64_t idle_since;
 	int64_t idle_reuse_us;
+	/* Read so far of the current message. */
+	size_t message_bytes;
+	/* Read during the call and not part of its response. */
+	size_t unrelated_bytes;
 	bool connected;
 };
 
@@ -205,12 +209,22 @@
 		       : HTTP_RESULT_INVALID;
 }
 
+/*
+ * A server may send responses to earlier requests, interim responses and empty
+ * lines without end. One late response of the largest size is accepted.
+ */
+static size_t unrelated_bytes_max(const struct connection *c)
+{
+	return c->client->max_response_bytes + RESPONSE_HEAD_MAX_BYTES;
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
 	struct evbuffer *in = bufferevent_get_input(bev);
 	struct http_message *m = &c->message;
 	enum http_message_fault fault = HTTP_MESSAGE_OK;
+	size_t before;
 
 	/* No request is open, so the bytes are not a valid response. */
 	if (!c->call) {
@@ -218,11 +232,15 @@
 		connection_free(c);
 		return;
 	}
-	while (evbuffer_get_length(in)) {
+	while ((before = evbuffer_get_length(in))) {
 		if (!m->headers_complete &&
 		    !http_message_check_head(in, m->type,
-					     RESPONSE_HEAD_MAX_BYTES, &fault))
+					     RESPONSE_HEAD_MAX_BYTES, &fault)) {
+			c->unrelated_bytes += before - evbuffer_get_length(in);
+			if (c->unrelated_bytes > unrelated_bytes_max(c))
+				fail_call(c->call, HTTP_RESULT_INVALID);
 			return;
+		}
 		if (!fault) {
 			http_message_parse(m, in);
 			fault = m->fault;
@@ -231,6 +249,7 @@
 			fail_call(c->call, result_from_fault(fault));
 			return;
 		}
+		c->message_bytes += before - evbuffer_get_length(in);
 		if (!m->complete)
 			return;
 		if (m->parser.status_code / 100 != 1 &&
@@ -239,6 +258,12 @@
 			return;
 		}
 		http_message_reset(m);
+		c->unrelated_bytes += c->message_bytes;
+		c->message_bytes = 0;
+		if (c->unrelated_bytes > unrelated_bytes_max(c)) {
+			fail_call(c->call, HTTP_RESULT_INVALID);
+			return;
+		}
 	}
 }
 
@@ -442,6 +467,8 @@
 	call->cb = cb;
 	call->ctx = ctx;
 	c->call = call;
+	c->message_bytes = 0;
+	c->unrelated_bytes = 0;
 	c->message.is_head_response =
 		base_str_equal(request->method, BASE_STR("HEAD"));
 	LIST_INSERT_HEAD(&client->calls, call, link);
