Split work at the backend server out of guard.c

Need: guard.c had over 600 lines and two jobs: the queue and the life of work items, and the exchange with the backend server (start, answers, losses, identity). The second is guard_backend.c now. Code was moved and shared functions got the prefix guard_; nothing else changes.

--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -1,6 +1,5 @@
 /* What the backend server states about itself in its answers. */
 #include "guard_work.h"
-#include "backend_health.h"
 
 /*
  * A limited or leaving server that has answered nothing for this long is asked
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -5,6 +5,7 @@
 #ifndef GUARD_WORK_H
 #define GUARD_WORK_H
 
+#include "backend_health.h"
 #include "guard.h"
 
 #include <uthash.h>
@@ -99,6 +100,35 @@
 	int64_t retry_after_us;
 };
 
+/** Finds a work item by its id; NULL if there is none. */
+struct guard_work *guard_find_work(struct guard *g, uint64_t id);
+/** Performs the actions that the overload guard has due. */
+void guard_dispatch(struct guard *g, int64_t now);
+/**
+ * Sends no more work until a health check has returned the instance id of the
+ * backend server.
+ * @param why  reason for the log
+ */
+void guard_hold_backend(struct guard *g, const char *why, int64_t now);
+/**
+ * A backend_health_cb; @p ctx is the guard.
+ * @return false when another instance than the listed one has answered
+ */
+bool guard_on_health_report(void *ctx,
+			    const struct backend_health_report *report);
+/** Callback of the death detector about a group of lost connections. */
+void guard_on_death_verdict(void *ctx, const uint64_t *ids, size_t count,
+			    bool died);
+/**
+ * Whether the local backend server may run the work. The server may have said
+ * that it leaves before the platform lists it so. An entry may have sent the
+ * work with an older configuration, in which the backend server is not leaving,
+ * its failure domain is not out, or the address serves another service. The
+ * same may also have changed while the work was queued.
+ */
+bool guard_accepts_work(const struct guard *g, const struct peer_context *c);
+/** Sends the work to the backend server, or refuses it as not run. */
+void guard_start_work(struct guard_work *w, int64_t now);
 /** Limits of the local backend server; node->self must not be NULL. */
 struct overload_guard_config guard_overload_config(struct node *node);
 /** The caller owns the result. */
