Probe the store on fresh connections beside the watch

What callers saw: a route or key that had been published was not in force 2 s later, after the store's connections had gone silent.

Cause: a watch whose connection is silent looks like one without changes until its timeout, up to 10.5 s. When a change ends all watches just as that happens, no daemon knows more than its peers.

Ruled out: the era logic (no restore in that time) and a refused version. Weighed: shorter waits (each costs a call per daemon), waits of 0.5 to 14 s (no further calls, but half of the fleets of 6 stay blind for 2 s).

Change: all daemons together send two short watches a second on fresh connections; one that shows changes or another era starts the own watch again, and heartbeats tell the peers.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -3,7 +3,6 @@
 #include "death_detector.h"
 #include "membership.h"
 
-
 static void schedule_timer(struct guard *g, int64_t now)
 {
 	int64_t at = overload_guard_next_timer_at(g->overload);
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -137,7 +137,7 @@
 			 err.message[0] ? err.message : NULL);
 }
 
-static size_t count_servers(const struct registry *r)
+size_t registry_server_count(const struct registry *r)
 {
 	struct mirror_item *m, *next;
 	size_t n = 0;
@@ -167,7 +167,8 @@
 	}
 	r->removal_group_count++;
 	if ((double)r->removal_group_count >
-		    REGISTRY_MASS_REMOVAL_RATIO * (double)count_servers(r) +
+		    REGISTRY_MASS_REMOVAL_RATIO *
+				    (double)registry_server_count(r) +
 			    1 &&
 	    until < now + r->mass_removal_hold_us)
 		until = now + r->mass_removal_hold_us;
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -84,6 +84,8 @@
  */
 const struct config_snapshot *
 registry_snapshot(const struct registry *r, const struct base_digest *digest);
+/** Number of backend servers listed, those of removed entries included. */
+size_t registry_server_count(const struct registry *r);
 /** Version that the operators gave the configuration. */
 int64_t registry_config_version(const struct registry *r);
 
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -21,6 +21,14 @@
 #define CHANGE_BATCH_US (60 * BASE_MS_US)
 /* Shortest time from the start of a watch or the last restart to a restart. */
 #define WATCH_RESTART_INTERVAL_US (500 * BASE_MS_US)
+/*
+ * A connection may go silent for good, and a watch on it looks like one without
+ * changes until its timeout. All daemons together check this often on other
+ * connections whether there are changes that their watches do not deliver; the
+ * first one that finds some tells its peers.
+ */
+#define FLEET_PROBE_INTERVAL_US (500 * BASE_MS_US)
+#define PROBE_WAIT_MS 1
 #define MAX_ANSWER_BYTES (4 << 20)
 #define MAX_CONNECTIONS 4
 
@@ -30,6 +38,8 @@
 	struct http_client *http;
 	struct http_call *call;
 	struct event *timer;
+	struct http_call *probe;
+	struct event *probe_timer;
 	struct base_rand rnd;
 	/* Last key that the current range read has returned. */
 	struct base_buf last_key;
@@ -300,6 +310,13 @@
 	start_call(arg);
 }
 
+static void restart_watch(struct registry_client *c)
+{
+	http_call_cancel(c->call);
+	c->call = NULL;
+	start_call(c);
+}
+
 void registry_client_restart_watch(struct registry_client *c, int64_t now)
 {
 	if (!c->watching || !c->call || !c->up ||
@@ -308,9 +325,87 @@
 		return;
 	c->watch_restarted_at = now;
 	count(c, "registry_watches_hurried");
-	http_call_cancel(c->call);
-	c->call = NULL;
-	start_call(c);
+	restart_watch(c);
+}
+
+/* Whether the answer to a probe shows changes after the watched revision. */
+static bool shows_changes(struct registry_client *c,
+			  const struct http_response *answer)
+{
+	const char *name = c->settings.codec->era_header;
+	int64_t era = c->era;
+	struct registry_page page;
+	struct base_error err = { "" };
+	bool changes;
+
+	if (name)
+		base_str_to_i64(http_headers_find(&answer->headers,
+						  base_str_from(name)),
+				&era);
+	if (era > c->era ||
+	    c->settings.codec->is_revision_compacted(answer->status))
+		return true;
+	if (answer->status != 200 ||
+	    !c->settings.codec->page_parse(answer->body, &page, &err))
+		return false;
+	changes = page.count > 0;
+	c->settings.codec->page_release(&page);
+	return changes;
+}
+
+static void log_watch_behind(struct registry_client *c)
+{
+	struct base_log_line line = base_log_begin(
+		c->settings.log, BASE_LOG_INFO, "registry_watch_behind");
+
+	base_log_int(&line, "revision",
+		     registry_revision(c->settings.registry));
+	base_log_int(&line, "waited_ms",
+		     (base_now_us() - c->call_started_at) / BASE_MS_US);
+	base_log_end(&line);
+}
+
+static void on_probe(void *ctx, enum http_result result,
+		     const struct http_response *answer)
+{
+	struct registry_client *c = ctx;
+
+	c->probe = NULL;
+	if (result != HTTP_RESULT_RESPONSE || !c->watching || !c->call ||
+	    !shows_changes(c, answer))
+		return;
+	count(c, "registry_watches_behind");
+	log_watch_behind(c);
+	restart_watch(c);
+}
+
+static void schedule_probe(struct registry_client *c)
+{
+	size_t servers = registry_server_count(c->settings.registry);
+	double us = (double)FLEET_PROBE_INTERVAL_US *
+		    (double)(servers ? servers : 1) *
+		    (0.75 + 0.5 * base_rand_unit(&c->rnd));
+	struct timeval tv = { .tv_sec = (int64_t)us / BASE_SECOND_US,
+			      .tv_usec = (int64_t)us % BASE_SECOND_US };
+
+	event_add(c->probe_timer, &tv);
+}
+
+static void on_probe_timer(evutil_socket_t fd, short events, void *arg)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf target = BASE_BUF_INIT;
+	struct http_request request = { .method = BASE_STR("GET"),
+					.fresh_connection = true };
+	struct registry_client *c = arg;
+
+	schedule_probe(c);
+	if (!c->watching || !c->call || !c->up || c->probe)
+		return;
+	c->settings.codec->watch_target(c->revision, PROBE_WAIT_MS, &target);
+	request.path = base_buf_str(&target);
+	count(c, "registry_probes");
+	c->probe = http_client_send(c->http, &request, READ_TIMEOUT_US,
+				    on_probe, c);
 }
 
 struct registry_client *
@@ -334,6 +429,8 @@
 		return NULL;
 	}
 	c->timer = evtimer_new(base, on_timer, c);
+	c->probe_timer = evtimer_new(base, on_probe_timer, c);
+	schedule_probe(c);
 	schedule_call(c, 0);
 	return c;
 }
@@ -344,6 +441,7 @@
 		return;
 	http_client_destroy(c->http);
 	event_free(c->timer);
+	event_free(c->probe_timer);
 	base_buf_release(&c->last_key);
 	free(c);
 }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -1,6 +1,7 @@
 # Functions for multi-process tests: start a fake platform, fake backend servers
 # and daemons on free loopback ports. Source this file with BUILD set to a build
-# directory. All processes are killed when the script exits.
+# directory. All processes are killed when the script exits. KEEP_LOGS names a
+# folder that the logs are copied to then.
 
 set -uo pipefail
 
@@ -25,6 +26,7 @@
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait >/dev/null 2>&1
+	[ -z "${KEEP_LOGS:-}" ] || cp -r "$WORK" "$KEEP_LOGS"
 	rm -rf "$WORK"
 }
 trap cleanup EXIT
--- a/tests/session_soak.sh
+++ b/tests/session_soak.sh
@@ -352,6 +352,7 @@
 for c in $(seq $CALLERS); do
 	caller "$c" &
 	callers+=($!)
+	PIDS+=($!)
 done
 START_MS=$((${EPOCHREALTIME/./} / 1000))
 while [ "$(elapsed_ms)" -lt $((SOAK_SECONDS * 1000)) ]; do
