Forget set-aside entries on a reload and log failing probes

Cause, found on reading the change: an entry set aside after a restore stayed so when a later reload no longer listed it, and came into force at its end; a probe that failed or could not be read left no line.

Change: a reload drops what was set aside, as it lists again what is there; registry_probe_failed tells why.

--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -283,6 +283,7 @@
 			r, registry_era_revision(registry_era_of(revision), 0),
 			now);
 	r->reload_revision = revision;
+	registry_restores_drop_all_deferred(r->restores);
 	HASH_ITER (hh, r->items, m, next)
 		m->seen_in_reload = false;
 }
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -328,6 +328,16 @@
 	restart_watch(c);
 }
 
+static void log_probe_failure(struct registry_client *c, const char *reason)
+{
+	struct base_log_line line = base_log_begin(
+		c->settings.log, BASE_LOG_INFO, "registry_probe_failed");
+
+	count(c, "registry_probes_failed");
+	base_log_cstr(&line, "why", reason);
+	base_log_end(&line);
+}
+
 /* Whether the answer to a probe shows changes after the watched revision. */
 static bool shows_changes(struct registry_client *c,
 			  const struct http_response *answer)
@@ -345,9 +355,15 @@
 	if (era > c->era ||
 	    c->settings.codec->is_revision_compacted(answer->status))
 		return true;
-	if (answer->status != 200 ||
-	    !c->settings.codec->page_parse(answer->body, &page, &err))
+	if (answer->status != 200) {
+		log_probe_failure(c,
+				  failure_reason(HTTP_RESULT_RESPONSE, answer));
 		return false;
+	}
+	if (!c->settings.codec->page_parse(answer->body, &page, &err)) {
+		log_probe_failure(c, err.message);
+		return false;
+	}
 	changes = page.count > 0;
 	c->settings.codec->page_release(&page);
 	return changes;
@@ -371,8 +387,11 @@
 	struct registry_client *c = ctx;
 
 	c->probe = NULL;
-	if (result != HTTP_RESULT_RESPONSE || !c->watching || !c->call ||
-	    !shows_changes(c, answer))
+	if (result != HTTP_RESULT_RESPONSE) {
+		log_probe_failure(c, failure_reason(result, answer));
+		return;
+	}
+	if (!c->watching || !c->call || !shows_changes(c, answer))
 		return;
 	count(c, "registry_watches_behind");
 	log_watch_behind(c);
--- a/packages/daemon/registry_restore.c
+++ b/packages/daemon/registry_restore.c
@@ -194,6 +194,11 @@
 	drop(&restores->deferred, key);
 }
 
+void registry_restores_drop_all_deferred(struct registry_restores *restores)
+{
+	free_list(&restores->deferred);
+}
+
 bool registry_restores_next_due(struct registry_restores *restores, int64_t now,
 				struct registry_item *item)
 {
--- a/packages/daemon/registry_restore.h
+++ b/packages/daemon/registry_restore.h
@@ -63,6 +63,8 @@
 /** Drops the item of that key that was set aside, if any. */
 void registry_restores_drop_deferred(struct registry_restores *restores,
 				     struct base_str key);
+/** Drops all items that were set aside; a reload lists them again. */
+void registry_restores_drop_all_deferred(struct registry_restores *restores);
 /**
  * Takes out one item whose time has come. Its strings stay valid until the next
  * call that changes @p restores.
--- a/packages/daemon/tests/test_registry_restore.c
+++ b/packages/daemon/tests/test_registry_restore.c
@@ -87,6 +87,24 @@
 	registry_destroy(r);
 }
 
+/* Guards against a server set aside whose removal was missed before a reload.
+ */
+Test(registry_restore, reload_forgets_items_set_aside)
+{
+	struct registry *r = mirror_create();
+
+	mirror_apply(r, "s1", "4:left", revision(1, 10), 0);
+	mirror_apply(r, "s1", NULL, revision(1, 18), BASE_SECOND_US);
+	registry_begin_reload(r, revision(2, 12), RESTORED_AT);
+	mirror_apply(r, "s1", "4:left", revision(2, 10), RESTORED_AT);
+	registry_end_reload(r, RESTORED_AT);
+	registry_begin_reload(r, revision(2, 20), SETTLED_AT - 1);
+	registry_end_reload(r, SETTLED_AT - 1);
+	registry_tick(r, SETTLED_AT);
+	cr_assert(not(mirror_publishes(r, "s1")));
+	registry_destroy(r);
+}
+
 /* Guards against work sent to an evacuated failure domain the copy lacks. */
 Test(registry_restore, holds_items_that_the_copy_lacks)
 {
