Start the VMs of the platform's sessions by one function

Need: four new sessions repeated the start of stores' servers and daemons. start_vms does it; the sessions' checks are unchanged.

--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -67,3 +67,22 @@
 	wait_for 10 curl -sf "http://$STORE/-/kv-range?prefix=" -o /dev/null ||
 		fail "the fake store does not listen after 10 s"
 }
+
+# start_vms SERVICE...: starts a fake application server with the id i-N and a
+# daemon on VM N for each service, and waits until all VMs serve. The store must
+# run and have a configuration.
+start_vms() {
+	local m=0 service
+	for service in "$@"; do
+		m=$((m + 1))
+		start "app-$m" "$BIN/fake_app" "$(ip_of $m):$APP_PORT" "i-$m" \
+			"$service"
+		put_server $m "i-$m" "$service" ready
+		start_vm_daemon $m "$service"
+	done
+	for m in $(seq $#); do
+		wait_for 10 is_serving "$m" ||
+			fail "VM $m is not ready after 10 s"
+	done
+	sleep 4 # the daemons hand out rates some seconds after their start
+}
--- a/tests/session_leaving_statement.sh
+++ b/tests/session_leaving_statement.sh
@@ -11,17 +11,7 @@
 
 start_store
 put_config 00000003 '["k1"]' 1000
-for m in 1 2 3; do
-	service=front
-	[ $m -ne 2 ] || service=back
-	start "app-$m" "$BIN/fake_app" "$(ip_of $m):$APP_PORT" "i-$m" $service
-	put_server $m "i-$m" $service ready
-	start_vm_daemon $m $service
-done
-for m in 1 2 3; do
-	wait_for 10 is_serving $m || fail "VM $m is not ready after 10 s"
-done
-sleep 4 # the daemons hand out rates some seconds after their start
+start_vms front back front
 
 # send_requests PREFIX COUNT: sends requests of the client at VM 2 one after
 # another; prints how many were served.
--- a/tests/session_rate_limit.sh
+++ b/tests/session_rate_limit.sh
@@ -12,18 +12,8 @@
 STABLE_MS=3000
 
 start_store
-start app-1 "$BIN/fake_app" "$(ip_of 1):$APP_PORT" i-1 front
-start app-2 "$BIN/fake_app" "$(ip_of 2):$APP_PORT" i-2 back
 put_config 00000003 '["k1"]' 1000
-put_server 1 i-1 front ready
-put_server 2 i-2 back ready
-start_vm_daemon 1 front
-start_vm_daemon 2 back
-for m in 1 2; do
-	wait_for 10 is_serving $m || fail "VM $m is not ready after 10 s"
-done
-
-sleep 4 # the daemons hand out rates some seconds after their start
+start_vms front back
 
 # send_steadily PREFIX COUNT: sends about 30 requests a second, a third of them
 # non-idempotent, and stores the status and Retry-After of each.
--- a/tests/session_store_restored.sh
+++ b/tests/session_store_restored.sh
@@ -30,17 +30,7 @@
 
 start_store
 put_config 00000003 '["k1"]' 1000
-for m in 1 2 3 4; do
-	service=front
-	[ $m -ne 2 ] || service=back
-	start "app-$m" "$BIN/fake_app" "$(ip_of $m):$APP_PORT" "i-$m" $service
-	put_server $m "i-$m" $service ready
-	start_vm_daemon $m $service
-done
-for m in 1 2 3 4; do
-	wait_for 10 is_serving $m || fail "VM $m is not ready after 10 s"
-done
-sleep 4 # the daemons hand out rates some seconds after their start
+start_vms front back front front
 expect "a key that is not published is refused" "$(status_of 1 k2 /b/x)" 401
 
 store_command save
--- a/tests/session_store_silent.sh
+++ b/tests/session_store_silent.sh
@@ -19,17 +19,7 @@
 
 start_store
 put_config 00000003 '["k1"]' 1000
-for m in 1 2 3 4 5 6; do
-	service=front
-	[ $m -le 4 ] || service=back
-	start "app-$m" "$BIN/fake_app" "$(ip_of $m):$APP_PORT" "i-$m" $service
-	put_server $m "i-$m" $service ready
-	start_vm_daemon $m $service
-done
-for m in 1 2 3 4 5 6; do
-	wait_for 10 is_serving $m || fail "VM $m is not ready after 10 s"
-done
-sleep 4 # the daemons hand out rates some seconds after their start
+start_vms front front front front back back
 
 for round in 1 2; do
 	# The change ends all watches; the next ones are never answered.
