Reject decimal numbers that cannot be converted to thousandths

Cause, found on reading the change: a backend server may state any finite rate, and its conversion for the log line overflows from 1e16 on, which is undefined.

Change: base_str_to_decimal takes at most 15 characters; a longer value is logged as unreadable and ignored.

Run: test_base 7 passed with sanitizers, the new case included.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -80,8 +80,8 @@
  */
 bool base_str_to_i64(struct base_str s, int64_t *out);
 /**
- * Parses a non-negative decimal number such as "12" or "0.5", without sign and
- * exponent.
+ * Parses a non-negative decimal number of at most 15 characters such as "12" or
+ * "0.5", without sign and exponent.
  * @return false, with *out unchanged, for any other text
  */
 bool base_str_to_decimal(struct base_str s, double *out);
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -3,11 +3,13 @@
 
 #include <assert.h>
 #include <errno.h>
-#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
+/* Longer numbers could not be converted to an integer of 1/1000. */
+#define DECIMAL_MAX_CHARS 15
+
 struct base_str base_str_from(const char *cstr)
 {
 	return (struct base_str){ cstr, cstr ? strlen(cstr) : 0 };
@@ -77,6 +79,8 @@
 	bool digits = false;
 	size_t i;
 
+	if (s.len > DECIMAL_MAX_CHARS)
+		return false;
 	for (i = 0; i < s.len; i++) {
 		if (s.ptr[i] == '.' && digits && !fraction) {
 			fraction = true;
@@ -90,7 +94,7 @@
 		value = fraction ? value + unit * (s.ptr[i] - '0')
 				 : value * 10 + (s.ptr[i] - '0');
 	}
-	if (!digits || !isfinite(value))
+	if (!digits)
 		return false;
 	*out = value;
 	return true;
--- a/packages/base/tests/test_base.c
+++ b/packages/base/tests/test_base.c
@@ -28,6 +28,7 @@
 	cr_assert(not(base_str_to_decimal(BASE_STR(".5"), &d)));
 	cr_assert(not(base_str_to_decimal(BASE_STR("1e3"), &d)));
 	cr_assert(not(base_str_to_decimal(BASE_STR("1.2.3"), &d)));
+	cr_assert(not(base_str_to_decimal(BASE_STR("1000000000000000"), &d)));
 }
 
 Test(buf, grows_and_stays_terminated)
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -53,7 +53,7 @@
 	UT_hash_handle hh_token;
 };
 
-/** What the backend server has stated about itself in its answers. */
+/** What the present instance of the backend server states in its answers. */
 struct guard_notices {
 	bool has_rate_limit;
 	/** Requests a second that it takes from all VMs together. */
