Read the era and the slot time in one place each

Found on reading the whole change: the era's header was read twice, once with a check of its range and once without, and the lower bound of the time that work occupies at a stated rate stood in two functions.

Change: read_era() and slot_time_us(). A probe whose era is out of range is logged as failed now, where it restarted the watch, which then logged it.

--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -202,26 +202,37 @@
 }
 
 /*
- * Reads the era that an answer states. Returns false when the answer must not
- * be used, as it belongs to another era than the calls before it.
+ * Sets @p era to the one that an answer states; leaves it as it is when the
+ * answer states none. Returns false when it cannot be read.
  */
-static bool check_era(struct registry_client *c,
-		      const struct http_response *answer, int64_t now)
+static bool read_era(const struct registry_client *c,
+		     const struct http_response *answer, int64_t *era)
 {
 	const char *name = c->settings.codec->era_header;
 	struct base_str text = BASE_STR_NONE;
-	int64_t era = 0;
-	bool is_first_page = !c->watching && !c->reading_pages;
 
 	if (name)
 		text = http_headers_find(&answer->headers, base_str_from(name));
-	if (text.ptr && (!base_str_to_i64(text, &era) || era < 0 ||
-			 era > REGISTRY_ERA_MAX)) {
+	return !text.ptr || (base_str_to_i64(text, era) && *era >= 0 &&
+			     *era <= REGISTRY_ERA_MAX);
+}
+
+/*
+ * Takes the era that an answer states. Returns false when the answer must not
+ * be used, as it belongs to another era than the calls before it.
+ */
+static bool check_era(struct registry_client *c,
+		      const struct http_response *answer, int64_t now)
+{
+	int64_t era = c->era;
+	bool is_first_page = !c->watching && !c->reading_pages;
+
+	if (!read_era(c, answer, &era)) {
 		handle_failure(c, "era cannot be read", now);
 		return false;
 	}
 	/* Answers of failing calls may lack it. */
-	if (!text.ptr || era == c->era)
+	if (era == c->era)
 		return true;
 	if (era < c->era) {
 		handle_failure(c, "answer of a former era", now);
@@ -342,16 +353,15 @@
 static bool shows_changes(struct registry_client *c,
 			  const struct http_response *answer)
 {
-	const char *name = c->settings.codec->era_header;
 	int64_t era = c->era;
 	struct registry_page page;
 	struct base_error err = { "" };
 	bool changes;
 
-	if (name)
-		base_str_to_i64(http_headers_find(&answer->headers,
-						  base_str_from(name)),
-				&era);
+	if (!read_era(c, answer, &era)) {
+		log_probe_failure(c, "era cannot be read");
+		return false;
+	}
 	if (era > c->era ||
 	    c->settings.codec->is_revision_compacted(answer->status))
 		return true;
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -181,6 +181,15 @@
 	return min_u32(limit, overload_ramp_limit(&guard->ramp, now));
 }
 
+/* Time for which work counts as in flight. */
+static double slot_time_us(const struct overload_guard *guard)
+{
+	if (guard->has_stated_rate &&
+	    guard->service_time_us < STATED_RATE_MIN_TIME_US)
+		return STATED_RATE_MIN_TIME_US;
+	return guard->service_time_us;
+}
+
 /*
  * A stated rate sustains as much work in flight as starts during the service
  * time. With the whole concurrency limit as its capacity, the server would
@@ -189,14 +198,11 @@
 uint32_t overload_guard_limit(const struct overload_guard *guard, int64_t now)
 {
 	uint32_t limit = concurrency_limit(guard, now);
-	double time_us = guard->service_time_us;
 	double sustained;
 
 	if (!guard->has_stated_rate)
 		return limit;
-	if (time_us < STATED_RATE_MIN_TIME_US)
-		time_us = STATED_RATE_MIN_TIME_US;
-	sustained = ceil(guard->stated_starts.rate_per_s * time_us /
+	sustained = ceil(guard->stated_starts.rate_per_s * slot_time_us(guard) /
 			 BASE_SECOND_US);
 	if (sustained < 1)
 		sustained = 1;
@@ -261,13 +267,9 @@
 static int64_t retry_after_us(struct overload_guard *guard)
 {
 	uint32_t limit = overload_guard_limit(guard, guard->now);
-	double time_us = guard->service_time_us;
-	double wait_us;
-
-	if (guard->has_stated_rate && time_us < STATED_RATE_MIN_TIME_US)
-		time_us = STATED_RATE_MIN_TIME_US;
-	wait_us = time_us *
-		  (1 + (double)overload_queue_length(guard->queue) / limit);
+	double wait_us =
+		slot_time_us(guard) *
+		(1 + (double)overload_queue_length(guard->queue) / limit);
 
 	if (wait_us < RETRY_AFTER_MIN_US)
 		wait_us = RETRY_AFTER_MIN_US;
