Take no copy of an earlier refusal for the answer to a request

Cause: a server may write an answer again, late, on a kept connection. A rejection without the id of its request was accepted for whatever request was open, and the refusal of a first try has the id of the second: both told callers that a request had not run which the server was running, or had it run at a second server.

Weighed: closing the connection after each refusal (a new connection a refusal, which is dear under load); an id of our own for each try (the id is passed on as the caller sent it).

Change: on a connection that was used before, a rejection without id ends the call with an unknown outcome. A connection remembers the requests that were answered with a failure on it and does not carry them again; after eight it is not reused.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -22,6 +22,11 @@
  */
 #define IDLE_REUSE_MARGIN_US BASE_SECOND_US
 #define RESPONSE_HEAD_MAX_BYTES (64U << 10)
+/*
+ * Ids of failed requests that a connection remembers. It is not reused after as
+ * many, so that none is forgotten.
+ */
+#define FAILED_IDS_MAX 8
 /* TCP keep-alive: idle time before the first probe, then interval and count. */
 #define KEEPALIVE_IDLE_S 2
 #define KEEPALIVE_INTERVAL_S 1
@@ -42,7 +47,14 @@
 	size_t message_bytes;
 	/* Read during the call and not part of its response. */
 	size_t unrelated_bytes;
+	/* Hashes of the ids of requests that were answered with a failure. */
+	uint64_t failed_ids[FAILED_IDS_MAX];
+	size_t failed_count;
 	bool connected;
+	/* A request was answered before the present one. */
+	bool reused;
+	/* An answer to no open request has arrived. */
+	bool stray_seen;
 };
 
 struct http_call {
@@ -67,6 +79,8 @@
 	size_t max_response_bytes;
 	int64_t connections_opened;
 	bool accept_close_delimited;
+	http_stray_cb on_stray;
+	void *stray_ctx;
 	TAILQ_HEAD(pool, connection) idle;
 	LIST_HEAD(, http_call) calls;
 };
@@ -140,6 +154,7 @@
 	struct http_client *client = c->client;
 
 	c->call = NULL;
+	c->reused = true;
 	c->idle_since = base_now_us();
 	http_message_reset(&c->message);
 	TAILQ_INSERT_HEAD(&client->idle, c, link);
@@ -152,11 +167,28 @@
 static bool is_reusable(struct connection *c)
 {
 	return http_should_keep_alive(&c->message.parser) &&
-	       c->idle_reuse_us > 0 &&
+	       c->idle_reuse_us > 0 && !c->stray_seen &&
+	       c->failed_count < FAILED_IDS_MAX &&
 	       !evbuffer_get_length(bufferevent_get_input(c->bev)) &&
 	       !evbuffer_get_length(bufferevent_get_output(c->bev));
 }
 
+static uint64_t expected_id(const struct http_call *call)
+{
+	return base_hash64(base_buf_str(&call->expected_echo), 0);
+}
+
+/*
+ * A server may write the answer to a refused request once more. When the same
+ * request is sent again, it must not take this for its answer.
+ */
+static void remember_failure(struct connection *c, const struct http_call *call)
+{
+	if (call->expected_echo.len && c->message.parser.status_code >= 400 &&
+	    c->failed_count < FAILED_IDS_MAX)
+		c->failed_ids[c->failed_count++] = expected_id(call);
+}
+
 static void deliver_response(struct http_call *call)
 {
 	struct connection *c = call->connection;
@@ -169,6 +201,7 @@
 	m->headers = (struct http_headers){ 0 };
 	m->body = BASE_BUF_INIT;
 	c->idle_reuse_us = idle_reuse_limit_us(&response.headers);
+	remember_failure(c, call);
 	call->connection = NULL;
 	if (is_reusable(c)) {
 		return_to_pool(c);
@@ -181,24 +214,47 @@
 	base_buf_release(&body);
 }
 
+enum response_match {
+	RESPONSE_MATCHES,
+	/* It belongs to an earlier request. */
+	RESPONSE_STRAY,
+	/* It may belong to this request or to an earlier one. */
+	RESPONSE_UNCLEAR,
+};
+
 /*
- * A response to an earlier request on the connection may arrive late; it
- * repeats the id of that request and does not match. A rejection may lack the
- * id, because the server may send it without processing the request headers.
+ * A response to an earlier request on the connection may arrive late or twice;
+ * it repeats the id of that request. A rejection may lack the id, because the
+ * server may send it without processing the request headers. On a connection
+ * that was used before, such a rejection proves nothing.
  */
-static bool is_matching_response(const struct http_call *call)
+static enum response_match match_response(const struct http_call *call)
 {
 	const struct http_client *client = call->client;
-	const struct http_message *m = &call->connection->message;
+	const struct connection *c = call->connection;
 	struct base_str echo;
 
 	if (!call->expected_echo.len)
-		return true;
-	echo = http_headers_find(&m->headers,
+		return RESPONSE_MATCHES;
+	echo = http_headers_find(&c->message.headers,
 				 base_str_from(client->echo_header));
-	if (!echo.ptr)
-		return m->parser.status_code >= 400;
-	return base_str_equal(echo, base_buf_str(&call->expected_echo));
+	if (echo.ptr)
+		return base_str_equal(echo, base_buf_str(&call->expected_echo))
+			       ? RESPONSE_MATCHES
+			       : RESPONSE_STRAY;
+	if (c->message.parser.status_code < 400)
+		return RESPONSE_STRAY;
+	return c->reused ? RESPONSE_UNCLEAR : RESPONSE_MATCHES;
+}
+
+static void report_stray(struct connection *c)
+{
+	const struct http_client *client = c->client;
+
+	c->stray_seen = true;
+	if (client->on_stray)
+		client->on_stray(client->stray_ctx,
+				 (int)c->message.parser.status_code);
 }
 
 static enum http_result result_from_fault(enum http_message_fault fault)
@@ -252,10 +308,18 @@
 		c->message_bytes += before - evbuffer_get_length(in);
 		if (!m->complete)
 			return;
-		if (m->parser.status_code / 100 != 1 &&
-		    is_matching_response(c->call)) {
-			deliver_response(c->call);
-			return;
+		if (m->parser.status_code / 100 != 1) {
+			enum response_match match = match_response(c->call);
+
+			if (match == RESPONSE_MATCHES) {
+				deliver_response(c->call);
+				return;
+			}
+			report_stray(c);
+			if (match == RESPONSE_UNCLEAR) {
+				fail_call(c->call, HTTP_RESULT_INVALID);
+				return;
+			}
 		}
 		http_message_reset(m);
 		c->unrelated_bytes += c->message_bytes;
@@ -276,7 +340,7 @@
 	    !http_message_is_close_delimited(m))
 		return false;
 	http_message_finish(m);
-	return m->complete && is_matching_response(c->call);
+	return m->complete && match_response(c->call) == RESPONSE_MATCHES;
 }
 
 static void on_event(struct bufferevent *bev, short events, void *arg)
@@ -348,8 +412,19 @@
 	return NULL;
 }
 
+static bool has_failed_id(const struct connection *c, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < c->failed_count; i++)
+		if (c->failed_ids[i] == id)
+			return true;
+	return false;
+}
+
+/* @param id  hash of the request's id */
 static struct connection *acquire_connection(struct http_client *client,
-					     bool fresh)
+					     uint64_t id, bool fresh)
 {
 	struct connection *c, *next;
 	int64_t now = base_now_us();
@@ -361,8 +436,9 @@
 		TAILQ_REMOVE(&client->idle, c, link);
 		connection_free(c);
 	}
-	c = TAILQ_FIRST(&client->idle);
-	if (c && !fresh) {
+	TAILQ_FOREACH (c, &client->idle, link) {
+		if (fresh || has_failed_id(c, id))
+			continue;
 		TAILQ_REMOVE(&client->idle, c, link);
 		return c;
 	}
@@ -453,12 +529,17 @@
 				   int64_t timeout_us, http_call_cb cb,
 				   void *ctx)
 {
+	struct base_str id = BASE_STR_NONE;
 	struct http_call *call;
 	struct connection *c;
 
 	if (!is_supported_method(request->method))
 		return NULL;
-	c = acquire_connection(client, request->fresh_connection);
+	if (client->echo_header)
+		id = http_headers_find(&request->headers,
+				       base_str_from(client->echo_header));
+	c = acquire_connection(client, base_hash64(id, 0),
+			       request->fresh_connection);
 	if (!c)
 		return NULL;
 	call = base_alloc(sizeof(*call));
@@ -472,11 +553,7 @@
 	c->message.is_head_response =
 		base_str_equal(request->method, BASE_STR("HEAD"));
 	LIST_INSERT_HEAD(&client->calls, call, link);
-	if (client->echo_header)
-		base_buf_add_str(
-			&call->expected_echo,
-			http_headers_find(&request->headers,
-					  base_str_from(client->echo_header)));
+	base_buf_add_str(&call->expected_echo, id);
 	write_request(client, bufferevent_get_output(c->bev), request);
 	start_timer(call, timeout_us);
 	return call;
@@ -502,6 +579,8 @@
 	client->max_connections = settings->max_connections;
 	client->max_response_bytes = settings->max_response_bytes;
 	client->accept_close_delimited = settings->accept_close_delimited;
+	client->on_stray = settings->on_stray;
+	client->stray_ctx = settings->stray_ctx;
 	if (settings->echo_header.len)
 		client->echo_header = base_str_dup(settings->echo_header);
 	TAILQ_INIT(&client->idle);
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -205,6 +205,12 @@
 typedef void (*http_call_cb)(void *ctx, enum http_result result,
 			     const struct http_response *response);
 
+/**
+ * A server sent a response that answers no open request. Its connection is
+ * closed once the present call has ended.
+ */
+typedef void (*http_stray_cb)(void *ctx, int status);
+
 struct http_client_settings {
 	struct base_str address;
 	/** Limit of connections, those in use and idle ones together. */
@@ -215,9 +221,15 @@
 	 * Name of a header that responses repeat from their request; may be
 	 * empty. A response with another value belongs to an earlier request
 	 * and is dropped. One without the header is dropped too, unless its
-	 * status is 400 or above.
+	 * status is 400 or above: then it answers the first request of a
+	 * connection, and on later ones the call ends as HTTP_RESULT_INVALID.
+	 * A request is not sent on a connection on which one with the same
+	 * value was answered with a status of 400 or above.
 	 */
 	struct base_str echo_header;
+	/** Called for each response that was dropped; may be NULL. */
+	http_stray_cb on_stray;
+	void *stray_ctx;
 	/**
 	 * Accept a response without a length as complete when its connection
 	 * is closed cleanly. Otherwise it is HTTP_RESULT_INVALID.
