--- a/packages/daemon/backend_health.c
+++ b/packages/daemon/backend_health.c
@@ -9,6 +9,9 @@
  */
 #define CHECK_RETRY_DELAY_US (150 * BASE_MS_US)
 
+/* A server that claims to stay cold for longer is checked again after it. */
+#define COLD_MAX_MS 3600000
+
 struct backend_health {
 	struct node *node;
 	struct http_client *client;
@@ -49,8 +52,11 @@
 	}
 	report.headers = &answer->headers;
 	report.instance = find_header(answer, names->instance);
-	if (base_str_to_i64(find_header(answer, names->cold_ms), &cold_ms))
-		report.cold_us = cold_ms * BASE_MS_US;
+	if (base_str_to_i64(find_header(answer, names->cold_ms), &cold_ms) &&
+	    cold_ms > 0)
+		report.cold_us =
+			(cold_ms < COLD_MAX_MS ? cold_ms : COLD_MAX_MS) *
+			BASE_MS_US;
 	/* A server that rejects the check sends no instance id. */
 	if ((names->instance && !report.instance.len) ||
 	    !h->cb(h->ctx, &report))
--- a/packages/daemon/roster.c
+++ b/packages/daemon/roster.c
@@ -136,7 +136,8 @@
 			.domain = roster_domain_id(roster, vm->domain->name),
 			.region = roster_region_id(roster,
 						   vm->domain->region->name),
-			.slots = (uint32_t)vm->service->slots,
+			.slots = (uint32_t)(vm->slots ? vm->slots
+						      : vm->service->slots),
 			.leaving = vm->leaving,
 			.domain_out = vm->domain->out,
 		};
