Let two relays of each failure domain read the registry for the others

Cause: every daemon watched the store. Each change also made every daemon send a heartbeat to all others, work per pair of VMs.

Pushing the changes was weighed against fetching them: a fetch states from which revision it leads, goes to one relay only and repeats by itself.

Change: the relays, two a failure domain by rank, read and announce their revision, at once when it changes and each 400 ms; the others fetch the changes after their own revision, or the whole mirror when these are not kept. Followers get removals as the store stated them and hold them by themselves. A VM that is not listed yet follows the relays of its failure domain. A mirror is not published while a reload is incomplete. A watch that follows a change waits 250 ms, was 60.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -366,6 +366,10 @@
 		else
 			on_peer_version(c, m, now);
 		break;
+	case CONTROL_PEER_ANNOUNCED:
+		if (c->registry)
+			registry_task_on_announcement(c->registry, m, now);
+		break;
 	case CONTROL_PEER_VALUE:
 		if (c->registry)
 			registry_task_on_peer_value(c->registry, m, now);
@@ -374,7 +378,10 @@
 		break;
 	case CONTROL_ROLE:
 		c->relay = m->relay;
-		if (!c->registry)
+		if (c->registry)
+			registry_task_set_role(c->registry, m->relay,
+					       m->relay_count, now);
+		else
 			update_watches(c, now);
 		break;
 	case CONTROL_STOP:
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -206,6 +206,8 @@
 		break;
 	case DATA_PLATFORM_STATE:
 		node->platform_up = msg->up;
+		if (msg->after_outage)
+			node->platform_regained_at = base_now_us();
 		break;
 	}
 	data_message_free(msg);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -279,6 +279,18 @@
 	guard_dispatch(guard, now);
 }
 
+static void on_stray_answer(void *ctx, int status)
+{
+	struct guard *g = ctx;
+	struct base_log_line line = base_log_begin(g->node->log, BASE_LOG_WARN,
+						   "backend_stray_answer");
+
+	node_counter_add(g->node, "backend_stray_answers");
+	base_log_int(&line, "status", status);
+	base_log_cstr(&line, "effect", "its connection is not used again");
+	base_log_end(&line);
+}
+
 struct guard *guard_create(struct node *node, struct base_error *err)
 {
 	struct guard *g = base_alloc(sizeof(*g));
@@ -289,6 +301,8 @@
 		.max_response_bytes = (size_t)node->settings->max_body,
 		.echo_header = base_str_from(node->dialect->headers.request_id),
 		.accept_close_delimited = node->dialect->accept_close_delimited,
+		.on_stray = on_stray_answer,
+		.stray_ctx = g,
 	};
 
 	g->node = node;
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -26,6 +26,8 @@
 #define QUERIED_PEERS 8
 #define PROBES_PER_TICK 4
 #define CHECKS_PER_TICK 16
+/* Shortest time between reports to all entries that the server is usable. */
+#define USABLE_REPORT_INTERVAL_US (500 * BASE_MS_US)
 /* Time for which the answers to these queries are awaited. */
 #define QUERY_TIMEOUT_US BASE_SECOND_US
 
@@ -36,6 +38,10 @@
 
 	if (!version)
 		return;
+	/* The control task fetches a revision by itself once it knows of it. */
+	if (m->node->dialect->registry &&
+	    version <= m->highest_reported_version)
+		return;
 	if (version > m->highest_reported_version)
 		m->highest_reported_version = version;
 	msg = base_alloc(sizeof(*msg));
@@ -160,8 +166,10 @@
 	control_post(m->node->control, msg);
 }
 
+/* @param changes  receives the text of the reply if it is made for the peer */
 static struct peer_message build_config_reply(const struct node *node,
-					      const struct peer_message *get)
+					      const struct peer_message *get,
+					      struct base_buf *changes)
 {
 	const struct publication *pub = node->publication;
 	struct peer_message reply = {
@@ -175,6 +183,9 @@
 	reply.config_value.version = (uint64_t)pub->version;
 	reply.config_value.hash = pub->digest;
 	reply.config_value.value = publication_value(pub, get->config_get.key);
+	if (publication_write_changes(pub, get->config_get.key, changes) &&
+	    changes->len <= PEER_BODY_MAX_BYTES)
+		reply.config_value.value = base_buf_str(changes);
 	reply.config_value.found = reply.config_value.value.ptr != NULL;
 	return reply;
 }
@@ -186,7 +197,8 @@
 static void send_config_value(struct membership *m, struct peer_link *link,
 			      const struct peer_message *get)
 {
-	struct peer_message reply = build_config_reply(m->node, get);
+	BASE_CLEANUP(base_buf_release) struct base_buf changes = BASE_BUF_INIT;
+	struct peer_message reply = build_config_reply(m->node, get, &changes);
 
 	peer_transport_send(m->node->transport, link, &reply);
 }
@@ -220,13 +232,45 @@
 		on_heartbeat(m, out_link, &msg->heartbeat, now);
 	else if (msg->type == PEER_CONFIG_VALUE)
 		on_config_value(m, &msg->config_value);
-	else if (msg->type == PEER_CONFIG_ANNOUNCE)
-		report_peer_version(m, msg->config_announce.version,
-				    &msg->config_announce.hash);
-	else if (msg->type == PEER_CONFIG_GET)
+	else if (msg->type == PEER_CONFIG_ANNOUNCE) {
+		out_link->version = msg->config_announce.version;
+		relays_on_announcement(m, &msg->config_announce);
+	} else if (msg->type == PEER_CONFIG_GET)
 		send_config_value(m, link, msg);
 }
 
+static void reply_config_value(struct membership *m,
+			       const struct peer_remote *remote,
+			       const struct peer_message *get)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf changes = BASE_BUF_INIT;
+	struct peer_message reply = build_config_reply(m->node, get, &changes);
+
+	peer_transport_reply(m->node->transport, remote, &reply);
+}
+
+/* Records the revision that a relay announced over its link to this daemon. */
+static void record_remote_version(struct membership *m,
+				  struct incoming_link *in_link,
+				  uint64_t version)
+{
+	const struct config_vm *vm;
+	struct outgoing_link *out_link = NULL;
+	uint32_t id;
+
+	in_link->version = version;
+	vm = m->node->snapshot
+		     ? config_snapshot_find_vm(m->node->snapshot,
+					       base_str_from(in_link->vm))
+		     : NULL;
+	if (!vm)
+		return;
+	id = roster_vm_id(m->node->roster, vm->name);
+	HASH_FIND(hh, m->outgoing, &id, sizeof(id), out_link);
+	if (out_link)
+		out_link->version = version;
+}
+
 static struct incoming_link *get_incoming(struct membership *m,
 					  const struct peer_remote *handle)
 {
@@ -261,11 +305,12 @@
 		relays_merge_domain_versions(m, &msg->heartbeat, now);
 		links_reply_heartbeat(m, remote, now);
 	} else if (msg->type == PEER_CONFIG_GET) {
-		struct peer_message reply = build_config_reply(m->node, msg);
-
-		peer_transport_reply(m->node->transport, remote, &reply);
+		reply_config_value(m, remote, msg);
 	} else if (msg->type == PEER_CONFIG_VALUE) {
 		on_config_value(m, &msg->config_value);
+	} else if (msg->type == PEER_CONFIG_ANNOUNCE) {
+		record_remote_version(m, in_link, msg->config_announce.version);
+		relays_on_announcement(m, &msg->config_announce);
 	}
 }
 
@@ -281,6 +326,15 @@
 	return best;
 }
 
+/* Relays come first, as those of the own failure domain are near. */
+static bool is_better_source(const struct outgoing_link *out_link,
+			     const struct outgoing_link *best)
+{
+	if (!best || out_link->version != best->version)
+		return !best || out_link->version > best->version;
+	return out_link->relay && !best->relay;
+}
+
 void membership_fetch(struct membership *m, struct base_str key)
 {
 	struct peer_link *link = seeds_best_link(m->node->seeds);
@@ -294,7 +348,7 @@
 
 	HASH_ITER (hh, m->outgoing, out_link, next)
 		if (peer_link_is_up(out_link->link) &&
-		    (!best || out_link->version > best->version))
+		    is_better_source(out_link, best))
 			best = out_link;
 	if (best)
 		link = best->link;
@@ -403,12 +457,37 @@
 	}
 }
 
+/*
+ * Entries send nothing to a server that is full while cold or has no limit yet,
+ * so no answer tells them when this ends, and with many links the next
+ * heartbeat may be ten seconds away.
+ */
+static void report_usable(struct membership *m,
+			  const struct routing_load_report *report, int64_t now)
+{
+	struct incoming_link *in_link, *next;
+
+	if (report->cold_full || report->draining || report->stopping ||
+	    !report->limit) {
+		m->usable = false;
+		return;
+	}
+	if (m->usable ||
+	    now - m->usable_reported_at < USABLE_REPORT_INTERVAL_US)
+		return;
+	m->usable = true;
+	m->usable_reported_at = now;
+	HASH_ITER (hh, m->incoming, in_link, next)
+		links_reply_heartbeat(m, &in_link->handle, now);
+}
+
 /* There is no link to the own guard, so its load is reported here. */
 static void report_self(struct membership *m, int64_t now)
 {
 	struct node *node = m->node;
 	struct routing_load_report report = guard_load_report(node->guard, now);
 
+	report_usable(m, &report, now);
 	if (node->self)
 		routing_heartbeat(node->routing,
 				  roster_vm_id(node->roster, node->self->name),
@@ -428,8 +507,9 @@
 		relays_update(m, now);
 	tick_outgoing(m, now);
 	tick_incoming(m, now);
-	if (m->node->snapshot)
+	if (m->node->snapshot && !m->node->dialect->registry)
 		relays_report_own_domain(m, now);
+	relays_announce(m, false, now);
 	finish_query(m, now);
 	guard_tick(m->node->guard, now);
 	report_self(m, now);
@@ -455,7 +535,14 @@
 	relays_update(m, now);
 	if (m->querying)
 		start_query(m, now);
-	membership_announce(m, now);
+	/*
+	 * Of a registry's revision only relays tell, as messages between all
+	 * pairs of VMs for each change do not scale.
+	 */
+	if (m->node->dialect->registry)
+		relays_announce(m, true, now);
+	else
+		membership_announce(m, now);
 }
 
 bool membership_ready(const struct membership *m)
--- a/packages/daemon/membership_internal.h
+++ b/packages/daemon/membership_internal.h
@@ -57,6 +57,10 @@
 	bool is_relay;
 	int64_t relay_since;
 	int64_t relays_checked_at;
+	int64_t announced_at;
+	/* The last report of the own server said that it takes requests. */
+	bool usable;
+	int64_t usable_reported_at;
 	int64_t heartbeat_interval_us;
 };
 
@@ -81,6 +85,16 @@
  * domain have active; heartbeats report it. Does nothing on other daemons.
  */
 void relays_report_own_domain(struct membership *m, int64_t now);
+/**
+ * On a relay that reads a platform's registry, announces the revision to the
+ * daemons of the own failure domain, when it has @p changed also to the relays
+ * of the others. Without a change, does nothing within
+ * REGISTRY_ANNOUNCE_INTERVAL_US.
+ */
+void relays_announce(struct membership *m, bool changed, int64_t now);
+/** Passes the announcement of a relay on to the control task. */
+void relays_on_announcement(struct membership *m,
+			    const struct peer_config_announce *announcement);
 void relays_merge_domain_versions(struct membership *m,
 				  const struct peer_heartbeat *beat,
 				  int64_t now);
--- a/packages/daemon/messages.h
+++ b/packages/daemon/messages.h
@@ -6,6 +6,23 @@
 
 #include <stdatomic.h>
 
+/**
+ * Changes of a mirror that lead from one revision to another. Immutable; usable
+ * on any thread.
+ */
+struct publication_batch {
+	atomic_int references;
+	int64_t after;
+	int64_t revision;
+	/** JSON objects joined by commas. */
+	struct base_buf items;
+};
+
+/** Adds a reference; publication_batch_unref() drops it. */
+struct publication_batch *
+publication_batch_ref(struct publication_batch *batch);
+void publication_batch_unref(struct publication_batch *batch);
+
 /** The values of one published version. Immutable; usable on any thread. */
 struct publication {
 	atomic_int references;
@@ -14,14 +31,29 @@
 	struct base_buf manifest;
 	struct config_published_part *parts;
 	size_t part_count;
+	/** Latest changes of a mirror, oldest first; empty without a mirror. */
+	struct publication_batch **batches;
+	size_t batch_count;
 };
 
+/**
+ * Key under which a peer asks for the changes of a mirror after its own
+ * revision, which follows as a decimal number.
+ */
+#define PUBLICATION_KEY_CHANGES_PREFIX "bilberryhinge/changes/"
+
 /** Adds a reference; publication_unref() drops it. */
 struct publication *publication_ref(struct publication *pub);
 void publication_unref(struct publication *pub);
 /** @return the value of a configuration key, or a NULL string */
 struct base_str publication_value(const struct publication *pub,
 				  struct base_str key);
+/**
+ * Writes the changes that a key with PUBLICATION_KEY_CHANGES_PREFIX asks for.
+ * @return false when the key is another one or the changes are not kept
+ */
+bool publication_write_changes(const struct publication *pub,
+			       struct base_str key, struct base_buf *out);
 
 /** Messages to the control task. */
 enum control_message_type {
@@ -29,6 +61,8 @@
 	CONTROL_PEER_VERSION,
 	/** A peer answered a DATA_FETCH request. */
 	CONTROL_PEER_VALUE,
+	/** A relay announced its revision; it reads the platform's registry. */
+	CONTROL_PEER_ANNOUNCED,
 	/** Whether this daemon is a relay of its failure domain. */
 	CONTROL_ROLE,
 	CONTROL_STOP,
@@ -42,6 +76,13 @@
 	struct base_buf value;
 	bool found;
 	bool relay;
+	/** With CONTROL_ROLE: relays of all failure domains together. */
+	size_t relay_count;
+	/**
+	 * With CONTROL_PEER_ANNOUNCED: time since the platform answered the
+	 * relay again after an outage, in us; negative without an outage.
+	 */
+	int64_t since_outage_us;
 };
 
 void control_message_free(struct control_message *msg);
@@ -77,6 +118,8 @@
 	struct base_digest digest;
 	struct base_buf text;
 	bool up;
+	/** With DATA_PLATFORM_STATE and up: calls had failed before. */
+	bool after_outage;
 };
 
 void data_message_free(struct data_message *msg);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -89,6 +89,8 @@
 	struct base_buf last_refused;
 	struct base_buf last_conflict;
 	bool platform_up;
+	/** When the platform answered again after an outage; 0 before any. */
+	int64_t platform_regained_at;
 	bool draining;
 	/**
 	 * During a planned stop, the time at which open requests are refused;
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -1,5 +1,6 @@
 /* Mirror of a platform's registry. */
 #include "registry.h"
+#include "registry_changes.h"
 #include "registry_restore.h"
 
 #include <assert.h>
@@ -30,6 +31,7 @@
 	struct base_log *log;
 	struct mirror_item *items;
 	struct registry_restores *restores;
+	struct registry_changes *changes;
 	/* The part that registry_add_part() stored last. */
 	struct base_buf part;
 	int64_t revision;
@@ -42,6 +44,8 @@
 	/* Time of the first removal in the current group of server entries. */
 	int64_t removal_group_start;
 	size_t removal_group_count;
+	/* A reload has begun and has not ended. */
+	bool reloading;
 	bool changed;
 };
 
@@ -57,6 +61,7 @@
 		(int64_t)((double)leave_us * REGISTRY_MASS_REMOVAL_HOLD_RATIO);
 	r->view = codec->view_create(settings);
 	r->restores = registry_restores_create(codec);
+	r->changes = registry_changes_create();
 	r->restored_at = -REGISTRY_RESTORE_SETTLE_US;
 	r->reconnected_at = -REGISTRY_REREGISTER_TIMEOUT_US;
 	r->removal_group_start = -REGISTRY_REMOVAL_GROUP_US;
@@ -81,6 +86,7 @@
 	HASH_ITER (hh, r->items, m, next)
 		free_item(r, m);
 	registry_restores_destroy(r->restores);
+	registry_changes_destroy(r->changes);
 	r->codec->view_destroy(r->view);
 	base_buf_release(&r->part);
 	free(r);
@@ -216,6 +222,8 @@
 		return;
 	}
 	m->expires_at = until;
+	/* Peers get the removal now, as they keep the entry by themselves. */
+	r->changed = true;
 	log_item(r, "registry_item_lapsed", item, NULL);
 }
 
@@ -266,6 +274,8 @@
 		m->seen_in_reload = true;
 		return;
 	}
+	if (!r->reloading)
+		registry_changes_add(r->changes, item);
 	registry_restores_drop_deferred(r->restores, item->key);
 	if (item->removed)
 		handle_removal(r, item, now);
@@ -283,6 +293,7 @@
 			r, registry_era_revision(registry_era_of(revision), 0),
 			now);
 	r->reload_revision = revision;
+	r->reloading = true;
 	registry_restores_drop_all_deferred(r->restores);
 	HASH_ITER (hh, r->items, m, next)
 		m->seen_in_reload = false;
@@ -303,11 +314,14 @@
 			handle_removal(r, &item, now);
 	}
 	advance_revision(r, r->reload_revision, now);
+	r->reloading = false;
+	registry_changes_restart(r->changes, r->revision);
 }
 
-void registry_platform_reconnected(struct registry *r, int64_t now)
+void registry_platform_reconnected(struct registry *r, int64_t at)
 {
-	r->reconnected_at = now;
+	if (at > r->reconnected_at)
+		r->reconnected_at = at;
 }
 
 void registry_tick(struct registry *r, int64_t now)
@@ -327,9 +341,10 @@
 
 bool registry_test_and_clear_changed(struct registry *r)
 {
-	bool changed = r->changed;
+	bool changed = r->changed && !r->reloading;
 
-	r->changed = false;
+	if (changed)
+		r->changed = false;
 	return changed;
 }
 
@@ -346,20 +361,17 @@
 
 static json_t *item_json(const struct mirror_item *m, struct publication *pub)
 {
-	struct base_str value = base_buf_str(&m->value);
-	json_t *json = json_pack("{s:s,s:I,s:I}", "key", m->key, "revision",
-				 (json_int_t)m->revision, "created",
-				 (json_int_t)m->created);
+	struct registry_item item = last_write(m);
+	struct base_str value = item.value;
 	struct config_published_part *part;
-	json_t *text;
 	char hex[2 * BASE_DIGEST_SIZE + 1];
+	json_t *json;
 
-	if (value.len <= INLINE_MAX_BYTES) {
-		text = json_stringn(value.ptr ? value.ptr : "", value.len);
-		json_object_set_new(json, "value",
-				    text ? text : json_string(""));
-		return json;
-	}
+	if (value.len <= INLINE_MAX_BYTES)
+		return registry_item_to_json(&item);
+	item.value = BASE_STR_NONE;
+	json = registry_item_to_json(&item);
+	json_object_del(json, "value");
 	part = &pub->parts[pub->part_count++];
 	part->part.digest = base_digest_of(value);
 	part->part.size = value.len;
@@ -369,7 +381,7 @@
 	return json;
 }
 
-struct publication *registry_publish(const struct registry *r)
+struct publication *registry_publish(struct registry *r)
 {
 	struct publication *pub = base_alloc(sizeof(*pub));
 	json_t *items = json_array();
@@ -391,22 +403,10 @@
 	pub->digest = base_digest_of(base_buf_str(&pub->manifest));
 	free(text);
 	json_decref(json);
+	registry_changes_publish(r->changes, r->revision, pub);
 	return pub;
 }
 
-static bool parse_item(const json_t *json, struct registry_item *item)
-{
-	const json_t *value = json_object_get(json, "value");
-
-	item->key =
-		base_str_from(json_string_value(json_object_get(json, "key")));
-	item->revision = json_integer_value(json_object_get(json, "revision"));
-	item->created = json_integer_value(json_object_get(json, "created"));
-	item->value = (struct base_str){ json_string_value(value),
-					 json_string_length(value) };
-	return item->key.len && item->revision > 0;
-}
-
 /*
  * Sets the value of an item that is sent as a part. Returns false when the part
  * is needed but not stored.
@@ -439,7 +439,7 @@
 	size_t i;
 
 	json_array_foreach (items, i, json)
-		if (parse_item(json, &item) &&
+		if (registry_item_from_json(json, &item) &&
 		    !resolve_part(r, json, &item, missing))
 			return false;
 	return true;
@@ -469,7 +469,7 @@
 	json_array_foreach (ok ? items : NULL, i, json) {
 		struct registry_item item = { 0 };
 
-		if (parse_item(json, &item) &&
+		if (registry_item_from_json(json, &item) &&
 		    resolve_part(r, json, &item, unused))
 			registry_apply(r, &item, now);
 	}
@@ -480,6 +480,34 @@
 	return ok;
 }
 
+bool registry_apply_changes(struct registry *r, struct base_str text,
+			    int64_t now)
+{
+	json_t *root = json_loadb(text.ptr ? text.ptr : "", text.len, 0, NULL);
+	int64_t after = json_integer_value(json_object_get(root, "after"));
+	int64_t revision =
+		json_integer_value(json_object_get(root, "revision"));
+	const json_t *items = json_object_get(root, "items");
+	bool ok = json_is_array(items) && !r->reloading &&
+		  after <= r->revision && revision > r->revision &&
+		  registry_era_of(revision) == registry_era_of(r->revision);
+	const json_t *json;
+	size_t i;
+
+	json_array_foreach (ok ? items : NULL, i, json) {
+		struct registry_item item = { 0 };
+
+		if (registry_item_from_json(json, &item))
+			registry_apply(r, &item, now);
+	}
+	if (ok) {
+		advance_revision(r, revision, now);
+		r->changed = true;
+	}
+	json_decref(root);
+	return ok;
+}
+
 void registry_add_part(struct registry *r, struct base_str bytes)
 {
 	base_buf_reset(&r->part);
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -62,19 +62,21 @@
 void registry_begin_reload(struct registry *r, int64_t revision, int64_t now);
 void registry_end_reload(struct registry *r, int64_t now);
 /**
- * The platform answers again after an outage. Server entries that are removed
- * within REGISTRY_REREGISTER_TIMEOUT_US from now are kept at least until that
- * time is over.
+ * The platform answered again after an outage, here or at the peer whose
+ * changes are applied. Server entries that are removed within
+ * REGISTRY_REREGISTER_TIMEOUT_US from @p at are kept at least until that time
+ * is over.
  */
-void registry_platform_reconnected(struct registry *r, int64_t now);
+void registry_platform_reconnected(struct registry *r, int64_t at);
 /**
  * Drops removed entries whose hold time is over, and applies those that were
  * set aside after a restore and are still listed.
  */
 void registry_tick(struct registry *r, int64_t now);
 /**
- * Returns whether the result of registry_snapshot() has changed since the last
- * call.
+ * Returns whether the result of registry_snapshot() or the changes for peers
+ * have changed since the last call; false during a reload, whose items are not
+ * complete.
  */
 bool registry_test_and_clear_changed(struct registry *r);
 /**
@@ -91,10 +93,11 @@
 
 /**
  * Makes a publication of the mirror for peers: the manifest lists all items
- * except removed ones, and large values are parts.
+ * except removed ones, large values are parts, and the latest changes are
+ * added.
  * @return a publication with one reference, which the caller owns
  */
-struct publication *registry_publish(const struct registry *r);
+struct publication *registry_publish(struct registry *r);
 /**
  * Applies the items of a peer's manifest if it is newer than the mirror.
  * @param[out] missing  hex digest of a part that is missing; empty when none is
@@ -104,6 +107,13 @@
 bool registry_apply_manifest(struct registry *r, struct base_str manifest,
 			     char missing[2 * BASE_DIGEST_SIZE + 1],
 			     int64_t now);
+/**
+ * Applies the changes that a peer wrote with publication_write_changes().
+ * @return false when they are not changes, lead on from a later revision than
+ *         the mirror's or from another era, or lead to no newer one
+ */
+bool registry_apply_changes(struct registry *r, struct base_str text,
+			    int64_t now);
 /**
  * Stores a part for the next registry_apply_manifest(), in place of the part
  * stored before.
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -17,13 +17,16 @@
 /* Back-off after a failed call, doubled up to the maximum, with jitter. */
 #define RETRY_MIN_US (150 * BASE_MS_US)
 #define RETRY_MAX_US (1200 * BASE_MS_US)
-/* Delay before the next watch, so that it reads several changes in one call. */
-#define CHANGE_BATCH_US (60 * BASE_MS_US)
+/*
+ * Delay of the watch that follows a change, so that it reads several changes in
+ * one call. A change after a time without any is read at once.
+ */
+#define CHANGE_BATCH_US (250 * BASE_MS_US)
 /* Shortest time from the start of a watch or the last restart to a restart. */
 #define WATCH_RESTART_INTERVAL_US (500 * BASE_MS_US)
 /*
  * A connection may go silent for good, and a watch on it looks like one without
- * changes until its timeout. All daemons together check this often on other
+ * changes until its timeout. All readers together check this often on other
  * connections whether there are changes that their watches do not deliver; the
  * first one that finds some tells its peers.
  */
@@ -49,7 +52,12 @@
 	int64_t era;
 	int64_t backoff_us;
 	int64_t call_started_at;
+	int64_t answered_at;
 	int64_t watch_restarted_at;
+	/* Daemons that read the platform; 0 when it may be all of them. */
+	size_t reader_count;
+	/* Watches are started; reads of all items always are. */
+	bool reading;
 	/* All items were read; the next calls are watches. */
 	bool watching;
 	/* A read of all items has returned its first page. */
@@ -78,8 +86,9 @@
 		      int64_t now)
 {
 	struct base_log_line line;
+	bool after_outage = up && c->call_failed;
 
-	if (up && c->call_failed) {
+	if (after_outage) {
 		c->call_failed = false;
 		registry_platform_reconnected(c->settings.registry, now);
 	}
@@ -96,7 +105,7 @@
 	base_log_int(&line, "revision",
 		     registry_revision(c->settings.registry));
 	base_log_end(&line);
-	c->settings.on_state(c->settings.ctx, up);
+	c->settings.on_state(c->settings.ctx, up, after_outage);
 }
 
 static void handle_failure(struct registry_client *c, const char *reason,
@@ -165,6 +174,15 @@
 	schedule_call(c, page->count ? CHANGE_BATCH_US : 0);
 }
 
+/*
+ * The answer to a watch that was started before the daemon stopped reading is
+ * used, but no further watch follows.
+ */
+static bool is_due(const struct registry_client *c)
+{
+	return !c->call && (c->reading || !c->watching);
+}
+
 static const char *failure_reason(enum http_result result,
 				  const struct http_response *answer)
 {
@@ -279,6 +297,7 @@
 		return;
 	}
 	set_state(c, true, "answered", now);
+	c->answered_at = now;
 	if (page.malformed_count)
 		log_malformed_items(c, &page);
 	if (c->watching)
@@ -318,7 +337,10 @@
 
 static void on_timer(evutil_socket_t fd, short events, void *arg)
 {
-	start_call(arg);
+	struct registry_client *c = arg;
+
+	if (is_due(c))
+		start_call(c);
 }
 
 static void restart_watch(struct registry_client *c)
@@ -339,6 +361,31 @@
 	restart_watch(c);
 }
 
+void registry_client_set_reading(struct registry_client *c, bool reading)
+{
+	if (reading == c->reading)
+		return;
+	c->reading = reading;
+	if (is_due(c) && !evtimer_pending(c->timer, NULL))
+		schedule_call(c, 0);
+}
+
+void registry_client_set_reader_count(struct registry_client *c, size_t count)
+{
+	c->reader_count = count;
+}
+
+int64_t registry_client_answered_at(const struct registry_client *c)
+{
+	return c->answered_at;
+}
+
+void registry_client_confirm(struct registry_client *c, int64_t now)
+{
+	if (c->watching)
+		set_state(c, true, "a relay reads it", now);
+}
+
 static void log_probe_failure(struct registry_client *c, const char *reason)
 {
 	struct base_log_line line = base_log_begin(
@@ -410,9 +457,11 @@
 
 static void schedule_probe(struct registry_client *c)
 {
-	size_t servers = registry_server_count(c->settings.registry);
+	size_t readers = c->reader_count
+				 ? c->reader_count
+				 : registry_server_count(c->settings.registry);
 	double us = (double)FLEET_PROBE_INTERVAL_US *
-		    (double)(servers ? servers : 1) *
+		    (double)(readers ? readers : 1) *
 		    (0.75 + 0.5 * base_rand_unit(&c->rnd));
 	struct timeval tv = { .tv_sec = (int64_t)us / BASE_SECOND_US,
 			      .tv_usec = (int64_t)us % BASE_SECOND_US };
@@ -428,7 +477,7 @@
 	struct registry_client *c = arg;
 
 	schedule_probe(c);
-	if (!c->watching || !c->call || !c->up || c->probe)
+	if (!c->reading || !c->watching || !c->call || !c->up || c->probe)
 		return;
 	c->settings.codec->watch_target(c->revision, PROBE_WAIT_MS, &target);
 	request.path = base_buf_str(&target);
@@ -452,6 +501,7 @@
 	c->base = base;
 	c->settings = *settings;
 	c->backoff_us = RETRY_MIN_US;
+	c->reading = true;
 	base_rand_seed_system(&c->rnd);
 	if (http_client_create(base, &http, &c->http, err)) {
 		free(c);
--- a/packages/daemon/registry_task.c
+++ b/packages/daemon/registry_task.c
@@ -1,7 +1,9 @@
 /* The control task's work on a platform with a registry. */
 #include "registry_task.h"
 #include "registry_client.h"
+#include "registry_reader.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -12,12 +14,16 @@
 #define PEER_FETCH_DELAY_US (250 * BASE_MS_US)
 /* Interval between fetches of a peer's mirror. */
 #define PEER_FETCH_RETRY_US (400 * BASE_MS_US)
+/* Interval between fetches of a relay's changes. */
+#define CHANGES_FETCH_INTERVAL_US (80 * BASE_MS_US)
 
 struct registry_task {
 	struct registry *registry;
 	struct registry_client *client;
 	struct base_mailbox *outbox;
 	struct base_log *log;
+	struct registry_reader reader;
+	int64_t changes_fetched_at;
 	/* Newest revision that a peer reported. */
 	int64_t peer_revision;
 	/* Time since which the own mirror is behind that revision. */
@@ -76,12 +82,13 @@
 	activate(ctx);
 }
 
-static void on_state(void *ctx, bool up)
+static void on_state(void *ctx, bool up, bool after_outage)
 {
 	struct registry_task *t = ctx;
 	struct data_message *msg = new_message(DATA_PLATFORM_STATE);
 
 	msg->up = up;
+	msg->after_outage = after_outage;
 	base_mailbox_post(t->outbox, msg);
 }
 
@@ -104,6 +111,67 @@
 	t->peer_revision = revision;
 }
 
+static void update_reading(struct registry_task *t, int64_t now)
+{
+	registry_reader_on_answer(&t->reader,
+				  registry_client_answered_at(t->client));
+	registry_client_set_reading(
+		t->client,
+		registry_reader_must_read(&t->reader,
+					  registry_revision(t->registry), now));
+}
+
+void registry_task_set_role(struct registry_task *t, bool relay,
+			    size_t relay_count, int64_t now)
+{
+	t->reader.is_relay = relay;
+	registry_client_set_reader_count(t->client, relay ? relay_count : 0);
+	update_reading(t, now);
+}
+
+static bool is_behind_announcement(const struct registry_task *t)
+{
+	return t->reader.announced_revision > registry_revision(t->registry);
+}
+
+/* Fetches the changes that lead from the mirror to the announced revision. */
+static void fetch_changes(struct registry_task *t, int64_t now)
+{
+	char key[sizeof(PUBLICATION_KEY_CHANGES_PREFIX) + 24];
+
+	if (t->reader.is_relay || !is_behind_announcement(t) ||
+	    now - t->changes_fetched_at < CHANGES_FETCH_INTERVAL_US)
+		return;
+	t->changes_fetched_at = now;
+	snprintf(key, sizeof(key), "%s%" PRId64, PUBLICATION_KEY_CHANGES_PREFIX,
+		 registry_revision(t->registry));
+	fetch(t, key);
+}
+
+void registry_task_on_announcement(struct registry_task *t,
+				   const struct control_message *m, int64_t now)
+{
+	registry_reader_on_announcement(&t->reader, m->version,
+					registry_revision(t->registry), now);
+	if (m->since_outage_us >= 0)
+		registry_platform_reconnected(t->registry,
+					      now - m->since_outage_us);
+	if (!t->reader.is_relay)
+		registry_client_confirm(t->client, now);
+	registry_task_on_peer_version(t, m->version, now);
+	update_reading(t, now);
+	fetch_changes(t, now);
+}
+
+static void log_taken_from_peer(struct registry_task *t)
+{
+	struct base_log_line line = base_log_begin(t->log, BASE_LOG_INFO,
+						   "registry_taken_from_peer");
+
+	base_log_int(&line, "revision", registry_revision(t->registry));
+	base_log_end(&line);
+}
+
 static void apply_manifest(struct registry_task *t, int64_t now)
 {
 	char missing[2 * BASE_DIGEST_SIZE + 1];
@@ -111,11 +179,7 @@
 
 	if (registry_apply_manifest(t->registry, base_buf_str(&t->manifest),
 				    missing, now)) {
-		struct base_log_line line = base_log_begin(
-			t->log, BASE_LOG_INFO, "registry_taken_from_peer");
-
-		base_log_int(&line, "revision", registry_revision(t->registry));
-		base_log_end(&line);
+		log_taken_from_peer(t);
 		activate(t);
 	} else if (missing[0]) {
 		snprintf(key, sizeof(key), "%s%s", CONFIG_KEY_PART_PREFIX,
@@ -124,13 +188,30 @@
 	}
 }
 
+/* A peer that does not keep the changes any more sends its whole mirror. */
+static void apply_changes(struct registry_task *t,
+			  const struct control_message *m, int64_t now)
+{
+	if (m->found &&
+	    registry_apply_changes(t->registry, base_buf_str(&m->value), now))
+		activate(t);
+	else if (is_behind_announcement(t))
+		fetch(t, CONFIG_KEY_MANIFEST);
+}
+
 void registry_task_on_peer_value(struct registry_task *t,
 				 const struct control_message *m, int64_t now)
 {
+	struct base_str key = base_buf_str(&m->key);
+
+	if (base_str_starts_with(key,
+				 BASE_STR(PUBLICATION_KEY_CHANGES_PREFIX))) {
+		apply_changes(t, m, now);
+		return;
+	}
 	if (!m->found)
 		return;
-	if (base_str_equal(base_buf_str(&m->key),
-			   BASE_STR(CONFIG_KEY_MANIFEST))) {
+	if (base_str_equal(key, BASE_STR(CONFIG_KEY_MANIFEST))) {
 		base_buf_reset(&t->manifest);
 		base_buf_add_str(&t->manifest, base_buf_str(&m->value));
 	} else {
@@ -143,6 +224,8 @@
 {
 	registry_tick(t->registry, now);
 	activate(t);
+	update_reading(t, now);
+	fetch_changes(t, now);
 	if (t->peer_revision <= registry_revision(t->registry) ||
 	    now - t->behind_since < PEER_FETCH_DELAY_US ||
 	    now - t->fetched_at < PEER_FETCH_RETRY_US)
--- a/packages/daemon/registry_task.h
+++ b/packages/daemon/registry_task.h
@@ -30,10 +30,20 @@
 		     const struct registry_task_settings *settings,
 		     struct base_error *err);
 void registry_task_destroy(struct registry_task *t);
+/**
+ * Relays read the platform; other daemons do when the relays do not.
+ * @param relay_count  relays of all failure domains together
+ */
+void registry_task_set_role(struct registry_task *t, bool relay,
+			    size_t relay_count, int64_t now);
+/** A relay that reads the platform announced the revision of its mirror. */
+void registry_task_on_announcement(struct registry_task *t,
+				   const struct control_message *m,
+				   int64_t now);
 /** A peer reported the revision of its mirror. */
 void registry_task_on_peer_version(struct registry_task *t, int64_t revision,
 				   int64_t now);
-/** A peer answered a request for its manifest or for a part. */
+/** A peer answered a request for its changes, its manifest or a part. */
 void registry_task_on_peer_value(struct registry_task *t,
 				 const struct control_message *m, int64_t now);
 /** To be called about every 100 ms. */
--- a/packages/daemon/relays.c
+++ b/packages/daemon/relays.c
@@ -5,6 +5,8 @@
 #include "membership_internal.h"
 #include "claims.h"
 #include "rate_limiter.h"
+#include "registry.h"
+#include "registry_reader.h"
 
 #include <string.h>
 
@@ -63,24 +65,35 @@
 
 	msg->type = CONTROL_ROLE;
 	msg->relay = relay;
+	msg->relay_count = m->node->snapshot->domain_count * RELAYS_PER_DOMAIN;
 	control_post(m->node->control, msg);
 }
 
+/* A VM that is not listed yet gets its configuration from relays too. */
+static const struct config_domain *own_domain(const struct node *node)
+{
+	return node->self ? node->self->domain
+			  : config_snapshot_find_domain(
+				    node->snapshot,
+				    base_str_from(node->settings->domain));
+}
+
 void relays_update(struct membership *m, int64_t now)
 {
 	struct node *node = m->node;
+	const struct config_domain *domain = own_domain(node);
 	struct outgoing_link *out_link, *next;
 	bool relay;
 	size_t i;
 
 	m->relays_checked_at = now;
-	if (!node->self)
+	if (!domain)
 		return;
 	HASH_ITER (hh, m->outgoing, out_link, next)
 		out_link->relay = false;
-	relay = open_relay_links(m, node->self->domain, now);
+	relay = open_relay_links(m, domain, now);
 	for (i = 0; relay && i < node->snapshot->domain_count; i++)
-		if (&node->snapshot->domains[i] != node->self->domain)
+		if (&node->snapshot->domains[i] != domain)
 			open_relay_links(m, &node->snapshot->domains[i], now);
 	if (relay == m->is_relay)
 		return;
@@ -151,3 +164,79 @@
 	HASH_FIND(hh, m->domains, domain.ptr, domain.len, d);
 	return d ? d->version : 0;
 }
+
+static struct peer_message build_announcement(const struct node *node,
+					      int64_t now)
+{
+	int64_t since_outage_us = now - node->platform_regained_at;
+
+	if (!node->platform_regained_at ||
+	    since_outage_us > REGISTRY_REREGISTER_TIMEOUT_US)
+		since_outage_us = -1;
+	return (struct peer_message){
+		.type = PEER_CONFIG_ANNOUNCE,
+		.config_announce = {
+			.version = (uint64_t)node->snapshot->version,
+			.hash = node->snapshot->digest,
+			.since_outage_us = since_outage_us,
+		},
+	};
+}
+
+static void announce_to_own_domain(struct membership *m,
+				   struct peer_message *msg, int64_t now)
+{
+	struct node *node = m->node;
+	struct incoming_link *in_link, *next;
+
+	HASH_ITER (hh, m->incoming, in_link, next) {
+		const struct config_vm *vm = config_snapshot_find_vm(
+			node->snapshot, base_str_from(in_link->vm));
+
+		/* A VM that is not listed yet asks only relays of its domain.
+		 */
+		if (!vm || vm->domain == node->self->domain)
+			peer_transport_reply(node->transport, &in_link->handle,
+					     msg);
+	}
+	m->announced_at = now;
+}
+
+static void announce_to_other_relays(struct membership *m,
+				     struct peer_message *msg)
+{
+	struct outgoing_link *out_link, *next;
+
+	HASH_ITER (hh, m->outgoing, out_link, next)
+		if (out_link->relay && peer_link_is_up(out_link->link))
+			peer_transport_send(m->node->transport, out_link->link,
+					    msg);
+}
+
+void relays_announce(struct membership *m, bool changed, int64_t now)
+{
+	struct node *node = m->node;
+	struct peer_message msg;
+
+	if (!node->dialect->registry || !m->is_relay || !node->platform_up ||
+	    !node->snapshot || !node->self)
+		return;
+	if (!changed && now - m->announced_at < REGISTRY_ANNOUNCE_INTERVAL_US)
+		return;
+	msg = build_announcement(node, now);
+	announce_to_own_domain(m, &msg, now);
+	if (changed)
+		announce_to_other_relays(m, &msg);
+}
+
+void relays_on_announcement(struct membership *m,
+			    const struct peer_config_announce *announcement)
+{
+	struct control_message *msg = base_alloc(sizeof(*msg));
+
+	msg->type = CONTROL_PEER_ANNOUNCED;
+	msg->version = (int64_t)announcement->version;
+	msg->digest = announcement->hash;
+	msg->since_outage_us = announcement->since_outage_us;
+	control_post(m->node->control, msg);
+}
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -207,6 +207,7 @@
 static const struct field config_announce_fields[] = {
 	U64(peer_config_announce, version),
 	DIGEST(peer_config_announce, hash),
+	I64(peer_config_announce, since_outage_us),
 };
 
 static const struct field config_get_fields[] = {
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -415,10 +415,15 @@
 	int64_t wait_us;
 };
 
-/** Active configuration of the sender. */
+/** Active configuration of a sender that reads it from the platform. */
 struct peer_config_announce {
 	uint64_t version;
 	struct base_digest hash;
+	/**
+	 * Time since the platform answered the sender again after an outage;
+	 * negative when that is long ago or there was none.
+	 */
+	int64_t since_outage_us;
 };
 
 /** Asks for one value of the configuration. */
--- a/packages/peer/tests/samples.c
+++ b/packages/peer/tests/samples.c
@@ -143,7 +143,7 @@
 
 	if (m->type == PEER_CONFIG_ANNOUNCE)
 		m->config_announce =
-			(struct peer_config_announce){ 12, digest };
+			(struct peer_config_announce){ 12, digest, -1 };
 	else if (m->type == PEER_CONFIG_GET)
 		m->config_get.key = BASE_STR("bilberryhinge/manifest");
 	else
@@ -386,6 +386,8 @@
 			    b->config_announce.version);
 		ASSERT_SAME_DIGEST(a->config_announce.hash,
 				   b->config_announce.hash);
+		ASSERT_SAME(a->config_announce.since_outage_us,
+			    b->config_announce.since_outage_us);
 	} else if (a->type == PEER_CONFIG_GET) {
 		ASSERT_SAME_STR(a->config_get.key, b->config_get.key);
 	} else {
