Check an idle server before it gets a group of requests

Cause: a server may turn cold while it runs, without a report of its platform.

Change: when a server with a cold rate was idle for 200 ms, starts are limited as for a cold one until a health check tells its state; the check is sent when more waits than that allows, and without an answer the limit ends after 1 s. Single requests cost no check. The decision is in overload/ramp.c.

A server that turns cold while it is busy is still told by its platform only.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -61,6 +61,8 @@
 				action.retry_after_us, now);
 	}
 	g->dispatching = false;
+	if (overload_guard_needs_check(g->overload, now))
+		backend_health_check(g->health, now);
 	schedule_timer(g, now);
 }
 
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -463,7 +463,7 @@
 	HASH_DEL(guard->running, run);
 	guard->in_flight--;
 	guard->idempotent_in_flight -= run->idempotent;
-	overload_ramp_work_ended(&guard->ramp, run->started_at);
+	overload_ramp_work_ended(&guard->ramp, run->started_at, guard->now);
 	if (outcome != OVERLOAD_OUTCOME_SERVER_LOST)
 		record_sample(guard, run, outcome);
 	else if (run->started_at >= guard->ramp.lost_at)
@@ -528,6 +528,12 @@
 	guard->has_stated_rate = false;
 }
 
+bool overload_guard_needs_check(const struct overload_guard *guard, int64_t now)
+{
+	return overload_queue_length(guard->queue) &&
+	       overload_ramp_needs_check(&guard->ramp, now);
+}
+
 bool overload_guard_is_held(const struct overload_guard *guard)
 {
 	return guard->ramp.cold_starts.rate_per_s > 0 &&
@@ -572,8 +578,8 @@
 
 /*
  * The earliest of the next deadline decision, the next cutoff update, the next
- * start that a stated rate permits and, while work waits for a cold server, the
- * next millisecond.
+ * start that a stated rate permits and, while work waits for a server that is
+ * or may be cold, the next millisecond.
  */
 int64_t overload_guard_next_timer_at(const struct overload_guard *guard)
 {
@@ -595,7 +601,8 @@
 		at = earliest < at ? earliest : at;
 	}
 	if (overload_queue_length(guard->queue) &&
-	    overload_ramp_is_cold(&guard->ramp, guard->now)) {
+	    (overload_ramp_is_cold(&guard->ramp, guard->now) ||
+	     overload_ramp_needs_check(&guard->ramp, guard->now))) {
 		earliest = guard->now + BASE_MS_US;
 		at = earliest < at ? earliest : at;
 	}
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -244,6 +244,12 @@
 				    double rate_per_s, int64_t now);
 /** The backend server no longer states a rate. */
 void overload_guard_clear_stated_rate(struct overload_guard *guard);
+/**
+ * Returns whether work waits for a health check, as the server was idle and may
+ * have turned cold. To be answered with overload_guard_server_ready().
+ */
+bool overload_guard_needs_check(const struct overload_guard *guard,
+				int64_t now);
 /** Returns whether starts are suspended, see overload_guard_hold(). */
 bool overload_guard_is_held(const struct overload_guard *guard);
 /**
--- a/packages/overload/ramp.c
+++ b/packages/overload/ramp.c
@@ -17,6 +17,15 @@
 #define BASELINE_FREEZE_RATIO 1.5
 /* Delay between the loss of a server and the next request sent to it. */
 #define TRIAL_INTERVAL_US (50 * BASE_MS_US)
+/*
+ * An idle server shows no latency by which a cold one could be told, and it may
+ * turn cold without its platform's knowledge. After this time, a group of
+ * requests larger than a cold server bears waits for a health check. It answers
+ * the load of servers that are taken back into use all at once.
+ */
+#define UNCONFIRMED_IDLE_US (200 * BASE_MS_US)
+/* Without an answer to the check for this time, the server counts as warm. */
+#define UNCONFIRMED_MAX_US BASE_SECOND_US
 #define RECENT_GAIN 0.05
 #define BASELINE_GAIN 0.01
 #define SAMPLES_MIN 20
@@ -69,12 +78,19 @@
 	ramp->unavailable = true;
 }
 
+static bool is_limited_by_rate(const struct overload_ramp *ramp, int64_t now)
+{
+	return now < ramp->cold_until || now < ramp->unconfirmed_until;
+}
+
 void overload_ramp_server_ready(struct overload_ramp *ramp, int64_t cold_us,
 				int64_t now)
 {
-	if (ramp->unavailable || now >= ramp->cold_until)
+	if (ramp->unavailable || !is_limited_by_rate(ramp, now))
 		overload_bucket_fill(&ramp->cold_starts, now);
 	ramp->unavailable = false;
+	ramp->unconfirmed_until = now;
+	ramp->idle_since = now;
 	if (now + cold_us > ramp->cold_until)
 		ramp->cold_until = now + cold_us;
 }
@@ -83,10 +99,16 @@
 {
 	if (ramp->unavailable)
 		return false;
-	return now >= ramp->cold_until ||
+	return !is_limited_by_rate(ramp, now) ||
 	       overload_bucket_has_token(&ramp->cold_starts, now);
 }
 
+bool overload_ramp_needs_check(const struct overload_ramp *ramp, int64_t now)
+{
+	return has_cold_rate(ramp) && now < ramp->unconfirmed_until &&
+	       !may_start_by_rate(ramp, now);
+}
+
 bool overload_ramp_may_start(const struct overload_ramp *ramp, int64_t now)
 {
 	if (has_cold_rate(ramp))
@@ -98,12 +120,22 @@
 void overload_ramp_work_started(struct overload_ramp *ramp, int64_t now)
 {
 	ramp->trial_in_flight = true;
-	if (has_cold_rate(ramp) && now < ramp->cold_until)
+	if (has_cold_rate(ramp) && !ramp->in_flight &&
+	    !is_limited_by_rate(ramp, now) &&
+	    now - ramp->idle_since >= UNCONFIRMED_IDLE_US) {
+		ramp->unconfirmed_until = now + UNCONFIRMED_MAX_US;
+		overload_bucket_fill(&ramp->cold_starts, now);
+	}
+	ramp->in_flight++;
+	if (has_cold_rate(ramp) && is_limited_by_rate(ramp, now))
 		overload_bucket_take(&ramp->cold_starts, now);
 }
 
-void overload_ramp_work_ended(struct overload_ramp *ramp, int64_t started_at)
+void overload_ramp_work_ended(struct overload_ramp *ramp, int64_t started_at,
+			      int64_t now)
 {
+	if (ramp->in_flight && !--ramp->in_flight)
+		ramp->idle_since = now;
 	if (started_at >= ramp->lost_at)
 		ramp->trial_in_flight = false;
 }
--- a/packages/overload/ramp.h
+++ b/packages/overload/ramp.h
@@ -20,6 +20,14 @@
 	 */
 	struct overload_bucket cold_starts;
 	int64_t cold_until;
+	/*
+	 * Until then, starts are limited as if the server were cold: it was
+	 * idle and may have turned cold untold.
+	 */
+	int64_t unconfirmed_until;
+	/* Work on the server, and when the last one ended. */
+	uint32_t in_flight;
+	int64_t idle_since;
 	/* Answers to work started earlier are no evidence of the state. */
 	int64_t restarted_at;
 	/* When the warm-up began; -1 until the server has answered. */
@@ -61,7 +69,15 @@
 /** Reports that work was started, as overload_ramp_may_start() permitted. */
 void overload_ramp_work_started(struct overload_ramp *ramp, int64_t now);
 /** Reports that work started at @p started_at has ended with any outcome. */
-void overload_ramp_work_ended(struct overload_ramp *ramp, int64_t started_at);
+void overload_ramp_work_ended(struct overload_ramp *ramp, int64_t started_at,
+			      int64_t now);
+/**
+ * Returns whether a health check would permit starts: the server was idle, and
+ * has got what it bears in case it turned cold meanwhile. The check is reported
+ * with overload_ramp_server_ready(); without one the starts are limited for a
+ * second.
+ */
+bool overload_ramp_needs_check(const struct overload_ramp *ramp, int64_t now);
 /**
  * Reports that the server has answered work.
  * @return true when the latency shows that the server has turned cold; the ramp
--- a/packages/overload/tests/test_cold_start_rate.c
+++ b/packages/overload/tests/test_cold_start_rate.c
@@ -100,3 +100,64 @@
 	cr_assert(le(u32, started, STARTS_PER_SECOND_MAX));
 	overload_guard_destroy(f.guard);
 }
+
+/* Runs a server under load, then leaves it idle. */
+static void leave_idle(struct fixture *f)
+{
+	setup(f);
+	overload_guard_server_ready(f->guard, 0, f->now);
+	cr_assert(ge(u32, load(f, BASE_SECOND_US), 900));
+	cr_assert(not(overload_guard_needs_check(f->guard, f->now)));
+	f->now += 300 * BASE_MS_US;
+}
+
+/*
+ * Fails if a server that turned cold while it was idle, untold, gets all at
+ * once what a warm one takes.
+ */
+Test(cold_start_rate, idle_server_is_checked_before_a_group_of_requests)
+{
+	struct fixture f;
+	uint32_t started;
+
+	leave_idle(&f);
+	started = load(&f, 60 * BASE_MS_US);
+	cr_assert(le(u32, started, 5));
+	cr_assert(overload_guard_needs_check(f.guard, f.now));
+	overload_guard_server_ready(f.guard, 3 * BASE_SECOND_US, f.now);
+	started += load(&f, 940 * BASE_MS_US);
+	cr_assert(le(u32, started, STARTS_PER_SECOND_MAX));
+	overload_guard_destroy(f.guard);
+}
+
+/* Fails if a check that says warm, or is not answered, does not end the wait.
+ */
+Test(cold_start_rate, group_of_requests_starts_after_the_check)
+{
+	struct fixture f;
+
+	leave_idle(&f);
+	load(&f, 10 * BASE_MS_US);
+	overload_guard_server_ready(f.guard, 0, f.now);
+	cr_assert(ge(u32, load(&f, 10 * BASE_MS_US), 10));
+	overload_guard_destroy(f.guard);
+	leave_idle(&f);
+	load(&f, BASE_SECOND_US);
+	cr_assert(ge(u32, load(&f, 10 * BASE_MS_US), 10));
+	overload_guard_destroy(f.guard);
+}
+
+/* Fails if each single request to an idle server costs a health check. */
+Test(cold_start_rate, single_requests_need_no_check)
+{
+	struct fixture f;
+	int i;
+
+	leave_idle(&f);
+	for (i = 0; i < 10; i++) {
+		cr_assert(eq(u32, load(&f, BASE_MS_US), 1));
+		cr_assert(not(overload_guard_needs_check(f.guard, f.now)));
+		f.now += 250 * BASE_MS_US;
+	}
+	overload_guard_destroy(f.guard);
+}
