Apply no change twice when a watch and a peer state it

A daemon that falls back to its own watch started it at the revision that it had last read itself. The changes since, which it had taken from a relay, came again, and with them entries that were removed since: i-04e7ba8eb0, removed at revision 50, was put back from revision 36 and removed again within one answer, and a server that had left counted towards a removal of many at once and was kept 1.5 s.

Change: outside of a reload the mirror ignores changes up to its revision, as it holds them all; a watch or a probe starts at the revision of the mirror where that is the later one.

--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -269,6 +269,13 @@
 {
 	struct mirror_item *m = find_item(r, item->key);
 
+	/*
+	 * Outside of a reload, the mirror holds all changes up to its revision.
+	 * A watch that was in flight while a peer's changes were applied states
+	 * some of them again, and with them entries that were removed since.
+	 */
+	if (!r->reloading && item->revision <= r->revision)
+		return;
 	advance_revision(r, item->revision, now);
 	if (m && m->revision >= item->revision) {
 		m->seen_in_reload = true;
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -50,7 +50,8 @@
 int64_t registry_revision(const struct registry *r);
 /**
  * Applies a change read from the platform or from a peer's mirror. A change
- * that is not newer than the mirrored item is ignored.
+ * that is not newer than the mirror is ignored; in a reload, one that is not
+ * newer than the mirrored item.
  */
 void registry_apply(struct registry *r, const struct registry_item *item,
 		    int64_t now);
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -307,6 +307,20 @@
 	c->settings.codec->page_release(&page);
 }
 
+/*
+ * Revision after which a watch reads. Changes that came from a peer are not
+ * read again.
+ */
+static int64_t watched_revision(const struct registry_client *c)
+{
+	int64_t mirrored = registry_revision(c->settings.registry);
+
+	if (registry_era_of(mirrored) != c->era)
+		return c->revision;
+	mirrored -= registry_era_revision(c->era, 0);
+	return mirrored > c->revision ? mirrored : c->revision;
+}
+
 static void start_call(struct registry_client *c)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf target = BASE_BUF_INIT;
@@ -322,7 +336,8 @@
 		if (!c->up)
 			wait_ms = 1;
 		timeout = wait_ms * BASE_MS_US + WATCH_ANSWER_SLACK_US;
-		c->settings.codec->watch_target(c->revision, wait_ms, &target);
+		c->settings.codec->watch_target(watched_revision(c), wait_ms,
+						&target);
 	} else {
 		c->settings.codec->range_target(base_buf_str(&c->last_key),
 						&target);
@@ -479,7 +494,8 @@
 	schedule_probe(c);
 	if (!c->reading || !c->watching || !c->call || !c->up || c->probe)
 		return;
-	c->settings.codec->watch_target(c->revision, PROBE_WAIT_MS, &target);
+	c->settings.codec->watch_target(watched_revision(c), PROBE_WAIT_MS,
+					&target);
 	request.path = base_buf_str(&target);
 	count(c, "registry_probes");
 	c->probe = http_client_send(c->http, &request, READ_TIMEOUT_US,
--- a/packages/daemon/tests/test_registry_changes.c
+++ b/packages/daemon/tests/test_registry_changes.c
@@ -97,6 +97,28 @@
 	registry_destroy(other);
 }
 
+/*
+ * Guards against a server that has left and is in use again: a watch that was
+ * in flight states changes which the mirror took from a relay before.
+ */
+Test(registry_changes, are_not_applied_again_after_a_removal)
+{
+	struct registry *relay = mirror_create();
+	struct registry *other = mirror_create();
+
+	load(relay, 4);
+	load(other, 4);
+	mirror_apply(relay, "s2", "new two", 5, 0);
+	mirror_apply(relay, "s2", NULL, 8, 0);
+	cr_assert(catch_up(relay, other, 0));
+	registry_test_and_clear_changed(other);
+	mirror_apply(other, "s2", "new two", 5, 0);
+	cr_assert(not(registry_test_and_clear_changed(other)));
+	cr_assert(not(mirror_publishes(other, "two")));
+	registry_destroy(relay);
+	registry_destroy(other);
+}
+
 /* Guards against the publication of a mirror whose reload has not ended. */
 Test(registry_changes, wait_for_the_end_of_a_reload)
 {
