--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -228,15 +228,16 @@
 		handle_seed_message(m, link, msg);
 		return;
 	}
-	if (msg->type == PEER_HEARTBEAT)
+	if (msg->type == PEER_HEARTBEAT) {
 		on_heartbeat(m, out_link, &msg->heartbeat, now);
-	else if (msg->type == PEER_CONFIG_VALUE)
+	} else if (msg->type == PEER_CONFIG_VALUE) {
 		on_config_value(m, &msg->config_value);
-	else if (msg->type == PEER_CONFIG_ANNOUNCE) {
+	} else if (msg->type == PEER_CONFIG_ANNOUNCE) {
 		out_link->version = msg->config_announce.version;
 		relays_on_announcement(m, &msg->config_announce);
-	} else if (msg->type == PEER_CONFIG_GET)
+	} else if (msg->type == PEER_CONFIG_GET) {
 		send_config_value(m, link, msg);
+	}
 }
 
 static void reply_config_value(struct membership *m,
--- a/packages/daemon/relays.c
+++ b/packages/daemon/relays.c
@@ -193,8 +193,7 @@
 		const struct config_vm *vm = config_snapshot_find_vm(
 			node->snapshot, base_str_from(in_link->vm));
 
-		/* A VM that is not listed yet asks only relays of its domain.
-		 */
+		/* A VM that is not listed asks only relays of its domain. */
 		if (!vm || vm->domain == node->self->domain)
 			peer_transport_reply(node->transport, &in_link->handle,
 					     msg);
