Correct the comment of find_batch in messages.c

Found on the last reading: the function returns an index, and batch_count where the changes are not kept; the comment said NULL. Only the comment changes.

--- a/packages/daemon/messages.c
+++ b/packages/daemon/messages.c
@@ -61,7 +61,10 @@
 	return BASE_STR_NONE;
 }
 
-/* Returns the first batch with changes after a revision; NULL when not kept. */
+/*
+ * Returns the index of the first batch with changes after a revision,
+ * batch_count when they are not kept.
+ */
 static size_t find_batch(const struct publication *pub, int64_t revision)
 {
 	size_t i;
