--- a/review/standins/slow_reader.pl
+++ b/review/standins/slow_reader.pl
@@ -11,9 +11,10 @@
 my ($address, $path, $id, $key, $deadline, $rate) = @ARGV;
 my ($ip, $port) = split /:/, $address;
 socket(my $s, Socket::PF_INET, Socket::SOCK_STREAM, 0) or die;
-setsockopt($s, SOL_SOCKET, SO_RCVBUF, 16384);
-# Segments as on Ethernet; without it loopback buffers hold the whole answer.
-setsockopt($s, Socket::IPPROTO_TCP, Socket::TCP_MAXSEG, pack("i", 1460));
+setsockopt($s, SOL_SOCKET, SO_RCVBUF, 8192);
+# Segments of the size that IPv4 lets each path have; without this the buffers of
+# loopback connections hold the whole answer.
+setsockopt($s, Socket::IPPROTO_TCP, Socket::TCP_MAXSEG, pack("i", 536));
 connect($s, Socket::pack_sockaddr_in($port, Socket::inet_aton($ip))) or die;
 syswrite($s, "GET $path HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: $id\r\n"
 	. "X-Deadline-Ms: $deadline\r\nAuthorization: Bearer $key\r\n\r\n");
