Take no request that a stopping daemon cannot await

Callers saw: in a planned stop, requests that came up to 4.8 s after SIGTERM were passed on and got a 502 of the daemon's own 5.5 s after it, while their servers ran them; among them requests that may not be repeated (LOST).

Cause: the entry compared an estimate, twice the average latency of the route, with the time left, but only its deadline bounds what a request takes. The guard compared nothing: the last one of a service took requests of other daemons until 1.5 s before the end and dropped them with the process.

Change: drain_limit_deadline() decides for both. A request is taken only if the daemon is still there at its deadline. Until callers can have noticed the stop, a longer one is taken as well, but its server is told the time that is left, so its answer comes before the end. What is refused has not run; a guard's refusal is rerouted.

--- a/fakes/app.c
+++ b/fakes/app.c
@@ -7,14 +7,15 @@
  *
  * Segments of the path select the behaviour:
  *
- *   /slow/        responds after 600 ms
+ *   /slow/        responds after 600 ms, or slow_ms
  *   /late/        sends a second response with the same request id
  *   /reset/       runs the request and closes without a response; together
  *                 with /slow/ after 600 ms
  *
  * GET /test?id=ID&service=S&cold_ms=MS sets the instance id, the service and
  * the cold-start time, as after a restart; limit=PER_S and leaving=1 are stated
- * in all responses until they are set to empty values.
+ * in all responses until they are set to empty values. slow_ms=MS sets the time
+ * that a slow request takes.
  */
 #include "fake.h"
 
@@ -25,7 +26,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define SLOW_MS 600
+#define SLOW_MS "600"
 
 struct app {
 	struct event_base *loop;
@@ -34,6 +35,7 @@
 	char cold_ms[16];
 	char limit[16];
 	char leaving[16];
+	char slow_ms[16];
 };
 
 struct job {
@@ -131,11 +133,14 @@
 static void start_slow(struct app *app, evhtp_request_t *req)
 {
 	struct job *job = base_alloc(sizeof(*job));
+	long ms = strtol(app->slow_ms, NULL, 10);
+	struct timeval tv = { .tv_sec = ms / 1000,
+			      .tv_usec = ms % 1000 * 1000 };
 
 	job->app = app;
 	job->req = req;
 	job->timer = evtimer_new(app->loop, on_slow_timer, job);
-	event_add(job->timer, &(struct timeval){ .tv_usec = SLOW_MS * 1000 });
+	event_add(job->timer, &tv);
 	job->closed_event = event_new(app->loop, req->conn->sock,
 				      EV_CLOSED | EV_PERSIST, on_closed, job);
 	event_add(job->closed_event, NULL);
@@ -190,6 +195,7 @@
 	set_parameter(req, "cold_ms", app->cold_ms, sizeof(app->cold_ms));
 	set_parameter(req, "limit", app->limit, sizeof(app->limit));
 	set_parameter(req, "leaving", app->leaving, sizeof(app->leaving));
+	set_parameter(req, "slow_ms", app->slow_ms, sizeof(app->slow_ms));
 	fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
 }
 
@@ -217,7 +223,7 @@
 
 int main(int argc, char **argv)
 {
-	struct app app = { .loop = fake_loop_create() };
+	struct app app = { .loop = fake_loop_create(), .slow_ms = SLOW_MS };
 
 	if (argc != 4)
 		fake_die("usage: fake_app IP:PORT ID SERVICE");
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -138,6 +138,7 @@
 	drain->started_at = now;
 	node->drain_deadline =
 		now + node->settings->drain_us - REFUSAL_FLUSH_US;
+	node->drain_noticed_at = now + node->dialect->deregistration_delay_us;
 	line = base_log_begin(node->log, BASE_LOG_INFO, "draining");
 	base_log_end(&line);
 	if (node->dialect->deregistration_delay_us)
@@ -150,6 +151,14 @@
 		  &(struct timeval){ .tv_usec = POLL_INTERVAL_US });
 }
 
+int64_t drain_limit_deadline(const struct node *node, int64_t deadline,
+			     int64_t now)
+{
+	if (!node->drain_deadline || deadline <= node->drain_deadline)
+		return deadline;
+	return now < node->drain_noticed_at ? node->drain_deadline : 0;
+}
+
 struct drain *drain_create(struct node *node)
 {
 	struct drain *d = base_alloc(sizeof(*d));
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -1,19 +1,11 @@
 /* Entry: authentication and admission of each request. */
+#include "drain.h"
 #include "flow.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
-/* The latency of requests reaches about twice its average. */
-#define LONGEST_TO_AVERAGE_LATENCY 2
-/*
- * Lower bound of the time that a request is expected to need; decides alone
- * when the average of the route is unknown. The median request of the users'
- * platform takes 0.45 s.
- */
-#define MIN_EXPECTED_LATENCY_US (500 * BASE_MS_US)
-
 /* With retry_after_us 0 the reply carries the default of the refusal. */
 static void refuse_with_retry_after(struct flow *f, enum http_refusal refusal,
 				    int64_t retry_after_us, const char *detail,
@@ -93,12 +85,11 @@
 	}
 }
 
-static bool set_deadline(struct flow *f, int64_t now)
+static bool set_deadline(struct flow *f)
 {
 	struct base_str text = header(f, f->node->dialect->headers.timeout_ms);
 	int64_t us = f->route->timeout_us;
 	int64_t ms;
-	struct timeval tv;
 
 	if (text.ptr) {
 		if (!base_str_to_i64(text, &ms) || ms < 1)
@@ -109,30 +100,37 @@
 	f->deadline = f->ex->received_at + us;
 	if (f->parent && guard_work_deadline(f->parent) < f->deadline)
 		f->deadline = guard_work_deadline(f->parent);
-	us = f->deadline > now ? f->deadline - now : 1;
-	tv = (struct timeval){ .tv_sec = us / BASE_SECOND_US,
-			       .tv_usec = us % BASE_SECOND_US };
-	event_add(f->timer, &tv);
 	return true;
 }
 
+static void start_deadline_timer(struct flow *f, int64_t now)
+{
+	int64_t us = f->deadline > now ? f->deadline - now : 1;
+	struct timeval tv = { .tv_sec = us / BASE_SECOND_US,
+			      .tv_usec = us % BASE_SECOND_US };
+
+	event_add(f->timer, &tv);
+}
+
 /*
- * Whether the request is expected to end before a drain refuses what is still
- * open. A request that is refused then may already run at its backend server,
- * whose work would be lost. Callers that have no other daemon keep sending
- * requests until the drain ends.
+ * Returns whether the request can be taken in a planned stop. How long its
+ * backend server works cannot be estimated: one that works longer would be
+ * broken off.
+ *
+ * A call of the local backend server belongs to a request that the guard has
+ * accepted, and refusing it would fail that request. It gets the time that is
+ * left.
  */
-static bool can_end_before_stop(const struct flow *f, int64_t now)
+static bool can_await_answer(struct flow *f, int64_t now)
 {
 	const struct node *node = f->node;
-	int64_t needed;
+	int64_t deadline = drain_limit_deadline(node, f->deadline, now);
 
-	if (!node->drain_deadline || f->deadline <= node->drain_deadline)
-		return true;
-	needed = LONGEST_TO_AVERAGE_LATENCY * flow_expected_latency_us(f);
-	if (needed < MIN_EXPECTED_LATENCY_US)
-		needed = MIN_EXPECTED_LATENCY_US;
-	return now + needed <= node->drain_deadline;
+	if (!deadline && f->onward && guard_open_work_count(node->guard))
+		deadline = node->drain_deadline;
+	if (deadline)
+		f->deadline = deadline;
+	return deadline != 0;
 }
 
 /* All failures give the same reply, so that callers cannot probe for ids. */
@@ -193,18 +191,20 @@
 		       "the body is over the limit of the route", now);
 		return false;
 	}
-	if (!set_deadline(f, now)) {
+	if (!set_deadline(f)) {
 		refuse(f, HTTP_REFUSAL_BAD_REQUEST,
 		       "the timeout of the request is not a positive number",
 		       now);
 		return false;
 	}
-	if (!can_end_before_stop(f, now)) {
+	if (!can_await_answer(f, now)) {
 		refuse_with_retry_after(
 			f, HTTP_REFUSAL_DRAINING, FLOW_RESTART_RETRY_AFTER_US,
-			"the daemon stops before the request can end", now);
+			"the daemon stops before the deadline of the request",
+			now);
 		return false;
 	}
+	start_deadline_timer(f, now);
 	return check_idempotency_key(f, now);
 }
 
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -1,6 +1,7 @@
 /* Guard: queues, starts and cancels work of the local backend server. */
 #include "guard_work.h"
 #include "death_detector.h"
+#include "drain.h"
 #include "membership.h"
 
 static void schedule_timer(struct guard *g, int64_t now)
@@ -143,8 +144,14 @@
 					BASE_SECOND_US, now);
 		return NULL;
 	}
+	w->deadline = drain_limit_deadline(guard->node, deadline, now);
+	if (!w->deadline) {
+		guard_work_fail_not_run(w, HTTP_REFUSAL_DRAINING,
+					BASE_SECOND_US, now);
+		return NULL;
+	}
 	switch (quarantine_check(guard->node->quarantine, id, &w->msg.request,
-				 deadline, now)) {
+				 w->deadline, now)) {
 	case QUARANTINE_HOLD:
 		w->held = true;
 		return w;
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -97,6 +97,11 @@
 	 * otherwise 0.
 	 */
 	int64_t drain_deadline;
+	/**
+	 * During a planned stop, the time until which callers and peers may not
+	 * have noticed it; otherwise 0.
+	 */
+	int64_t drain_noticed_at;
 };
 
 /** Adds 1 to the counter of that name. */
