Deliver whole answers to callers that read slowly

Callers saw: answers of 1 MB that were read at 200,000 bytes a second broke off 2 s after they were made while the daemon stopped (LOST).

Cause: the time for which a closing connection discards input began when the answer was put into the buffer, and freed the connection whatever was unsent. The same on related paths: a kept connection was closed after the idle timeout with its answer unsent, a caller that had stopped sending lost the rest, and the drain looked at the buffer of the process only.

Change: these times begin when the caller's system has acknowledged everything. A caller that reads nothing for the idle timeout is closed and logged.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -333,6 +333,17 @@
 	entry_on_caller_request(node->entry, ex);
 }
 
+static void on_stalled_caller(void *ctx, size_t unread)
+{
+	struct node *node = ctx;
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_WARN, "caller_stalled");
+
+	node_counter_add(node, "callers_stalled");
+	base_log_int(&line, "unread_bytes", (int64_t)unread);
+	base_log_end(&line);
+}
+
 static void on_stop_signal(evutil_socket_t fd, short events, void *arg)
 {
 	drain_start(arg, base_now_us());
@@ -350,6 +361,7 @@
 		.max_connections = (size_t)s->max_connections,
 		.idle_timeout_us = CALLER_IDLE_TIMEOUT_US,
 		.handler = on_caller_request,
+		.on_stalled_reader = on_stalled_caller,
 		.ctx = node,
 	};
 	struct peer_transport_settings peer = {
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -38,7 +38,7 @@
 	return !entry_open_flow_count(node->entry) &&
 	       !guard_open_work_count(node->guard) &&
 	       !http_server_open_exchange_count(node->callers) &&
-	       !http_server_has_unsent_data(node->callers);
+	       !http_server_has_undelivered_data(node->callers);
 }
 
 static bool has_stayed_idle(struct drain *d, int64_t now)
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -105,6 +105,13 @@
  */
 typedef void (*http_disconnect_cb)(void *ctx, struct http_exchange *ex);
 
+/**
+ * A connection is closed because its caller has read nothing of a response for
+ * the idle timeout.
+ * @param unread  bytes that the caller has not read
+ */
+typedef void (*http_server_stalled_cb)(void *ctx, size_t unread);
+
 struct http_server_settings {
 	struct base_str listen;
 	/** Limit of a body in bytes; larger ones are refused with 413. */
@@ -116,9 +123,14 @@
 	size_t max_head_bytes;
 	/** Further connections are accepted and closed at once. */
 	size_t max_connections;
-	/** Connections without a request for this long are closed. */
+	/**
+	 * Connections without a request, or whose caller reads nothing of a
+	 * response, for this long are closed.
+	 */
 	int64_t idle_timeout_us;
 	http_server_handler handler;
+	/** May be NULL. */
+	http_server_stalled_cb on_stalled_reader;
 	void *ctx;
 };
 
@@ -159,8 +171,10 @@
  * still accepted.
  */
 void http_server_disable_keep_alive(struct http_server *server);
-/** Whether response data is still to be sent on any connection. */
-bool http_server_has_unsent_data(const struct http_server *server);
+/**
+ * Whether the system of a caller has not yet acknowledged all of a response.
+ */
+bool http_server_has_undelivered_data(const struct http_server *server);
 /** Number of exchanges without a reply. */
 size_t http_server_open_exchange_count(const struct http_server *server);
 size_t http_server_connection_count(const struct http_server *server);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -7,17 +7,20 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netdb.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
 /* Limit from the first byte of a request until it is complete. */
 #define REQUEST_TIMEOUT_US (30 * BASE_SECOND_US)
 /*
- * Before the server closes a connection, it reads and discards input up to
- * these limits, so that the caller can read the last response before a reset.
+ * After the last response of a connection was delivered, the server reads and
+ * discards input up to these limits before it closes, as unread input would
+ * turn the close into a reset.
  */
 #define LINGER_MAX_BYTES (8U << 20)
 #define LINGER_TIMEOUT_US (2 * BASE_SECOND_US)
@@ -37,9 +40,16 @@
 	/* When the current request began to be read, 0 between requests. */
 	int64_t request_started_at;
 	int64_t idle_since;
-	/* When set, input is discarded until then and no request is served. */
-	int64_t linger_until;
+	/* The last response was written; input is discarded. */
+	bool closing;
+	/* The caller sends nothing more. */
+	bool input_ended;
+	/* Since when a closing connection has delivered all; 0 before. */
+	int64_t delivered_at;
 	size_t discarded_bytes;
+	/* Undelivered bytes when they last became fewer, and that time. */
+	size_t undelivered_bytes;
+	int64_t progress_at;
 	bool in_handler;
 };
 
@@ -66,6 +76,7 @@
 	int64_t idle_timeout_us;
 	int64_t header_timeout_us;
 	http_server_handler handler;
+	http_server_stalled_cb on_stalled_reader;
 	void *ctx;
 	bool keep_alive_disabled;
 	char address[80];
@@ -202,14 +213,33 @@
 		evbuffer_add(out, body.ptr, body.len);
 }
 
+/*
+ * Bytes of responses that the caller's system has not acknowledged. Those that
+ * are still in the output buffer are lost when the connection is freed.
+ */
+static size_t undelivered_bytes(const struct connection *c)
+{
+	size_t len = evbuffer_get_length(bufferevent_get_output(c->bev));
+	int queued = 0;
+
+	if (ioctl(bufferevent_getfd(c->bev), SIOCOUTQ, &queued) || queued < 0)
+		queued = 0;
+	return len + (size_t)queued;
+}
+
+static void shut_down_when_written(struct connection *c)
+{
+	if (c->closing && !evbuffer_get_length(bufferevent_get_output(c->bev)))
+		shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+}
+
 /* Lets the caller read the last response before the connection is reset. */
 static void start_lingering_close(struct connection *c)
 {
-	c->linger_until = base_now_us() + LINGER_TIMEOUT_US;
+	c->closing = true;
 	c->request_started_at = 0;
 	bufferevent_setwatermark(c->bev, EV_READ, 0, 0);
-	if (!evbuffer_get_length(bufferevent_get_output(c->bev)))
-		shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+	shut_down_when_written(c);
 }
 
 static void refuse(struct connection *c, enum http_refusal refusal, int status,
@@ -337,7 +367,7 @@
 {
 	struct evbuffer *in = bufferevent_get_input(c->bev);
 
-	while (!c->current && !c->linger_until && evbuffer_get_length(in)) {
+	while (!c->current && !c->closing && evbuffer_get_length(in)) {
 		if (!c->request_started_at)
 			c->request_started_at = base_now_us();
 		if (!read_request(c, in))
@@ -361,7 +391,7 @@
 {
 	struct connection *c = arg;
 
-	if (c->linger_until)
+	if (c->closing)
 		discard_input(c);
 	else
 		process_input(c);
@@ -369,17 +399,33 @@
 
 static void on_write(struct bufferevent *bev, void *arg)
 {
-	struct connection *c = arg;
+	shut_down_when_written(arg);
+}
 
-	if (c->linger_until &&
-	    !evbuffer_get_length(bufferevent_get_output(bev)))
-		shutdown(bufferevent_getfd(bev), SHUT_WR);
+/*
+ * A caller that sends nothing more may still read its response. If it has
+ * closed the connection, the next write fails.
+ */
+static bool awaits_response(const struct connection *c)
+{
+	return !c->current &&
+	       evbuffer_get_length(bufferevent_get_output(c->bev));
 }
 
 static void on_event(struct bufferevent *bev, short events, void *arg)
 {
-	if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		connection_free(arg);
+	struct connection *c = arg;
+
+	if (events & BEV_EVENT_ERROR) {
+		connection_free(c);
+	} else if (events & BEV_EVENT_EOF) {
+		if (!awaits_response(c)) {
+			connection_free(c);
+			return;
+		}
+		c->input_ended = true;
+		start_lingering_close(c);
+	}
 }
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -450,6 +496,54 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
+/*
+ * Frees a connection whose caller has stopped reading. A caller that reads
+ * slowly gets its whole response. Returns false when nothing is undelivered.
+ */
+static bool check_reader(struct connection *c, int64_t now)
+{
+	size_t undelivered = undelivered_bytes(c);
+
+	if (!undelivered || !c->undelivered_bytes ||
+	    undelivered < c->undelivered_bytes)
+		c->progress_at = now;
+	c->undelivered_bytes = undelivered;
+	if (!undelivered)
+		return false;
+	c->idle_since = now;
+	if (now - c->progress_at > c->server->idle_timeout_us) {
+		if (c->server->on_stalled_reader)
+			c->server->on_stalled_reader(c->server->ctx,
+						     undelivered);
+		connection_free(c);
+	}
+	return true;
+}
+
+static void check_closing(struct connection *c, int64_t now)
+{
+	if (!c->delivered_at)
+		c->delivered_at = now;
+	if (c->input_ended || now - c->delivered_at > LINGER_TIMEOUT_US)
+		connection_free(c);
+}
+
+static void check_request(struct connection *c, int64_t now)
+{
+	int64_t limit = c->message.headers_complete
+				? REQUEST_TIMEOUT_US
+				: c->server->header_timeout_us;
+
+	if (c->current)
+		return;
+	if (c->request_started_at && now - c->request_started_at > limit)
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
+		       "the request was not completed in time");
+	else if (!c->request_started_at && c->idle_since &&
+		 now - c->idle_since > c->server->idle_timeout_us)
+		connection_free(c);
+}
+
 static void check_timeouts(evutil_socket_t fd, short events, void *arg)
 {
 	struct http_server *server = arg;
@@ -458,22 +552,12 @@
 
 	while (c) {
 		struct connection *next = LIST_NEXT(c, link);
-		int64_t limit = c->message.headers_complete
-					? REQUEST_TIMEOUT_US
-					: server->header_timeout_us;
-		bool slow = c->request_started_at &&
-			    now - c->request_started_at > limit;
-		bool idle = !c->request_started_at && c->idle_since &&
-			    now - c->idle_since > server->idle_timeout_us;
-
-		if (c->linger_until) {
-			if (now > c->linger_until)
-				connection_free(c);
-		} else if (!c->current && slow) {
-			refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
-			       "the request was not completed in time");
-		} else if (!c->current && idle) {
-			connection_free(c);
+
+		if (!check_reader(c, now)) {
+			if (c->closing)
+				check_closing(c, now);
+			else
+				check_request(c, now);
 		}
 		c = next;
 	}
@@ -528,6 +612,7 @@
 	server->idle_timeout_us = settings->idle_timeout_us;
 	server->header_timeout_us = REQUEST_TIMEOUT_US;
 	server->handler = settings->handler;
+	server->on_stalled_reader = settings->on_stalled_reader;
 	server->ctx = settings->ctx;
 	server->timeout_check =
 		event_new(base, -1, EV_PERSIST, check_timeouts, server);
@@ -589,12 +674,12 @@
 	return server->address;
 }
 
-bool http_server_has_unsent_data(const struct http_server *server)
+bool http_server_has_undelivered_data(const struct http_server *server)
 {
 	const struct connection *c;
 
 	LIST_FOREACH (c, &server->connections, link)
-		if (evbuffer_get_length(bufferevent_get_output(c->bev)))
+		if (undelivered_bytes(c))
 			return true;
 	return false;
 }
--- a/packages/http/tests/test_http.c
+++ b/packages/http/tests/test_http.c
@@ -22,6 +22,8 @@
 	int status;
 	struct base_buf body;
 	struct base_buf seen_request;
+	/* Reported of a caller that stopped reading. */
+	size_t stalled_bytes;
 };
 
 static void on_disconnect(void *ctx, struct http_exchange *ex)
@@ -79,6 +81,13 @@
 		     HTTP_ERR_NONE));
 }
 
+static void record_stall(void *ctx, size_t unread)
+{
+	struct fixture *f = ctx;
+
+	f->stalled_bytes = unread;
+}
+
 static void setup(struct fixture *f)
 {
 	struct http_server_settings settings = {
@@ -88,6 +97,7 @@
 		.max_connections = 4,
 		.idle_timeout_us = BASE_SECOND_US,
 		.handler = handle_request,
+		.on_stalled_reader = record_stall,
 		.ctx = f,
 	};
 
@@ -229,10 +239,102 @@
 			    (struct base_str){ large, size });
 	run_for(f.base, 50 * BASE_MS_US);
 	cr_assert(eq(sz, http_server_open_exchange_count(f.server), 0));
-	cr_assert(http_server_has_unsent_data(f.server));
+	cr_assert(http_server_has_undelivered_data(f.server));
 	close(fd);
 	run_for(f.base, 50 * BASE_MS_US);
-	cr_assert(not(http_server_has_unsent_data(f.server)));
+	cr_assert(not(http_server_has_undelivered_data(f.server)));
+	free(large);
+	teardown(&f);
+}
+
+/* Reads at most @p max bytes from a socket that is not ready at times. */
+static size_t read_some(int fd, size_t max)
+{
+	static char bytes[1 << 20];
+	ssize_t n = recv(fd, bytes, max < sizeof(bytes) ? max : sizeof(bytes),
+			 MSG_DONTWAIT);
+
+	return n > 0 ? (size_t)n : 0;
+}
+
+/*
+ * Guards against a response that is cut because its caller reads it slowly. The
+ * connection closes after it, as all do in a planned stop, and the caller may
+ * have stopped sending.
+ */
+static void expect_whole_response_read_slowly(bool caller_stops_sending)
+{
+	static const char request[] = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+	const size_t size = 24U << 20;
+	char *large = base_alloc(size);
+	struct fixture f;
+	size_t total = 0;
+	int i;
+	int fd;
+
+	setup(&f);
+	f.defer_reply = true;
+	http_server_disable_keep_alive(f.server);
+	fd = test_connect(http_server_address(f.server));
+	cr_assert(gt(int, (int)write(fd, request, sizeof(request) - 1), 0));
+	event_base_dispatch(f.base);
+	http_exchange_reply(f.pending, 200, NULL,
+			    (struct base_str){ large, size });
+	if (caller_stops_sending)
+		shutdown(fd, SHUT_WR);
+	for (i = 0; i < 60 && total < size; i++) {
+		run_for(f.base, 50 * BASE_MS_US);
+		total += read_some(fd, 100000);
+	}
+	cr_assert(http_server_has_undelivered_data(f.server));
+	for (i = 0; i < 2000 && total < size; i++) {
+		run_for(f.base, BASE_MS_US);
+		total += read_some(fd, 1 << 20);
+	}
+	cr_assert(ge(sz, total, size), "%zu of %zu bytes came", total, size);
+	close(fd);
+	run_for(f.base, 600 * BASE_MS_US);
+	cr_assert(eq(sz, http_server_connection_count(f.server), 0));
+	free(large);
+	teardown(&f);
+}
+
+Test(server, sends_the_whole_response_to_a_slow_reader)
+{
+	expect_whole_response_read_slowly(false);
+}
+
+Test(server, sends_the_whole_response_after_the_caller_stops_sending)
+{
+	expect_whole_response_read_slowly(true);
+}
+
+/* Guards against responses that fill the memory as nobody reads them. */
+Test(server, closes_connections_whose_caller_reads_nothing)
+{
+	static const char request[] = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+	const struct http_server_limits limits = {
+		.idle_timeout_us = 500 * BASE_MS_US,
+	};
+	const size_t size = 24U << 20;
+	char *large = base_alloc(size);
+	struct fixture f;
+	int fd;
+
+	setup(&f);
+	f.defer_reply = true;
+	http_server_set_limits(f.server, &limits);
+	fd = test_connect(http_server_address(f.server));
+	cr_assert(gt(int, (int)write(fd, request, sizeof(request) - 1), 0));
+	event_base_dispatch(f.base);
+	http_exchange_reply(f.pending, 200, NULL,
+			    (struct base_str){ large, size });
+	run_for(f.base, 300 * BASE_MS_US);
+	cr_assert(eq(sz, http_server_connection_count(f.server), 1));
+	run_for(f.base, 999 * BASE_MS_US);
+	cr_assert(eq(sz, http_server_connection_count(f.server), 0));
+	cr_assert(gt(sz, f.stalled_bytes, 0));
+	close(fd);
 	free(large);
 	teardown(&f);
 }
