Read all pages of the registry as one operation

Callers saw: after one lost answer of the store a starting daemon sent requests to an evacuated zone (EVAC) and answered 503 for a service whose servers were well, until its next start.

Cause: a failed call forgot that pages had been read, but not where the last one ended. The next page was taken for the first one of a new read, and what it did not list for removed. Ruled out: a wrong page (the second one was asked for again), and items lost to a peer's mirror (none was fetched).

Change: registry_read.c collects the pages; the mirror takes them at once when the last one has come. A failed call asks for the same page again. A page that cannot be the next one (a second copy, an answer to a watch, an older one) makes the read begin again, a page without readable items leads on, and a mirror that is newer by a peer meanwhile is left as it is. Reads are bounded.

Failed before: tests/session_store_page_lost.sh on the former daemon, "second: requests in the zone that is out: expected '0', got '12'". Passes now, for a lost first, second and third page at a start and for one after a 410; test_daemon 66 of 66.

--- a/fakes/store.c
+++ b/fakes/store.c
@@ -8,6 +8,10 @@
  *     PUT /test/mode?MODE       up, busy (503 to all readers), silent (no
  *                               response) or forget (410 to watches)
  *     PUT /test/save            keeps a copy of all items
+ *     PUT /test/pages?items=N   answers range reads with N items a page
+ *     PUT /test/lose?call=N     loses the answer to the Nth range read from now
+ *     PUT /test/hold?call=N     holds the Nth range read from now, and answers
+ *     PUT /test/release         it now, with what the store then has
  *     PUT /test/restore         goes back to the copy and its revision, raises
  *                               the era and cuts the watches
  */
@@ -52,6 +56,11 @@
 	int64_t saved_revision;
 	int64_t era;
 	char mode[16];
+	size_t page_items;
+	/* Range reads until the one that is lost or held; 0 for none. */
+	int64_t lose_in;
+	int64_t hold_in;
+	evhtp_request_t *held;
 	TAILQ_HEAD(, watch) watches;
 };
 
@@ -133,7 +142,7 @@
 		if (item->removed || !has_prefix(item, prefix) ||
 		    strcmp(item->key, after) <= 0)
 			continue;
-		if (json_array_size(items) == PAGE_ITEMS_MAX) {
+		if (json_array_size(items) == s->page_items) {
 			more = true;
 			break;
 		}
@@ -145,6 +154,46 @@
 	free(after);
 }
 
+/* Counts down; true when the range read that is meant has come. */
+static bool is_call(int64_t *remaining)
+{
+	return *remaining && !--*remaining;
+}
+
+static void on_range(struct store *s, evhtp_request_t *req)
+{
+	printf("range after=%s\n",
+	       evhtp_kv_find(req->uri->query, "after")
+		       ? evhtp_kv_find(req->uri->query, "after")
+		       : "-");
+	fflush(stdout);
+	if (is_call(&s->lose_in)) {
+		evhtp_request_pause(req);
+	} else if (is_call(&s->hold_in)) {
+		s->held = req;
+		evhtp_request_pause(req);
+	} else {
+		serve_range(s, req);
+	}
+}
+
+static void release(struct store *s, evhtp_request_t *req)
+{
+	if (s->held)
+		serve_range(s, s->held);
+	s->held = NULL;
+	fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
+}
+
+static int64_t number_parameter(evhtp_request_t *req, const char *name)
+{
+	char *text = query_parameter(req, name);
+	int64_t n = strtoll(text, NULL, 10);
+
+	free(text);
+	return n;
+}
+
 static json_t *events_after(const struct store *s, int64_t after)
 {
 	json_t *events = json_array();
@@ -203,6 +252,8 @@
 	int64_t revision = strtoll(after, NULL, 10);
 	struct watch *w;
 
+	printf("watch after=%s at=%" PRId64 "\n", after, s->revision);
+	fflush(stdout);
 	free(after);
 	free(wait);
 	if (!strcmp(s->mode, "forget")) {
@@ -318,7 +369,7 @@
 	if (!strcmp(s->mode, "busy"))
 		fake_reply(req, 503, BASE_STR("{}"));
 	else if (!strcmp(path, "/-/kv-range"))
-		serve_range(s, req);
+		on_range(s, req);
 	else if (!strcmp(path, "/-/kv-watch"))
 		serve_watch(s, req);
 	else
@@ -340,6 +391,17 @@
 		save(s, req);
 	} else if (!strcmp(path, "/test/restore")) {
 		restore(s, req);
+	} else if (!strcmp(path, "/test/release")) {
+		release(s, req);
+	} else if (!strcmp(path, "/test/pages")) {
+		s->page_items = (size_t)number_parameter(req, "items");
+		fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
+	} else if (!strcmp(path, "/test/lose")) {
+		s->lose_in = number_parameter(req, "call");
+		fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
+	} else if (!strcmp(path, "/test/hold")) {
+		s->hold_in = number_parameter(req, "call");
+		fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
 	} else if (!strcmp(path, "/test/mode")) {
 		snprintf(s->mode, sizeof(s->mode), "%s", query ? query : "up");
 		fake_reply(req, EVHTP_RES_OK, BASE_STR("{}"));
@@ -350,7 +412,9 @@
 
 int main(int argc, char **argv)
 {
-	static struct store store = { .revision = 1, .era = 1 };
+	static struct store store = { .revision = 1,
+				      .era = 1,
+				      .page_items = PAGE_ITEMS_MAX };
 
 	if (argc != 2)
 		fake_die("usage: fake_store IP:PORT");
--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -32,8 +32,12 @@
 	size_t count;
 	/** Revision of the registry at the time of the answer. */
 	int64_t revision;
-	/** The range has further items after the last key. */
+	/** It answers a range read, not a watch. */
+	bool lists_items;
+	/** The range has further items after @p last_key. */
 	bool more;
+	/** Key of the last item, also of one that is left out. */
+	struct base_str last_key;
 	/** Number of items without key or revision, which are left out. */
 	size_t malformed_count;
 	/** Memory of the items, owned by the page. */
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -1,5 +1,6 @@
 /* HTTP client of a platform's registry: range reads, watches and back-off. */
 #include "registry_client.h"
+#include "registry_read.h"
 #include "registry_restore.h"
 
 #include <event2/event.h>
@@ -44,8 +45,7 @@
 	struct http_call *probe;
 	struct event *probe_timer;
 	struct base_rand rnd;
-	/* Last key that the current range read has returned. */
-	struct base_buf last_key;
+	struct registry_read *read;
 	/* Revision after which the next watch waits for changes. */
 	int64_t revision;
 	/* Era that the last answer stated; 0 before any. */
@@ -60,8 +60,6 @@
 	bool reading;
 	/* All items were read; the next calls are watches. */
 	bool watching;
-	/* A read of all items has returned its first page. */
-	bool reading_pages;
 	bool up;
 	/* A call has failed since the last successful one. */
 	bool call_failed;
@@ -116,57 +114,65 @@
 
 	count(c, "registry_calls_failed");
 	set_state(c, false, reason, now);
-	c->reading_pages = false;
 	schedule_call(c, wait);
 	c->backoff_us *= 2;
 	if (c->backoff_us > RETRY_MAX_US)
 		c->backoff_us = RETRY_MAX_US;
 }
 
-static void apply_page(struct registry_client *c,
-		       const struct registry_page *page, int64_t now)
+static void end_read(struct registry_client *c, int64_t now)
 {
-	size_t i;
-
-	for (i = 0; i < page->count; i++) {
-		struct registry_item item = page->items[i];
-
-		item.revision = registry_era_revision(c->era, item.revision);
-		item.created = registry_era_revision(c->era, item.created);
-		registry_apply(c->settings.registry, &item, now);
-	}
+	c->revision = registry_read_revision(c->read);
+	registry_read_apply(c->read, c->settings.registry, c->era, now);
+	c->watching = true;
+	c->settings.on_change(c->settings.ctx);
+	schedule_call(c, CHANGE_BATCH_US);
 }
 
 static void on_range(struct registry_client *c,
 		     const struct registry_page *page, int64_t now)
 {
-	if (!c->reading_pages) {
-		c->reading_pages = true;
-		c->revision = page->revision;
-		registry_begin_reload(
-			c->settings.registry,
-			registry_era_revision(c->era, page->revision), now);
-	}
-	apply_page(c, page, now);
-	if (page->more && page->count) {
-		base_buf_reset(&c->last_key);
-		base_buf_add_str(&c->last_key,
-				 page->items[page->count - 1].key);
+	struct base_error err = { "" };
+
+	switch (registry_read_add_page(c->read, page, &err)) {
+	case REGISTRY_READ_MORE:
 		start_call(c);
 		return;
+	case REGISTRY_READ_COMPLETE:
+		end_read(c, now);
+		return;
+	case REGISTRY_READ_INVALID:
+		registry_read_restart(c->read);
+		handle_failure(c, err.message, now);
+		return;
 	}
-	c->reading_pages = false;
-	base_buf_reset(&c->last_key);
-	registry_end_reload(c->settings.registry, now);
-	c->watching = true;
-	c->settings.on_change(c->settings.ctx);
-	schedule_call(c, CHANGE_BATCH_US);
 }
 
-static void on_events(struct registry_client *c,
-		      const struct registry_page *page, int64_t now)
+/* Turns the revisions of a page into those of the mirror. */
+static void add_era(const struct registry_client *c, struct registry_page *page)
 {
-	apply_page(c, page, now);
+	size_t i;
+
+	for (i = 0; i < page->count; i++) {
+		struct registry_item *item = &page->items[i];
+
+		item->revision = registry_era_revision(c->era, item->revision);
+		item->created = registry_era_revision(c->era, item->created);
+	}
+}
+
+static void on_events(struct registry_client *c, struct registry_page *page,
+		      int64_t now)
+{
+	size_t i;
+
+	if (page->lists_items) {
+		handle_failure(c, "the answer to a watch has no changes", now);
+		return;
+	}
+	add_era(c, page);
+	for (i = 0; i < page->count; i++)
+		registry_apply(c->settings.registry, &page->items[i], now);
 	if (page->revision > c->revision)
 		c->revision = page->revision;
 	if (page->count)
@@ -243,7 +249,7 @@
 		      const struct http_response *answer, int64_t now)
 {
 	int64_t era = c->era;
-	bool is_first_page = !c->watching && !c->reading_pages;
+	bool is_first_page = !c->watching && registry_read_is_new(c->read);
 
 	if (!read_era(c, answer, &era)) {
 		handle_failure(c, "era cannot be read", now);
@@ -260,8 +266,7 @@
 		log_era(c, era);
 	c->era = era;
 	c->watching = false;
-	c->reading_pages = false;
-	base_buf_reset(&c->last_key);
+	registry_read_restart(c->read);
 	if (is_first_page || answer->status != 200)
 		return true;
 	/* All items are read again, as the revisions known do not count. */
@@ -339,7 +344,7 @@
 		c->settings.codec->watch_target(watched_revision(c), wait_ms,
 						&target);
 	} else {
-		c->settings.codec->range_target(base_buf_str(&c->last_key),
+		c->settings.codec->range_target(registry_read_last_key(c->read),
 						&target);
 	}
 	request.path = base_buf_str(&target);
@@ -523,6 +528,7 @@
 		free(c);
 		return NULL;
 	}
+	c->read = registry_read_create();
 	c->timer = evtimer_new(base, on_timer, c);
 	c->probe_timer = evtimer_new(base, on_probe_timer, c);
 	schedule_probe(c);
@@ -537,6 +543,6 @@
 	http_client_destroy(c->http);
 	event_free(c->timer);
 	event_free(c->probe_timer);
-	base_buf_release(&c->last_key);
+	registry_read_destroy(c->read);
 	free(c);
 }
