Set the mirror's revision by whole reads, not by single items

Callers saw: at a daemon that started while the configuration changed, a key that had been taken away worked on and the new one got 401 (CONFIG), until its next start.

Cause: the mirror's revision says that it holds every change up to it, but each item of a reload raised it. An item of the second page that was newer than the first page moved it past a change of the first page's items, and the watch asked for changes after that.

Change: a reload sets the revision once, to that of its first page; the changes of a watch set it to the one that the answer states. A relay passes a change on to its peers also when a later page had brought its result before: a peer at an older revision missed it for good.

--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -264,8 +264,12 @@
 	return true;
 }
 
-void registry_apply(struct registry *r, const struct registry_item *item,
-		    int64_t now)
+/*
+ * Takes one item. While several that belong together are taken, the mirror's
+ * revision stays as it is: it must not pass a change that is still to come.
+ */
+static void take_item(struct registry *r, const struct registry_item *item,
+		      int64_t now)
 {
 	struct mirror_item *m = find_item(r, item->key);
 
@@ -276,13 +280,16 @@
 	 */
 	if (!r->reloading && item->revision <= r->revision)
 		return;
-	advance_revision(r, item->revision, now);
+	/*
+	 * Peers at an older revision need a change also when the last reload
+	 * has listed its result here.
+	 */
+	if (!r->reloading)
+		registry_changes_add(r->changes, item);
 	if (m && m->revision >= item->revision) {
 		m->seen_in_reload = true;
 		return;
 	}
-	if (!r->reloading)
-		registry_changes_add(r->changes, item);
 	registry_restores_drop_deferred(r->restores, item->key);
 	if (item->removed)
 		handle_removal(r, item, now);
@@ -290,6 +297,27 @@
 		put_item(r, item);
 }
 
+void registry_apply_events(struct registry *r,
+			   const struct registry_item *items, size_t count,
+			   int64_t revision, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		take_item(r, &items[i], now);
+	if (count && revision > r->revision)
+		r->changed = true;
+	advance_revision(r, revision, now);
+}
+
+void registry_apply(struct registry *r, const struct registry_item *item,
+		    int64_t now)
+{
+	take_item(r, item, now);
+	if (!r->reloading)
+		advance_revision(r, item->revision, now);
+}
+
 void registry_begin_reload(struct registry *r, int64_t revision, int64_t now)
 {
 	struct mirror_item *m, *next;
@@ -505,7 +533,7 @@
 		struct registry_item item = { 0 };
 
 		if (registry_item_from_json(json, &item))
-			registry_apply(r, &item, now);
+			take_item(r, &item, now);
 	}
 	if (ok) {
 		advance_revision(r, revision, now);
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -49,12 +49,19 @@
  */
 int64_t registry_revision(const struct registry *r);
 /**
- * Applies a change read from the platform or from a peer's mirror. A change
- * that is not newer than the mirror is ignored; in a reload, one that is not
- * newer than the mirrored item.
+ * Applies one item. Outside of a reload it is a change, which is ignored when
+ * it is not newer than the mirror. In a reload it is part of the list, and the
+ * revision of the mirror does not change before registry_end_reload().
  */
 void registry_apply(struct registry *r, const struct registry_item *item,
 		    int64_t now);
+/**
+ * Applies the changes that lead from a revision not newer than the mirror's to
+ * @p revision, in any order. Those that the mirror holds are ignored.
+ */
+void registry_apply_events(struct registry *r,
+			   const struct registry_item *items, size_t count,
+			   int64_t revision, int64_t now);
 /**
  * Starts a reload of all items. Items that are not applied before
  * registry_end_reload() are treated as removed.
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -164,15 +164,14 @@
 static void on_events(struct registry_client *c, struct registry_page *page,
 		      int64_t now)
 {
-	size_t i;
-
 	if (page->lists_items) {
 		handle_failure(c, "the answer to a watch has no changes", now);
 		return;
 	}
 	add_era(c, page);
-	for (i = 0; i < page->count; i++)
-		registry_apply(c->settings.registry, &page->items[i], now);
+	registry_apply_events(c->settings.registry, page->items, page->count,
+			      registry_era_revision(c->era, page->revision),
+			      now);
 	if (page->revision > c->revision)
 		c->revision = page->revision;
 	if (page->count)
--- a/packages/daemon/tests/test_registry_read.c
+++ b/packages/daemon/tests/test_registry_read.c
@@ -79,6 +79,64 @@
 	registry_destroy(r);
 }
 
+/*
+ * Guards against a mirror that claims the revision of a later page: the change
+ * of an item on an earlier page is then never delivered.
+ */
+Test(registry_read, ends_at_the_revision_of_the_first_page)
+{
+	struct registry *r = mirror_create();
+	struct registry_read *read = registry_read_create();
+	struct test_page last = page_at(7, false);
+
+	add_first_page(read);
+	add_item(&last, "s2", 7);
+	cr_assert(eq(int, add(read, &last.page), REGISTRY_READ_COMPLETE));
+	registry_read_apply(read, r, 0, 0);
+	cr_assert(eq(i64, registry_revision(r), 5));
+	mirror_apply(r, "a", "new a", 6, 0);
+	cr_assert(mirror_publishes(r, "new a"));
+	cr_assert(eq(i64, registry_revision(r), 6));
+	registry_read_destroy(read);
+	registry_destroy(r);
+}
+
+/*
+ * Guards against a peer that never gets a change: the relay had its result from
+ * a later page already and left it out when the watch delivered it.
+ */
+Test(registry_read, passes_changes_between_pages_on_to_peers)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf text = BASE_BUF_INIT;
+	struct registry *relay = mirror_create();
+	struct registry *peer = mirror_create();
+	struct registry_read *read = registry_read_create();
+	struct test_page last = page_at(7, false);
+	struct test_page events = page_at(8, false);
+	struct publication *pub;
+
+	registry_begin_reload(peer, 5, 0);
+	registry_end_reload(peer, 0);
+	add_first_page(read);
+	add_item(&last, "s2", 7);
+	add(read, &last.page);
+	registry_read_apply(read, relay, 0, 0);
+	publication_unref(registry_publish(relay));
+	add_item(&events, "s2", 7);
+	registry_apply_events(relay, events.items, 1, 8, 0);
+	cr_assert(registry_test_and_clear_changed(relay));
+	pub = registry_publish(relay);
+	cr_assert(publication_write_changes(
+		pub, BASE_STR(PUBLICATION_KEY_CHANGES_PREFIX "5"), &text));
+	cr_assert(registry_apply_changes(peer, base_buf_str(&text), 0));
+	cr_assert(mirror_publishes(peer, "s2"));
+	cr_assert(eq(i64, registry_revision(peer), 8));
+	publication_unref(pub);
+	registry_read_destroy(read);
+	registry_destroy(relay);
+	registry_destroy(peer);
+}
+
 /*
  * Guards against an entry that is back after its removal: the mirror took the
  * removal from a peer while the read waited for its last page.
