Keep all large values of a peer's manifest until it is applied

Cause: a daemon that takes a peer's mirror fetches values over 4 KB one by one, but kept only the last of them. A manifest with two of them was asked for in turn for ever, so the mirror never became whole; a starting daemon without the store had no configuration.

Failed before: registry/applies_manifest_with_several_large_values (line 192, not applied after 10 parts).

--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -1,6 +1,7 @@
 /* Mirror of a platform's registry. */
 #include "registry.h"
 #include "registry_changes.h"
+#include "registry_parts.h"
 #include "registry_restore.h"
 
 #include <assert.h>
@@ -32,8 +33,7 @@
 	struct mirror_item *items;
 	struct registry_restores *restores;
 	struct registry_changes *changes;
-	/* The part that registry_add_part() stored last. */
-	struct base_buf part;
+	struct registry_parts *parts;
 	int64_t revision;
 	int64_t reload_revision;
 	int64_t reconnected_at;
@@ -62,6 +62,7 @@
 	r->view = codec->view_create(settings);
 	r->restores = registry_restores_create(codec);
 	r->changes = registry_changes_create();
+	r->parts = registry_parts_create();
 	r->restored_at = -REGISTRY_RESTORE_SETTLE_US;
 	r->reconnected_at = -REGISTRY_REREGISTER_TIMEOUT_US;
 	r->removal_group_start = -REGISTRY_REMOVAL_GROUP_US;
@@ -88,7 +89,7 @@
 	registry_restores_destroy(r->restores);
 	registry_changes_destroy(r->changes);
 	r->codec->view_destroy(r->view);
-	base_buf_release(&r->part);
+	registry_parts_destroy(r->parts);
 	free(r);
 }
 
@@ -452,16 +453,12 @@
 {
 	const char *hex = json_string_value(json_object_get(json, "part"));
 	const struct mirror_item *m = find_item(r, item->key);
-	struct base_digest digest;
 
 	if (!hex || (m && m->revision >= item->revision))
 		return true;
-	digest = base_digest_of(base_buf_str(&r->part));
-	base_digest_hex(&digest, missing);
-	if (!strcmp(missing, hex)) {
-		item->value = base_buf_str(&r->part);
+	item->value = registry_parts_find(r->parts, hex);
+	if (item->value.ptr)
 		return true;
-	}
 	snprintf(missing, 2 * BASE_DIGEST_SIZE + 1, "%s", hex);
 	return false;
 }
@@ -508,8 +505,10 @@
 		    resolve_part(r, json, &item, unused))
 			registry_apply(r, &item, now);
 	}
-	if (ok)
+	if (ok) {
 		registry_end_reload(r, now);
+		registry_parts_clear(r->parts);
+	}
 	missing[0] = '\0';
 	json_decref(root);
 	return ok;
@@ -545,6 +544,5 @@
 
 void registry_add_part(struct registry *r, struct base_str bytes)
 {
-	base_buf_reset(&r->part);
-	base_buf_add_str(&r->part, bytes);
+	registry_parts_add(r->parts, bytes);
 }
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -123,8 +123,8 @@
 bool registry_apply_changes(struct registry *r, struct base_str text,
 			    int64_t now);
 /**
- * Stores a part for the next registry_apply_manifest(), in place of the part
- * stored before.
+ * Stores a part until a manifest has been applied. A manifest may need several,
+ * which are fetched one by one.
  */
 void registry_add_part(struct registry *r, struct base_str bytes);
 
--- a/packages/daemon/tests/test_registry.c
+++ b/packages/daemon/tests/test_registry.c
@@ -145,3 +145,54 @@
 	registry_destroy(source);
 	registry_destroy(target);
 }
+
+/* The peer's publication holds the part whose digest is missing. */
+static struct base_str find_part(const struct publication *pub, const char *hex)
+{
+	char part_hex[2 * BASE_DIGEST_SIZE + 1];
+	size_t i;
+
+	for (i = 0; i < pub->part_count; i++) {
+		base_digest_hex(&pub->parts[i].part.digest, part_hex);
+		if (!strcmp(part_hex, hex))
+			return base_buf_str(&pub->parts[i].bytes);
+	}
+	return BASE_STR_NONE;
+}
+
+/*
+ * Guards against a mirror that never ends whole: of several large values, each
+ * one that was fetched took the place of the one before.
+ */
+Test(registry, applies_manifest_with_several_large_values)
+{
+	char missing[2 * BASE_DIGEST_SIZE + 1];
+	struct registry *source = mirror_create();
+	struct registry *target = mirror_create();
+	struct publication *pub;
+	char large_value[5000];
+	bool applied = false;
+	int fetched;
+
+	memset(large_value, 'b', sizeof(large_value) - 1);
+	large_value[sizeof(large_value) - 1] = '\0';
+	mirror_apply(source, "op", large_value, 3, 0);
+	large_value[0] = 'c';
+	mirror_apply(source, "s1", large_value, 4, 0);
+	large_value[0] = 'd';
+	mirror_apply(source, "s2", large_value, 5, 0);
+	pub = registry_publish(source);
+	for (fetched = 0; fetched < 10; fetched++) {
+		applied = registry_apply_manifest(
+			target, base_buf_str(&pub->manifest), missing, 0);
+		if (applied)
+			break;
+		registry_add_part(target, find_part(pub, missing));
+	}
+	cr_assert(applied);
+	cr_assert(eq(int, fetched, 3));
+	cr_assert(eq(i64, registry_revision(target), 5));
+	publication_unref(pub);
+	registry_destroy(source);
+	registry_destroy(target);
+}
