Bound the memory of all answers together

An operator's report: a faulty server sent bytes without end, the machine that had called it ran out of memory, and the requests of others ended with it.

Cause here: each answer had limits, their sum had none, on no hop. Evidence: with 250 answers that stop after 1,000,000 of 1,048,576 bytes, the daemon beside the server took 274 MB; the smallest machines have 160 MB. Memory that is not given back was ruled out (27 MB after five kinds of answers without end). A chunked body of one byte a chunk with long extensions was read until the deadline.

Change: the client sums what its calls hold, with what waits for callers and for other daemons. The entry refuses new requests as not run while callers leave half of it unread. Framing, trailers and the number of headers of one answer are limited too; headers beyond 256 were dropped silently. A stopping daemon waits for answers that peers have not taken.

Weighed: a smaller limit for each answer (large downloads would fail), failing the largest answer (its request has run), a share for each call (grows with their number).

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -52,6 +52,12 @@
 	base_counter_add(base_counters_get(node->counters, name), 1);
 }
 
+size_t node_unsent_answer_bytes(const struct node *node)
+{
+	return http_server_unsent_bytes(node->callers) +
+	       peer_transport_queued_bytes(node->transport);
+}
+
 bool node_is_self(const struct node *node, const struct config_vm *vm)
 {
 	return node->self == vm;
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -58,6 +58,8 @@
 	enum base_log_level log_level;
 	/** Longest duration of a planned stop, in which requests complete. */
 	int64_t drain_us;
+	/** Limit of the bytes held for all answers together. */
+	int64_t answer_memory;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
 	/** Largest number of concurrent caller connections. */
--- a/packages/daemon/drain.c
+++ b/packages/daemon/drain.c
@@ -38,7 +38,8 @@
 	return !entry_open_flow_count(node->entry) &&
 	       !guard_open_work_count(node->guard) &&
 	       !http_server_open_exchange_count(node->callers) &&
-	       !http_server_has_undelivered_data(node->callers);
+	       !http_server_has_undelivered_data(node->callers) &&
+	       !peer_transport_queued_bytes(node->transport);
 }
 
 static bool has_stayed_idle(struct drain *d, int64_t now)
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -133,6 +133,16 @@
 	return deadline != 0;
 }
 
+/*
+ * Half of the memory is left for the answers of requests that were taken
+ * already.
+ */
+static bool has_answer_memory(const struct node *node)
+{
+	return (int64_t)http_server_unsent_bytes(node->callers) <=
+	       node->settings->answer_memory / 2;
+}
+
 /* All failures give the same reply, so that callers cannot probe for ids. */
 static bool authenticate(struct flow *f)
 {
@@ -197,6 +207,11 @@
 		       now);
 		return false;
 	}
+	if (!has_answer_memory(f->node)) {
+		refuse(f, HTTP_REFUSAL_OVERLOADED,
+		       "too many answers have not been read", now);
+		return false;
+	}
 	if (!can_await_answer(f, now)) {
 		refuse_with_retry_after(
 			f, HTTP_REFUSAL_DRAINING, FLOW_RESTART_RETRY_AFTER_US,
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -204,12 +204,29 @@
 	flow_refuse(f, &r, now);
 }
 
+/*
+ * Slow callers may hold so many answers that another one would exceed the
+ * memory of the daemon, and with it the requests of all callers.
+ */
+static bool has_room(const struct flow *f, const struct peer_answer *answer)
+{
+	return (int64_t)(http_server_unsent_bytes(f->node->callers) +
+			 answer->body.len) <= f->node->settings->answer_memory;
+}
+
 void flow_answer(struct flow *f, const struct peer_answer *answer, int64_t now)
 {
 	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
 	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
 	size_t i;
 
+	if (f->ex && !has_room(f, answer)) {
+		refuse_with(f, HTTP_REFUSAL_ANSWER_TOO_LARGE, false, 0,
+			    "other answers have not been read, so there is no "
+			    "room for this one",
+			    now);
+		return;
+	}
 	record_span(f, (int)answer->status, "answered", now);
 	flow_log_end(f, "request_answered", (int)answer->status,
 		     answer->status < 500, now);
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -300,6 +300,13 @@
 	base_log_end(&line);
 }
 
+static size_t unsent_answers(void *ctx)
+{
+	const struct guard *g = ctx;
+
+	return node_unsent_answer_bytes(g->node);
+}
+
 struct guard *guard_create(struct node *node, struct base_error *err)
 {
 	struct guard *g = base_alloc(sizeof(*g));
@@ -308,6 +315,9 @@
 		/* Bounds memory only; the guard's limit bounds the load. */
 		.max_connections = 65536,
 		.max_response_bytes = (size_t)node->settings->max_body,
+		.max_held_bytes = (size_t)node->settings->answer_memory,
+		.held_elsewhere = unsent_answers,
+		.held_ctx = g,
 		.echo_header = base_str_from(node->dialect->headers.request_id),
 		.accept_close_delimited = node->dialect->accept_close_delimited,
 		.on_stray = on_stray_answer,
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -120,6 +120,8 @@
 void node_detect_pause(struct node *node, int64_t now);
 /** True from the detection of a pause until its input was read. */
 bool node_is_resuming(const struct node *node);
+/** Bytes of answers that callers and peers have not taken yet. */
+size_t node_unsent_answer_bytes(const struct node *node);
 /** True for the VM on which this daemon runs. */
 bool node_is_self(const struct node *node, const struct config_vm *vm);
 
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -101,6 +101,10 @@
 	{ 'B', SETTING_NUMBER, "max-body", "BILBERRYHINGE_MAX_BODY",
 	  FIELD(max_body), "1048576", 1024, PEER_BODY_MAX_BYTES, 1, "BYTES",
 	  "Largest request or answer body" },
+	{ 'M', SETTING_NUMBER, "answer-memory-mb",
+	  "BILBERRYHINGE_ANSWER_MEMORY_MB", FIELD(answer_memory), "48", 4,
+	  65536, 1 << 20, "MB",
+	  "Largest memory for answers that are being received or sent" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -27,6 +27,18 @@
  * many, so that none is forgotten.
  */
 #define FAILED_IDS_MAX 8
+/*
+ * Framing that a response may have beside its body: the head and the trailer,
+ * and six bytes for each chunk of a body that comes byte by byte.
+ */
+#define FRAMING_MAX_BYTES (2 * RESPONSE_HEAD_MAX_BYTES)
+#define FRAMING_MAX_PER_BODY_BYTE 6
+/* The system buffers this much of a response that is not read. */
+#define RECEIVE_BUFFER_BYTES (64U << 10)
+/* Small responses are not held up by large ones. */
+#define SMALL_RESPONSE_BYTES (48U << 10)
+/* How often connections that wait for memory are looked at. */
+#define RESUME_INTERVAL_US (10 * BASE_MS_US)
 /* TCP keep-alive: idle time before the first probe, then interval and count. */
 #define KEEPALIVE_IDLE_S 2
 #define KEEPALIVE_INTERVAL_S 1
@@ -47,10 +59,14 @@
 	size_t message_bytes;
 	/* Read during the call and not part of its response. */
 	size_t unrelated_bytes;
+	/* Memory of the response that is being received, in bytes. */
+	size_t held_bytes;
 	/* Hashes of the ids of requests that were answered with a failure. */
 	uint64_t failed_ids[FAILED_IDS_MAX];
 	size_t failed_count;
 	bool connected;
+	/* Nothing is read, as too much is held. */
+	bool paused;
 	/* A request was answered before the present one. */
 	bool reused;
 	/* An answer to no open request has arrived. */
@@ -58,7 +74,7 @@
 };
 
 struct http_call {
-	LIST_ENTRY(http_call) link;
+	TAILQ_ENTRY(http_call) link;
 	struct http_client *client;
 	struct connection *connection;
 	struct event *timer;
@@ -82,11 +98,25 @@
 	http_stray_cb on_stray;
 	void *stray_ctx;
 	TAILQ_HEAD(pool, connection) idle;
-	LIST_HEAD(, http_call) calls;
+	/* The oldest call first. */
+	TAILQ_HEAD(, http_call) calls;
+	size_t held_bytes;
+	size_t max_held_bytes;
+	http_held_cb held_elsewhere;
+	void *held_ctx;
+	/* Pending while a connection is paused. */
+	struct event *resume_timer;
 };
 
+static void set_held_bytes(struct connection *c, size_t bytes)
+{
+	c->client->held_bytes += bytes - c->held_bytes;
+	c->held_bytes = bytes;
+}
+
 static void connection_free(struct connection *c)
 {
+	set_held_bytes(c, 0);
 	c->client->connection_count--;
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
@@ -95,7 +125,7 @@
 
 static void call_free(struct http_call *call)
 {
-	LIST_REMOVE(call, link);
+	TAILQ_REMOVE(&call->client->calls, call, link);
 	if (call->timer)
 		event_free(call->timer);
 	base_buf_release(&call->expected_echo);
@@ -157,6 +187,7 @@
 	c->reused = true;
 	c->idle_since = base_now_us();
 	http_message_reset(&c->message);
+	set_held_bytes(c, 0);
 	TAILQ_INSERT_HEAD(&client->idle, c, link);
 }
 
@@ -274,6 +305,91 @@
 	return c->client->max_response_bytes + RESPONSE_HEAD_MAX_BYTES;
 }
 
+static bool has_too_much_framing(const struct connection *c)
+{
+	size_t body = c->message.body.len;
+
+	return c->message_bytes - body >
+	       FRAMING_MAX_BYTES + FRAMING_MAX_PER_BODY_BYTE * body;
+}
+
+/* Parsed headers take more memory than the bytes that were read. */
+static size_t held_by(const struct connection *c)
+{
+	size_t framing = c->message_bytes - c->message.body.len;
+
+	if (framing > RESPONSE_HEAD_MAX_BYTES)
+		framing = RESPONSE_HEAD_MAX_BYTES;
+	return evbuffer_get_length(bufferevent_get_input(c->bev)) + framing +
+	       c->message.headers.capacity * sizeof(struct http_header) +
+	       c->message.body.len;
+}
+
+/* Without an exception for one, all could wait for each other. */
+static bool is_oldest_receiving(const struct connection *c)
+{
+	const struct http_call *call;
+
+	TAILQ_FOREACH (call, &c->client->calls, link)
+		if (call->connection->held_bytes)
+			return call->connection == c;
+	return false;
+}
+
+static bool must_wait(const struct connection *c)
+{
+	const struct http_client *client = c->client;
+	size_t half = client->max_held_bytes / 2;
+	size_t total = client->held_bytes;
+
+	if (!half)
+		return false;
+	if (client->held_elsewhere)
+		total += client->held_elsewhere(client->held_ctx);
+	return total > half && c->held_bytes > SMALL_RESPONSE_BYTES &&
+	       !is_oldest_receiving(c);
+}
+
+static void schedule_resume(struct http_client *client)
+{
+	if (!evtimer_pending(client->resume_timer, NULL))
+		evtimer_add(client->resume_timer,
+			    &(struct timeval){ .tv_usec = RESUME_INTERVAL_US });
+}
+
+/* Updates what the connection holds, and stops reading if that is too much. */
+static void limit_held_bytes(struct connection *c)
+{
+	set_held_bytes(c, held_by(c));
+	if (!must_wait(c))
+		return;
+	c->paused = true;
+	bufferevent_disable(c->bev, EV_READ);
+	schedule_resume(c->client);
+}
+
+static void on_resume_timer(evutil_socket_t fd, short events, void *arg)
+{
+	struct http_client *client = arg;
+	struct http_call *call;
+	bool waiting = false;
+
+	TAILQ_FOREACH (call, &client->calls, link) {
+		struct connection *c = call->connection;
+
+		if (!c->paused)
+			continue;
+		if (must_wait(c)) {
+			waiting = true;
+			continue;
+		}
+		c->paused = false;
+		bufferevent_enable(c->bev, EV_READ);
+	}
+	if (waiting)
+		schedule_resume(client);
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct connection *c = arg;
@@ -295,6 +411,8 @@
 			c->unrelated_bytes += before - evbuffer_get_length(in);
 			if (c->unrelated_bytes > unrelated_bytes_max(c))
 				fail_call(c->call, HTTP_RESULT_INVALID);
+			else
+				limit_held_bytes(c);
 			return;
 		}
 		if (!fault) {
@@ -306,8 +424,14 @@
 			return;
 		}
 		c->message_bytes += before - evbuffer_get_length(in);
-		if (!m->complete)
+		if (has_too_much_framing(c)) {
+			fail_call(c->call, HTTP_RESULT_TOO_LARGE);
 			return;
+		}
+		if (!m->complete) {
+			limit_held_bytes(c);
+			return;
+		}
 		if (m->parser.status_code / 100 != 1) {
 			enum response_match match = match_response(c->call);
 
@@ -376,6 +500,7 @@
 /* A connection may fail without a reset; only keep-alive probes detect it. */
 static void set_socket_options(int fd)
 {
+	set_int_option(fd, SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES);
 	set_int_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 	set_int_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 	set_int_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
@@ -552,7 +677,7 @@
 	c->unrelated_bytes = 0;
 	c->message.is_head_response =
 		base_str_equal(request->method, BASE_STR("HEAD"));
-	LIST_INSERT_HEAD(&client->calls, call, link);
+	TAILQ_INSERT_TAIL(&client->calls, call, link);
 	base_buf_add_str(&call->expected_echo, id);
 	write_request(client, bufferevent_get_output(c->bev), request);
 	start_timer(call, timeout_us);
@@ -579,12 +704,16 @@
 	client->max_connections = settings->max_connections;
 	client->max_response_bytes = settings->max_response_bytes;
 	client->accept_close_delimited = settings->accept_close_delimited;
+	client->max_held_bytes = settings->max_held_bytes;
+	client->held_elsewhere = settings->held_elsewhere;
+	client->held_ctx = settings->held_ctx;
 	client->on_stray = settings->on_stray;
 	client->stray_ctx = settings->stray_ctx;
 	if (settings->echo_header.len)
 		client->echo_header = base_str_dup(settings->echo_header);
 	TAILQ_INIT(&client->idle);
-	LIST_INIT(&client->calls);
+	TAILQ_INIT(&client->calls);
+	client->resume_timer = evtimer_new(base, on_resume_timer, client);
 	snprintf(client->host, sizeof(client->host), "%.*s",
 		 BASE_STR_ARG(settings->address));
 	*out = client;
@@ -598,12 +727,13 @@
 
 	if (!client)
 		return;
-	while ((call = LIST_FIRST(&client->calls)))
+	while ((call = TAILQ_FIRST(&client->calls)))
 		http_call_cancel(call);
 	while ((c = TAILQ_FIRST(&client->idle))) {
 		TAILQ_REMOVE(&client->idle, c, link);
 		connection_free(c);
 	}
+	event_free(client->resume_timer);
 	free(client->echo_header);
 	free(client);
 }
@@ -612,3 +742,8 @@
 {
 	return client->connection_count;
 }
+
+size_t http_client_held_bytes(const struct http_client *client)
+{
+	return client->held_bytes;
+}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -175,6 +175,8 @@
  * Whether the system of a caller has not yet acknowledged all of a response.
  */
 bool http_server_has_undelivered_data(const struct http_server *server);
+/** Bytes of responses that are held because callers have not read them. */
+size_t http_server_unsent_bytes(const struct http_server *server);
 /** Number of exchanges without a reply. */
 size_t http_server_open_exchange_count(const struct http_server *server);
 size_t http_server_connection_count(const struct http_server *server);
@@ -219,6 +221,9 @@
 typedef void (*http_call_cb)(void *ctx, enum http_result result,
 			     const struct http_response *response);
 
+/** Returns the bytes of former responses that are still held elsewhere. */
+typedef size_t (*http_held_cb)(void *ctx);
+
 /**
  * A server sent a response that answers no open request. Its connection is
  * closed once the present call has ended.
@@ -241,6 +246,15 @@
 	 * value was answered with a status of 400 or above.
 	 */
 	struct base_str echo_header;
+	/**
+	 * Limit of the bytes held for all responses that are being received; 0
+	 * for none. From half of it on, only the oldest such call and those
+	 * with little of a response go on reading.
+	 */
+	size_t max_held_bytes;
+	/** Responses that are passed on count too; may be NULL. */
+	http_held_cb held_elsewhere;
+	void *held_ctx;
 	/** Called for each response that was dropped; may be NULL. */
 	http_stray_cb on_stray;
 	void *stray_ctx;
@@ -277,6 +291,8 @@
 /** Cancels the call without a callback and closes its connection. */
 void http_call_cancel(struct http_call *call);
 size_t http_client_connection_count(const struct http_client *client);
+/** Memory of the responses that are being received, in bytes. */
+size_t http_client_held_bytes(const struct http_client *client);
 
 /** W3C trace context. */
 struct http_trace {
--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -31,6 +31,14 @@
 	m->is_head_response = is_head_response;
 }
 
+/*
+ * A few bytes of a head can be a header, which takes over a hundred bytes when
+ * it is stored. Callers' requests have a limit of their own at the entry.
+ */
+#define RESPONSE_HEADERS_MAX 256
+/* Trailers are not stored, but each is collected until it ends. */
+#define TRAILER_MAX_BYTES (16U << 10)
+
 static struct base_str trim_trailing_whitespace(struct base_str s)
 {
 	while (s.len && (s.ptr[s.len - 1] == ' ' || s.ptr[s.len - 1] == '\t'))
@@ -78,8 +86,12 @@
 	    !base_str_equal_nocase(value, BASE_STR("chunked")))
 		return set_fault(m, HTTP_MESSAGE_FAULT_TRANSFER_CODING);
 	/* Trailers, which follow the body, are not stored. */
-	if (!m->headers_complete)
+	if (!m->headers_complete) {
+		if (m->type == HTTP_RESPONSE &&
+		    m->headers.count == RESPONSE_HEADERS_MAX)
+			return set_fault(m, HTTP_MESSAGE_FAULT_HEAD_TOO_LARGE);
 		http_headers_add(&m->headers, name, value);
+	}
 	base_buf_reset(&m->name);
 	base_buf_reset(&m->value);
 	return 0;
@@ -93,12 +105,24 @@
 	return 0;
 }
 
+static int count_trailer(struct http_message *m, size_t len)
+{
+	if (!m->headers_complete)
+		return 0;
+	m->trailer_bytes += len;
+	if (m->trailer_bytes > TRAILER_MAX_BYTES)
+		return set_fault(m, HTTP_MESSAGE_FAULT_HEAD_TOO_LARGE);
+	return 0;
+}
+
 static int on_field(http_parser *parser, const char *at, size_t len)
 {
 	struct http_message *m = parser->data;
 
 	if (m->value.len && finish_header(m))
 		return -1;
+	if (count_trailer(m, len))
+		return -1;
 	base_buf_add(&m->name, at, len);
 	return 0;
 }
@@ -107,6 +131,8 @@
 {
 	struct http_message *m = parser->data;
 
+	if (count_trailer(m, len))
+		return -1;
 	base_buf_add(&m->value, at, len);
 	/*
 	 * An empty value is stored as a space, which is trimmed later, so that
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -28,6 +28,8 @@
 	struct base_buf value;
 	struct base_buf body;
 	size_t max_body;
+	/** Names and values after the body. */
+	size_t trailer_bytes;
 	/** The response answers a HEAD request and has no body. */
 	bool is_head_response;
 	bool headers_complete;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -35,6 +35,7 @@
 	LIST_ENTRY(connection) link;
 	struct http_server *server;
 	struct bufferevent *bev;
+	struct evbuffer_cb_entry *output_cb;
 	struct exchange *current;
 	struct http_message message;
 	/* When the current request began to be read, 0 between requests. */
@@ -70,6 +71,8 @@
 	LIST_HEAD(, connection) connections;
 	size_t connection_count;
 	size_t open_exchanges;
+	/* Bytes in the output buffers of all connections. */
+	size_t unsent_bytes;
 	size_t max_body;
 	size_t max_head_bytes;
 	size_t max_connections;
@@ -101,6 +104,9 @@
 
 	LIST_REMOVE(c, link);
 	c->server->connection_count--;
+	evbuffer_remove_cb_entry(bufferevent_get_output(c->bev), c->output_cb);
+	c->server->unsent_bytes -=
+		evbuffer_get_length(bufferevent_get_output(c->bev));
 	if (ex) {
 		c->server->open_exchanges--;
 		ex->connection = NULL;
@@ -428,6 +434,15 @@
 	}
 }
 
+static void on_output_changed(struct evbuffer *out,
+			      const struct evbuffer_cb_info *info, void *arg)
+{
+	struct http_server *server = arg;
+
+	server->unsent_bytes += info->n_added;
+	server->unsent_bytes -= info->n_deleted;
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int len, void *arg)
 {
@@ -448,6 +463,8 @@
 	http_message_init(&c->message, HTTP_REQUEST, server->max_body);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
+	c->output_cb = evbuffer_add_cb(bufferevent_get_output(c->bev),
+				       on_output_changed, server);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_setwatermark(c->bev, EV_READ, 0,
 				 server->max_head_bytes + READ_AHEAD_BYTES);
@@ -684,6 +701,11 @@
 	return false;
 }
 
+size_t http_server_unsent_bytes(const struct http_server *server)
+{
+	return server->unsent_bytes;
+}
+
 size_t http_server_open_exchange_count(const struct http_server *server)
 {
 	return server->open_exchanges;
--- a/packages/http/tests/loopback.c
+++ b/packages/http/tests/loopback.c
@@ -7,6 +7,9 @@
 #include <stdio.h>
 #include <sys/socket.h>
 
+/* A test may open many connections at once. */
+#define LISTEN_BACKLOG 128
+
 struct evconnlistener *loopback_listen(struct event_base *base,
 				       evconnlistener_cb on_accept, void *ctx,
 				       char address[LOOPBACK_ADDRESS_SIZE])
@@ -16,9 +19,9 @@
 	struct evconnlistener *listener;
 
 	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	listener = evconnlistener_new_bind(base, on_accept, ctx,
-					   LEV_OPT_CLOSE_ON_FREE, 4,
-					   (struct sockaddr *)&in, (int)len);
+	listener = evconnlistener_new_bind(
+		base, on_accept, ctx, LEV_OPT_CLOSE_ON_FREE, LISTEN_BACKLOG,
+		(struct sockaddr *)&in, (int)len);
 	cr_assert(ne(ptr, listener, NULL));
 	getsockname(evconnlistener_get_fd(listener), (struct sockaddr *)&in,
 		    &len);
--- a/packages/http/tests/test_endless.c
+++ b/packages/http/tests/test_endless.c
@@ -7,6 +7,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <stdio.h>
 #include <string.h>
 
 #define CALL_TIMEOUT_US (2 * BASE_SECOND_US)
@@ -163,6 +164,16 @@
 /* Guards against framing without content that costs time until the timeout. */
 Test(endless, framing_of_a_chunked_body)
 {
+	char chunk[1100];
+
+	snprintf(chunk, sizeof(chunk), "1;%01000d\r\nx\r\n", 0);
+	expect_early_failure("HTTP/1.1 200 OK\r\nId: 1\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n",
+			     chunk);
+	expect_early_failure("HTTP/1.1 200 OK\r\nId: 1\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n"
+			     "0\r\nX-Trailer: ",
+			     "yyyyyyyy");
 	expect_early_failure("HTTP/1.1 200 OK\r\nId: 1\r\n"
 			     "Transfer-Encoding: chunked\r\n\r\n4;",
 			     "extension");
--- a/packages/peer/listener.c
+++ b/packages/peer/listener.c
@@ -189,20 +189,56 @@
 	}
 }
 
+/* A reply that waits for the network. */
+struct queued_reply {
+	struct peer_transport *transport;
+	size_t size;
+	char bytes[];
+};
+
+static void free_reply(void *bytes, void *hint)
+{
+	struct queued_reply *reply = hint;
+
+	(void)bytes;
+	atomic_fetch_sub(&reply->transport->queued_bytes, reply->size);
+	free(reply);
+}
+
+static void init_reply(struct peer_transport *t, zmq_msg_t *msg)
+{
+	struct queued_reply *reply =
+		base_alloc(sizeof(*reply) + t->encode_buffer.len);
+
+	reply->transport = t;
+	reply->size = t->encode_buffer.len;
+	memcpy(reply->bytes, t->encode_buffer.ptr, reply->size);
+	atomic_fetch_add(&t->queued_bytes, reply->size);
+	zmq_msg_init_data(msg, reply->bytes, reply->size, free_reply, reply);
+}
+
 static enum peer_status send_to_remote(struct peer_transport *t,
 				       const struct peer_remote *remote)
 {
 	void *socket = t->router.socket;
+	zmq_msg_t msg;
 
 	if (zmq_send(socket, remote->bytes, remote->size,
 		     ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0)
 		return errno == EAGAIN ? PEER_ERR_BUSY : PEER_ERR_UNREACHABLE;
-	if (zmq_send(socket, t->encode_buffer.ptr, t->encode_buffer.len,
-		     ZMQ_DONTWAIT) < 0)
+	init_reply(t, &msg);
+	if (zmq_msg_send(&msg, socket, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&msg);
 		return PEER_ERR_UNREACHABLE;
+	}
 	return PEER_OK;
 }
 
+size_t peer_transport_queued_bytes(const struct peer_transport *t)
+{
+	return atomic_load(&t->queued_bytes);
+}
+
 enum peer_status peer_transport_reply(struct peer_transport *t,
 				      const struct peer_remote *remote,
 				      struct peer_message *msg)
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -653,6 +653,8 @@
 enum peer_status peer_transport_reply(struct peer_transport *transport,
 				      const struct peer_remote *remote,
 				      struct peer_message *msg);
+/** Bytes of replies that the network has not taken yet. */
+size_t peer_transport_queued_bytes(const struct peer_transport *t);
 
 /**
  * Delivers all messages that have arrived, including those that the I/O thread
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -8,6 +8,7 @@
 #include "socket_watch.h"
 #include "zap.h"
 
+#include <stdatomic.h>
 #include <uthash.h>
 
 /** Maximum number of messages queued in each direction of a connection. */
@@ -93,6 +94,11 @@
 	struct transport_counters counters;
 	/** The encoded message that is being sent. */
 	struct base_buf encode_buffer;
+	/**
+	 * Bytes of replies that wait for the network. The I/O thread of ZeroMQ
+	 * subtracts what it has taken.
+	 */
+	atomic_size_t queued_bytes;
 	struct peer_link *links;
 	struct peer_link *closed_links;
 	struct remote_connection *remotes;
