Ask the system for undelivered data of closing connections only

Cause: the check of slow readers asked the system about each connection four times a second, some thousand calls a second with as many connections. Change: only those that are closing, or whose output buffer is not empty, are asked about; closing an idle kept connection does not lose what the system holds.

--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -519,8 +519,11 @@
  */
 static bool check_reader(struct connection *c, int64_t now)
 {
-	size_t undelivered = undelivered_bytes(c);
+	size_t undelivered = 0;
 
+	/* Closing a kept connection does not lose what the system holds. */
+	if (c->closing || evbuffer_get_length(bufferevent_get_output(c->bev)))
+		undelivered = undelivered_bytes(c);
 	if (!undelivered || !c->undelivered_bytes ||
 	    undelivered < c->undelivered_bytes)
 		c->progress_at = now;
