Read only a status line by its grammar as an answer

Callers saw: a server sent an answer whose status was 000, and the client got it as one. Played here on with whole processes (tests/session_broken_answers.sh, a stand-in that sends the bytes a path names):

- 000, 0, 00, 1, 20, 099 and "2 0 0" reached callers as such a status, 999 as 999;
- 0200, two blanks before 200, and 200 without the blank after it came as 200;
- 000, 099 and 10 in place of an interim answer took the final one with them (504 at the deadline), 0100 was passed over;
- with X-Not-Executed, 0503, 50, " 503" and "503" ended unsafe requests that had run as 503, not run; 0421 made one run at a second server;
- a health check of status 000, 0200, " 200" or "200" made its server usable;
- a read of the store of status 0200, " 200" or "200" was taken.

Cause: http_parser reads any number of digits up to 999, skips blanks before them and zeros in front, and ends them at a line end. The reader checked only "HTTP/".

Change: the line must be the version, one space, three digits from 100 to 599, one space and a reason of text, before http_parser sees it. All answers go through this one reader: final and interim ones, health checks and the store. One that is refused ends its call as invalid, which says that the request may have run. Refused by name of a value was ruled out: each neighbour above is its own value.

--- /dev/null
+++ b/packages/http/grammar.c
@@ -0,0 +1,58 @@
+/* Grammar of the parts of a message head. */
+#include "grammar.h"
+
+#include <string.h>
+
+static bool is_digit(char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+bool http_grammar_is_token(struct base_str s)
+{
+	static const char special[] = "!#$%&'*+-.^_`|~";
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		char c = s.ptr[i];
+		bool ok = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+			  is_digit(c) || (c && strchr(special, c));
+
+		if (!ok)
+			return false;
+	}
+	return s.len > 0;
+}
+
+/* Visible characters, blanks, and bytes that are not ASCII. */
+static bool is_text(struct base_str s)
+{
+	size_t i;
+
+	for (i = 0; i < s.len; i++) {
+		unsigned char c = (unsigned char)s.ptr[i];
+
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+bool http_grammar_is_status_line(struct base_str line)
+{
+	/* `#` stands for a digit. */
+	static const char start[] = "HTTP/#.# ### ";
+	const size_t len = sizeof(start) - 1;
+	const size_t status_at = sizeof("HTTP/#.# ") - 1;
+	size_t i;
+
+	if (line.len < len)
+		return false;
+	for (i = 0; i < len; i++)
+		if (start[i] == '#' ? !is_digit(line.ptr[i])
+				    : line.ptr[i] != start[i])
+			return false;
+	if (line.ptr[status_at] < '1' || line.ptr[status_at] > '5')
+		return false;
+	return is_text((struct base_str){ line.ptr + len, line.len - len });
+}
--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -1,5 +1,6 @@
 /* Strict parsing of HTTP/1.1 messages over http_parser. */
 #include "http_message.h"
+#include "grammar.h"
 
 #include <string.h>
 
@@ -46,22 +47,6 @@
 	return s;
 }
 
-static bool is_token(struct base_str s)
-{
-	static const char special[] = "!#$%&'*+-.^_`|~";
-	size_t i;
-
-	for (i = 0; i < s.len; i++) {
-		char c = s.ptr[i];
-		bool ok = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-			  (c >= '0' && c <= '9') || (c && strchr(special, c));
-
-		if (!ok)
-			return false;
-	}
-	return s.len > 0;
-}
-
 static int set_fault(struct http_message *m, enum http_message_fault fault)
 {
 	m->fault = fault;
@@ -80,7 +65,7 @@
 
 	if (!name.len)
 		return 0;
-	if (!is_token(name))
+	if (!http_grammar_is_token(name))
 		return set_fault(m, HTTP_MESSAGE_FAULT_SYNTAX);
 	if (base_str_equal_nocase(name, BASE_STR("Transfer-Encoding")) &&
 	    !base_str_equal_nocase(value, BASE_STR("chunked")))
@@ -215,26 +200,30 @@
 }
 
 /*
- * Checks for "HTTP/" in the first line. Debian's build of http_parser accepts
+ * Checks for "HTTP/" in a request line. Debian's build of http_parser accepts
  * any four bytes, including line ends, in place of "TTP/" and would then parse
  * beyond the head that was checked.
  */
-static bool has_protocol_name(enum http_parser_type type, const char *head,
-			      size_t len)
+static bool has_protocol_name(struct base_str line)
+{
+	const char *space = line.len ? memrchr(line.ptr, ' ', line.len) : NULL;
+
+	if (!space)
+		return false;
+	line.len -= (size_t)(space + 1 - line.ptr);
+	line.ptr = space + 1;
+	return base_str_starts_with(line, BASE_STR("HTTP/"));
+}
+
+/* http_parser also accepts a status of fewer digits, or more with zeros. */
+static bool is_start_line(enum http_parser_type type, const char *head,
+			  size_t len)
 {
-	static const char name[] = "HTTP/";
 	const char *end = memchr(head, '\r', len);
 	struct base_str line = { head, end ? (size_t)(end - head) : len };
-	const char *space;
 
-	if (type == HTTP_REQUEST) {
-		space = line.len ? memrchr(line.ptr, ' ', line.len) : NULL;
-		if (!space)
-			return false;
-		line.len -= (size_t)(space + 1 - line.ptr);
-		line.ptr = space + 1;
-	}
-	return base_str_starts_with(line, BASE_STR(name));
+	return type == HTTP_RESPONSE ? http_grammar_is_status_line(line)
+				     : has_protocol_name(line);
 }
 
 /* Some callers send an empty line after a body. */
@@ -271,7 +260,7 @@
 		return true;
 	}
 	head = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
-	if (!is_unambiguous(head, len) || !has_protocol_name(type, head, len))
+	if (!is_unambiguous(head, len) || !is_start_line(type, head, len))
 		*fault = HTTP_MESSAGE_FAULT_SYNTAX;
 	return true;
 }
--- a/tests/faulty_server.pl
+++ b/tests/faulty_server.pl
@@ -11,9 +11,11 @@
 #     /big/      1,000,000 of 1,048,576 bytes, then nothing
 #     /whole/    1,000,000 bytes
 #     /cut-N/    the first N bytes of a whole answer, then the connection ends
+#     /raw-HEX/  the bytes that HEX stands for, with {id} for the request's id
 #
-# Others get a whole small answer. While FILE exists, health checks get a body
-# without end. Prints a line for each request that it runs.
+# Others get a whole small answer. While FILE exists, health checks get its
+# content, or a body without end when it is empty. Prints a line for each request
+# that it runs.
 use strict;
 use warnings;
 use IO::Select;
@@ -77,18 +79,33 @@
 	} elsif ($path =~ m{/cut-(\d+)/}) {
 		send_text($s, substr(whole($request, 20), 0, $1));
 		$closing{$s} = 1;
+	} elsif ($path =~ m{/raw-([0-9a-f]+)/}) {
+		my $bytes = pack 'H*', $1;
+		$bytes =~ s/\{id\}/$request/g;
+		send_text($s, $bytes);
 	} else {
 		send_text($s, whole($request, 2));
 	}
 }
+sub answer_health {
+	my ($s) = @_;
+	my $head = "HTTP/1.1 200 OK\r\nX-Instance-Id: $id\r\n";
+	if (!-e $file) {
+		send_text($s, "${head}Content-Length: 0\r\n\r\n");
+	} elsif (-z $file) {
+		send_text($s, "$head\r\n", 'body');
+	} else {
+		open my $f, '<:raw', $file or die "cannot read $file";
+		local $/;
+		send_text($s, <$f>);
+	}
+}
 sub take {
 	my ($s) = @_;
 	while (defined $in{$s} && $in{$s} =~ s/^(\S+) (\S+) [^\n]*\n(.*?)\r\n\r\n//s) {
 		my ($path, $head) = ($2, $3);
 		if ($path eq '/health') {
-			send_text($s, "HTTP/1.1 200 OK\r\nX-Instance-Id: $id\r\n"
-				. (-e $file ? "\r\n" : "Content-Length: 0\r\n\r\n"),
-				-e $file ? 'body' : undef);
+			answer_health($s);
 			next;
 		}
 		my ($request) = $head =~ /^X-Request-Id: *(\S+)/mi;
