Keep tests of field names that are none

Looked for in final and interim answers, in those that claim that the request has not run, in health checks and in reads of the store, with names of framing fields too; to safe and to unsafe requests.

Result: held already; no code changes.

The reader's tests now distinguish bytes that are refused from those that are not a whole response yet, which is stricter: -1 stood for both.

--- a/packages/http/tests/test_grammar.c
+++ b/packages/http/tests/test_grammar.c
@@ -11,24 +11,32 @@
 #define HEAD_MAX_BYTES 4096
 #define BODY_MAX_BYTES 4096
 
-/* The status of the first final response in @p bytes; -1 without one. */
+/*
+ * The status of the first final response in @p bytes; -1 when they are refused,
+ * 0 when there is none yet.
+ */
 static int status_of_bytes(struct base_str bytes)
 {
 	struct evbuffer *in = evbuffer_new();
 	enum http_message_fault fault = HTTP_MESSAGE_OK;
 	struct http_message m;
-	int status = -1;
+	int status = 0;
 
 	http_message_init(&m, HTTP_RESPONSE, BODY_MAX_BYTES);
 	evbuffer_add(in, bytes.ptr, bytes.len);
-	while (status < 0 && evbuffer_get_length(in)) {
+	while (!status && evbuffer_get_length(in)) {
 		if (!http_message_check_head(in, HTTP_RESPONSE, HEAD_MAX_BYTES,
-					     &fault) ||
-		    fault)
+					     &fault))
+			break;
+		if (fault) {
+			status = -1;
 			break;
+		}
 		http_message_parse(&m, in);
-		if (m.fault || !m.complete)
+		if (m.fault || !m.complete) {
+			status = m.fault ? -1 : 0;
 			break;
+		}
 		if (m.parser.status_code / 100 != 1)
 			status = (int)m.parser.status_code;
 		http_message_reset(&m);
@@ -76,12 +84,14 @@
 	int status;
 
 	for (status = 0; status <= 999; status++) {
-		bool valid = status >= 200 && status <= 599;
+		int expected = status;
 
+		if (status < 100 || status > 599)
+			expected = -1;
+		else if (status < 200)
+			expected = 0; /* interim, and no response after it */
 		snprintf(line, sizeof(line), "HTTP/1.1 %03d Text", status);
-		/* An interim response and no other after it. */
-		cr_expect(eq(int, status_of_line(line), valid ? status : -1),
-			  "%s", line);
+		cr_expect(eq(int, status_of_line(line), expected), "%s", line);
 		snprintf(line, sizeof(line), "HTTP/1.1 0%03d Text", status);
 		cr_expect(eq(int, status_of_line(line), -1), "%s", line);
 		snprintf(line, sizeof(line), "HTTP/1.1 %03d0 Text", status);
@@ -163,6 +173,9 @@
 		"HTTP/1.1 100\r\n\r\n",
 		"HTTP/1.1  100 Continue\r\n\r\n",
 		"HTTP/1.1 100 Con\x01tinue\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLi\x01nk: x\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n",
 	};
 	char bytes[256];
 	size_t i;
@@ -176,3 +189,95 @@
 		cr_expect(eq(int, status_of(bytes), -1), "'%s'", invalid[i]);
 	}
 }
+
+/* Field lines with a name that is no token, or with no name at all. */
+static const char *const bad_names[] = {
+	"X Y: 1",
+	"X\tY: 1",
+	"X : 1",
+	"X\t: 1",
+	" X: 1",
+	"\tX: 1",
+	"X\x01: 1",
+	"\x01X: 1",
+	"X\x1fY: 1",
+	"X\x7f: 1",
+	"X\x0b: 1",
+	"X\x80: 1",
+	": 1",
+	" : 1",
+	"X",
+	"X Y",
+	"X(Y): 1",
+	"X\"Y\": 1",
+	"X/Y: 1",
+	"X@Y: 1",
+	"X{Y}: 1",
+	"X=Y: 1",
+	"X;Y: 1",
+	"X,Y: 1",
+	"X[Y]: 1",
+	"X?Y: 1",
+	"X\\Y: 1",
+	"X<Y>: 1",
+	"Content-Length : 2",
+	"Content Length: 2",
+	"Content-Length\t: 2",
+	"Content-Length\x01: 2",
+	"\x01"
+	"Content-Length: 2",
+	"Content-\x0bLength: 2",
+	"Transfer-Encoding : chunked",
+	"Transfer Encoding: chunked",
+	"Transfer-Encoding\t: chunked",
+	"Transfer-Encoding\x01: chunked",
+	"\x7fTransfer-Encoding: chunked",
+	"Connection : close",
+	"Connection\x01: close",
+};
+
+static const char *const good_lines[] = {
+	"X: 1",	       "X:1",	  "X:",
+	"X:  ",	       "X: a\tb", "X:\t1\t ",
+	"X: \xc3\xa9", "X: a:b",  "x-!#$%&'*+.^_`|~9: 1",
+};
+
+/* Puts the line before and after other ones; @p format has one %s for it. */
+static int status_with_line(const char *format, const char *line)
+{
+	char bytes[512];
+
+	snprintf(bytes, sizeof(bytes), format, line);
+	return status_of(bytes);
+}
+
+/*
+ * Guards against a line that is forwarded though it is no field line, and
+ * against framing that it declares for some readers only.
+ */
+Test(grammar, field_lines_of_a_head)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n%s\r\n\r\n"
+		"2\r\nab\r\n0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n%s\r\n\r\n",
+		"HTTP/1.1 503 No\r\nNot-Run: 1\r\n%s\r\n"
+		"Content-Length: 0\r\n\r\n",
+	};
+	size_t h, i;
+
+	for (h = 0; h < BASE_ARRAY_SIZE(heads); h++) {
+		for (i = 0; i < BASE_ARRAY_SIZE(good_lines); i++)
+			cr_expect(gt(int,
+				     status_with_line(heads[h], good_lines[i]),
+				     0),
+				  "'%s'", good_lines[i]);
+		for (i = 0; i < BASE_ARRAY_SIZE(bad_names); i++)
+			cr_expect(eq(int,
+				     status_with_line(heads[h], bad_names[i]),
+				     -1),
+				  "head %zu: '%s'", h, bad_names[i]);
+	}
+}
--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Backend servers and the store send answers whose head is none in HTTP/1.1: a
-# status that is not three digits in range.
+# status that is not three digits in range, or a field name with a blank or a
+# control byte.
 # Guards against callers that get such an answer, against an unsafe request that
 # is sent again or refused as not run on its word, and against a server or a store
 # that is believed on it.
@@ -92,6 +93,21 @@
 expect_no_answer "a version that is none" "$(final "HTTP/1.10 200 OK")"
 echo "ok   status lines"
 
+FIELD_LINES=("X Y: 1" 'X\tY: 1' "X : 1" 'X\x01: 1' '\x01X: 1' 'X\x7f: 1'
+	" X: 1" ": 1" "X" "Content-Length : 1" "Content Length: 1"
+	'Content-Length\x01: 1' "Transfer-Encoding : chunked"
+	'Transfer-Encoding\x0b: chunked' "Connection : close")
+for line in "${FIELD_LINES[@]}"; do
+	expect_no_answer "'$line'" "$(final "HTTP/1.1 200 OK" "$line\r\n")"
+	expect_no_answer "'$line' in a refusal" \
+		"$(not_run "HTTP/1.1 503 No" "$line\r\n")" o
+	expect_no_answer "'$line' in an interim answer" \
+		"HTTP/1.1 103 Early Hints\r\n$line\r\n\r\n$SOUND"
+done
+for name in "X-Not-Executed :" "X-Not Executed:" 'X-Not-Executed\x01:'; do
+	expect_no_answer "'$name'" "$(final "HTTP/1.1 503 No" "$name 1\r\n")" o
+done
+echo "ok   names of fields"
 wait_for 10 is_sound || fail "sound answers are not passed on any more"
 
 # A 421 makes a daemon hold its server until that has said who it is.
@@ -105,12 +121,12 @@
 	[ $(($(event_count backend_ready) - READY)) = \
 		$(($(event_count backend_held) - HELD)) ]
 }
-expect_no_identity() { # NAME STATUS_LINE
+expect_no_identity() { # NAME STATUS_LINE [LINES]
 	local m
 	HELD=$(event_count backend_held)
 	READY=$(event_count backend_ready)
 	for m in 1 2; do
-		printf "HTTP/1.1 $2\r\nX-Instance-Id: i-$m\r\n%s" \
+		printf "HTTP/1.1 $2\r\n${3:-}X-Instance-Id: i-$m\r\n%s" \
 			$'Content-Length: 0\r\n\r\n' >"$WORK/health-$m.new"
 		mv "$WORK/health-$m.new" "$WORK/health-$m"
 	done
@@ -124,6 +140,9 @@
 for line in "000 None" "0200 OK" "2000 OK" " 200 OK" "200"; do
 	expect_no_identity "'$line'" "$line"
 done
+for line in "X Y: 1" 'X\x01: 1' "Content-Length : 0"; do
+	expect_no_identity "'$line'" "200 OK" "$line\r\n"
+done
 echo "ok   health checks"
 
 # Each configuration brings another key. The former one stays in force until the
@@ -139,7 +158,8 @@
 	rm "$WORK/store-line"
 	wait_for 10 has_key k$VERSION || fail "'$1': the store is not read again"
 }
-for line in "HTTP/1.1 0200 OK" "HTTP/1.1  200 OK" "HTTP/1.1 200"; do
+for line in "HTTP/1.1 0200 OK" "HTTP/1.1  200 OK" "HTTP/1.1 200" \
+	'HTTP/1.1 200 OK\r\nX Y: 1' 'HTTP/1.1 200 OK\r\nX\x01: 1'; do
 	expect_no_read "$line"
 done
 echo "ok   reads of the store"
