Refuse field values that begin with a control byte

A field whose value began with a control byte, such as "X: \x01" or "X:\x7f", was passed on with its answer (200 to a safe and to an unsafe request), in a refusal it was believed (503, not run, of an unsafe request that had run), a health check with one made its server usable, and a read of the store with one was taken. Requests with such a value were forwarded too.

Cause: http_parser checks the bytes of a value from the second on, and the reader checked only names.

Change: the reader checks values as it checks names: text with tabs, no other control bytes. It is the one reader of heads and trailers, for answers and requests.

--- a/packages/http/grammar.c
+++ b/packages/http/grammar.c
@@ -24,8 +24,7 @@
 	return s.len > 0;
 }
 
-/* Visible characters, blanks, and bytes that are not ASCII. */
-static bool is_text(struct base_str s)
+bool http_grammar_is_text(struct base_str s)
 {
 	size_t i;
 
@@ -54,5 +53,6 @@
 			return false;
 	if (line.ptr[status_at] < '1' || line.ptr[status_at] > '5')
 		return false;
-	return is_text((struct base_str){ line.ptr + len, line.len - len });
+	return http_grammar_is_text(
+		(struct base_str){ line.ptr + len, line.len - len });
 }
--- a/packages/http/grammar.h
+++ b/packages/http/grammar.h
@@ -9,6 +9,11 @@
 
 /** Whether @p s is a token, as names of fields are. */
 bool http_grammar_is_token(struct base_str s);
+/**
+ * Whether @p s, which may be empty, has no control bytes but tabs, as values of
+ * fields and reasons.
+ */
+bool http_grammar_is_text(struct base_str s);
 /**
  * Whether @p line, without its line end, is a status line: the version, one
  * space, a status of three digits from 100 to 599, one space, and a reason that
--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -65,7 +65,8 @@
 
 	if (!name.len)
 		return 0;
-	if (!http_grammar_is_token(name))
+	/* http_parser does not check the first byte of a value. */
+	if (!http_grammar_is_token(name) || !http_grammar_is_text(value))
 		return set_fault(m, HTTP_MESSAGE_FAULT_SYNTAX);
 	if (base_str_equal_nocase(name, BASE_STR("Transfer-Encoding")) &&
 	    !base_str_equal_nocase(value, BASE_STR("chunked")))
--- a/packages/http/tests/test_grammar.c
+++ b/packages/http/tests/test_grammar.c
@@ -176,6 +176,7 @@
 		"HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLi\x01nk: x\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: \x01\r\n\r\n",
 	};
 	char bytes[256];
 	size_t i;
@@ -236,6 +237,23 @@
 	"Connection\x01: close",
 };
 
+/* Field lines with a byte in their value that is not allowed there. */
+static const char *const bad_values[] = {
+	"X: \x01",
+	"X: a\x01",
+	"X: \x01"
+	"a",
+	"X:\x01"
+	"a",
+	"X: a\x0b"
+	"b",
+	"X: \x7f",
+	"X: a\x7f",
+	"X: \x1b[0m",
+	"X: a\x08",
+	"X:\x7f",
+};
+
 static const char *const good_lines[] = {
 	"X: 1",	       "X:1",	  "X:",
 	"X:  ",	       "X: a\tb", "X:\t1\t ",
@@ -279,5 +297,10 @@
 				     status_with_line(heads[h], bad_names[i]),
 				     -1),
 				  "head %zu: '%s'", h, bad_names[i]);
+		for (i = 0; i < BASE_ARRAY_SIZE(bad_values); i++)
+			cr_expect(eq(int,
+				     status_with_line(heads[h], bad_values[i]),
+				     -1),
+				  "head %zu: '%s'", h, bad_values[i]);
 	}
 }
--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Backend servers and the store send answers whose head is none in HTTP/1.1: a
-# status that is not three digits in range, or a field name with a blank or a
-# control byte.
+# status that is not three digits in range, a field name with a blank or a control
+# byte, or a field value with a control byte.
 # Guards against callers that get such an answer, against an unsafe request that
 # is sent again or refused as not run on its word, and against a server or a store
 # that is believed on it.
@@ -107,7 +107,12 @@
 for name in "X-Not-Executed :" "X-Not Executed:" 'X-Not-Executed\x01:'; do
 	expect_no_answer "'$name'" "$(final "HTTP/1.1 503 No" "$name 1\r\n")" o
 done
-echo "ok   names of fields"
+for line in 'X: \x01' 'X: \x1b[0m' 'X:\x7f' 'X: a\x01'; do
+	expect_no_answer "'$line'" "$(final "HTTP/1.1 200 OK" "$line\r\n")"
+	expect_no_answer "'$line' in a refusal" \
+		"$(not_run "HTTP/1.1 503 No" "$line\r\n")" o
+done
+echo "ok   names and values of fields"
 wait_for 10 is_sound || fail "sound answers are not passed on any more"
 
 # A 421 makes a daemon hold its server until that has said who it is.
@@ -140,7 +145,7 @@
 for line in "000 None" "0200 OK" "2000 OK" " 200 OK" "200"; do
 	expect_no_identity "'$line'" "$line"
 done
-for line in "X Y: 1" 'X\x01: 1' "Content-Length : 0"; do
+for line in "X Y: 1" 'X\x01: 1' "Content-Length : 0" 'X: \x01'; do
 	expect_no_identity "'$line'" "200 OK" "$line\r\n"
 done
 echo "ok   health checks"
@@ -159,7 +164,8 @@
 	wait_for 10 has_key k$VERSION || fail "'$1': the store is not read again"
 }
 for line in "HTTP/1.1 0200 OK" "HTTP/1.1  200 OK" "HTTP/1.1 200" \
-	'HTTP/1.1 200 OK\r\nX Y: 1' 'HTTP/1.1 200 OK\r\nX\x01: 1'; do
+	'HTTP/1.1 200 OK\r\nX Y: 1' 'HTTP/1.1 200 OK\r\nX\x01: 1' \
+	'HTTP/1.1 200 OK\r\nX: \x01'; do
 	expect_no_read "$line"
 done
 echo "ok   reads of the store"
