Check the framing of chunked bodies and the lines of trailers

A chunk that was two bytes longer than its size ("2\r\nabXX0") reached callers as a 200 without those bytes, which is not the server's body. Taken as well: any byte for the LF of a size line or of the last line, anything after a blank in a size line, LF alone as a line end of trailers, and folded trailer lines. Requests with such chunks were forwarded (200), so two readers of one connection could see different requests.

Cause: Debian's build of http_parser leaves out the checks of these bytes, and the reader checked the lines of heads only.

Change: a checker of chunked framing (http/chunked.c) sees the bytes first. The head is handed to http_parser alone, so that the body begins at the checker. Own decoding was ruled out: the library decodes as before.

--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -266,17 +266,41 @@
 	return true;
 }
 
+/*
+ * Sets @p len to the number of bytes of the head or of the chunked body that
+ * may be parsed next.
+ */
+static bool check_framing(struct http_message *m, struct evbuffer *in,
+			  const char *bytes, size_t *len)
+{
+	struct evbuffer_ptr end;
+
+	if (m->headers_complete)
+		return !(m->parser.flags & F_CHUNKED) ||
+		       http_chunked_check(&m->chunked, bytes, len);
+	end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+	if (end.pos >= 0 && (size_t)end.pos + 4 < *len)
+		*len = (size_t)end.pos + 4;
+	return true;
+}
+
 void http_message_parse(struct http_message *m, struct evbuffer *in)
 {
 	struct evbuffer_iovec chunk;
 
 	while (!m->complete && !m->fault &&
 	       evbuffer_peek(in, -1, NULL, &chunk, 1) > 0 && chunk.iov_len) {
-		size_t used = http_parser_execute(
-			&m->parser, &callbacks, chunk.iov_base, chunk.iov_len);
-		enum http_errno error = HTTP_PARSER_ERRNO(&m->parser);
-
-		evbuffer_drain(in, used);
+		size_t len = chunk.iov_len;
+		enum http_errno error;
+
+		if (!check_framing(m, in, chunk.iov_base, &len)) {
+			m->fault = HTTP_MESSAGE_FAULT_SYNTAX;
+			return;
+		}
+		len = http_parser_execute(&m->parser, &callbacks,
+					  chunk.iov_base, len);
+		error = HTTP_PARSER_ERRNO(&m->parser);
+		evbuffer_drain(in, len);
 		if (m->fault || error == HPE_OK || error == HPE_PAUSED)
 			continue;
 		m->fault = error == HPE_INVALID_VERSION
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -2,6 +2,7 @@
 #ifndef HTTP_MESSAGE_H
 #define HTTP_MESSAGE_H
 
+#include "chunked.h"
 #include "http.h"
 
 #include <event2/buffer.h>
@@ -28,6 +29,7 @@
 	struct base_buf value;
 	struct base_buf body;
 	size_t max_body;
+	struct http_chunked chunked;
 	/** Names and values after the body. */
 	size_t trailer_bytes;
 	/** The response answers a HEAD request and has no body. */
--- a/packages/http/tests/test_grammar.c
+++ b/packages/http/tests/test_grammar.c
@@ -61,6 +61,16 @@
 	return status_of_bytes(base_buf_str(&bytes));
 }
 
+static int status_of_chunked(const char *body)
+{
+	BASE_CLEANUP(base_buf_release) struct base_buf bytes = BASE_BUF_INIT;
+
+	base_buf_addf(&bytes,
+		      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		      body);
+	return status_of_bytes(base_buf_str(&bytes));
+}
+
 /* Guards against refusing an answer over a status line that is unusual. */
 Test(grammar, status_lines_that_are_valid)
 {
@@ -304,3 +314,101 @@
 				  "head %zu: '%s'", h, bad_values[i]);
 	}
 }
+
+/* Guards against the same in the lines after a body. */
+Test(grammar, field_lines_of_a_trailer)
+{
+	static const char *const trailers[] = {
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nab\r\n0\r\n%s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nab\r\n0\r\nA: 1\r\n%s\r\nB: 1\r\n\r\n",
+	};
+	size_t t, i;
+
+	for (t = 0; t < BASE_ARRAY_SIZE(trailers); t++) {
+		for (i = 0; i < BASE_ARRAY_SIZE(good_lines); i++)
+			cr_expect(
+				eq(int,
+				   status_with_line(trailers[t], good_lines[i]),
+				   200),
+				"'%s'", good_lines[i]);
+		for (i = 0; i < BASE_ARRAY_SIZE(bad_names); i++)
+			cr_expect(
+				eq(int,
+				   status_with_line(trailers[t], bad_names[i]),
+				   -1),
+				"trailer %zu: '%s'", t, bad_names[i]);
+		for (i = 0; i < BASE_ARRAY_SIZE(bad_values); i++)
+			cr_expect(
+				eq(int,
+				   status_with_line(trailers[t], bad_values[i]),
+				   -1),
+				"trailer %zu: '%s'", t, bad_values[i]);
+	}
+}
+
+/* Guards against refusing unusual chunks. */
+Test(grammar, chunked_bodies_that_are_valid)
+{
+	static const char *const bodies[] = {
+		"2\r\nab\r\n0\r\n\r\n",
+		"1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+		"0002\r\nab\r\n000\r\n\r\n",
+		"2;x\r\nab\r\n0;y=z\r\n\r\n",
+		"2 ; x=\"y z\"\r\nab\r\n0\r\n\r\n",
+		"A\r\n0123456789\r\na\r\n0123456789\r\n0\r\n\r\n",
+		"2\r\n\r\n\r\n0\r\n\r\n",
+		"0\r\n\r\n",
+	};
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(bodies); i++)
+		cr_expect(eq(int, status_of_chunked(bodies[i]), 200), "'%s'",
+			  bodies[i]);
+}
+
+/*
+ * Guards against a body that is not the server's: where a chunk is longer or
+ * shorter than it says, other bytes stand where its line end is due.
+ */
+Test(grammar, chunked_bodies_that_are_none)
+{
+	static const char *const bodies[] = {
+		"2\r\nabXX0\r\n\r\n",
+		"2\r\nab\rX0\r\n\r\n",
+		"2\r\nabX\n0\r\n\r\n",
+		"2\r\nab\n0\r\n\r\n",
+		"2\r\nabc\r\n0\r\n\r\n",
+		"3\r\nab\r\n0\r\n\r\n",
+		"2\rXab\r\n0\r\n\r\n",
+		"2\nab\r\n0\r\n\r\n",
+		"2 \r\nab\r\n0\r\n\r\n",
+		"2 x\r\nab\r\n0\r\n\r\n",
+		"2\t2\r\nab\r\n0\r\n\r\n",
+		" 2\r\nab\r\n0\r\n\r\n",
+		"2;\x01\r\nab\r\n0\r\n\r\n",
+		"2;\nx\r\nab\r\n0\r\n\r\n",
+		"2,x\r\nab\r\n0\r\n\r\n",
+		"0x2\r\nab\r\n0\r\n\r\n",
+		"+2\r\nab\r\n0\r\n\r\n",
+		"-2\r\nab\r\n0\r\n\r\n",
+		"\r\nab\r\n0\r\n\r\n",
+		";x\r\nab\r\n0\r\n\r\n",
+		"g\r\nab\r\n0\r\n\r\n",
+		"2\r\nab\r\n\r\n0\r\n\r\n",
+		"2\r\nab\r\n0\n\r\n",
+		"2\r\nab\r\n0\rX\r\n",
+		"2\r\nab\r\n0\r\n\n",
+		"2\r\nab\r\n0\r\n\rX",
+		"2\r\nab\r\n0\r\nX: 1\n\r\n",
+		"2\r\nab\r\n0\r\nX: 1\rX\r\n",
+		"2\r\nab\r\n0\r\nX: 1\r\n\rX",
+		"10000000000000002\r\nab\r\n0\r\n\r\n",
+	};
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(bodies); i++)
+		cr_expect(eq(int, status_of_chunked(bodies[i]), -1), "'%s'",
+			  bodies[i]);
+}
--- a/packages/http/tests/test_strict.c
+++ b/packages/http/tests/test_strict.c
@@ -99,6 +99,12 @@
 		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
 		  "\r\n\r\n10000000000000005\r\nabcde\r\n0\r\n\r\n" HIDDEN,
 		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n5\r\nabcdeXX0\r\n\r\n" HIDDEN,
+		  400, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n5\r\nabcde\r\n0\r\n\rX" HIDDEN,
+		  400, 0 },
 		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked"
 		  "\r\n\r\n0\r\n\r\n" HIDDEN,
 		  501, 0 },
--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Backend servers and the store send answers whose head is none in HTTP/1.1: a
 # status that is not three digits in range, a field name with a blank or a control
-# byte, or a field value with a control byte.
+# byte, a field value with a control byte, or chunks with other line ends.
 # Guards against callers that get such an answer, against an unsafe request that
 # is sent again or refused as not run on its word, and against a server or a store
 # that is believed on it.
@@ -113,6 +113,17 @@
 		"$(not_run "HTTP/1.1 503 No" "$line\r\n")" o
 done
 echo "ok   names and values of fields"
+CHUNKED="HTTP/1.1 200 OK\r\n${SEALED}Transfer-Encoding: chunked\r\n\r\n"
+REQUESTS=$((REQUESTS + 1))
+wait_for 10 is_sound || fail "sound answers are not passed on any more"
+expect "a chunked body with a trailer" "$(send "/o/raw-$(hex \
+	"${CHUNKED}2;x\r\nab\r\n0\r\nX: 1\r\n\r\n")/x" "r$REQUESTS")" 200
+for body in '2\r\nabXX0\r\n\r\n' '2\rXab\r\n0\r\n\r\n' '2 \r\nab\r\n0\r\n\r\n' \
+	'2\r\nab\r\n0\r\n\rX' '2\r\nab\r\n0\r\nX: 1\n\n' \
+	'2\r\nab\r\n0\r\nX: 1\r\n Y: 1\r\n\r\n' '2\r\nab\r\n0\r\nX Y: 1\r\n\r\n'; do
+	expect_no_answer "'$body'" "$CHUNKED$body"
+done
+echo "ok   chunked bodies"
 wait_for 10 is_sound || fail "sound answers are not passed on any more"
 
 # A 421 makes a daemon hold its server until that has said who it is.
