End answers of status 1xx, 204 and 304 with their head

An answer of status 204 or 304 whose head declared a length (a 304 may) ended as 504 at the deadline, and a length in an interim answer took the final one with it.

Cause: http_parser reads as many bytes of body as a head declares, whatever the status; RFC 9112, section 6.3, ends these answers with their head.

Change: the reader tells http_parser that they have no body. The server asks the same function for what it writes.

Measured: grammar/responses_that_end_with_their_head and session_broken_answers ("a length in '204 No Content': expected '204', got '504'") fail on the former code and pass now; test_http 49 of 49, with sanitizers.

--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -129,6 +129,18 @@
 	return 0;
 }
 
+bool http_message_status_has_no_body(int status)
+{
+	return status / 100 == 1 || status == 204 || status == 304;
+}
+
+/* Its end is the end of the head, whatever length that declares. */
+static bool ends_with_head(const struct http_message *m)
+{
+	return m->is_head_response ||
+	       http_message_status_has_no_body((int)m->parser.status_code);
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_message *m = parser->data;
@@ -139,11 +151,11 @@
 	if (parser->http_major != 1)
 		return set_fault(m, HTTP_MESSAGE_FAULT_VERSION);
 	if (parser->flags & F_CONTENTLENGTH &&
-	    parser->content_length > m->max_body && !m->is_head_response)
+	    parser->content_length > m->max_body && !ends_with_head(m))
 		return set_fault(m, HTTP_MESSAGE_FAULT_BODY_TOO_LARGE);
 	/* Upgrades are not supported: the bytes that follow are HTTP too. */
 	parser->upgrade = 0;
-	return m->is_head_response ? 1 : 0;
+	return ends_with_head(m) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t len)
@@ -311,10 +323,7 @@
 
 bool http_message_is_close_delimited(const struct http_message *m)
 {
-	unsigned int status = m->parser.status_code;
-
-	if (!m->headers_complete || m->is_head_response || status / 100 == 1 ||
-	    status == 204 || status == 304)
+	if (!m->headers_complete || ends_with_head(m))
 		return false;
 	return !(m->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
 }
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -60,6 +60,8 @@
  * after the message remain. Check m->fault and m->complete afterwards.
  */
 void http_message_parse(struct http_message *m, struct evbuffer *in);
+/** Whether responses with this status end with their head. */
+bool http_message_status_has_no_body(int status);
 /** Completes a close-delimited message after a clean end of the connection. */
 void http_message_finish(struct http_message *m);
 /** Whether the end of the connection marks the end of the response body. */
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -195,27 +195,23 @@
 	return "Unknown";
 }
 
-static bool has_no_body(int status)
-{
-	return status / 100 == 1 || status == 204 || status == 304;
-}
-
 static void write_response(struct connection *c, const struct exchange *ex,
 			   int status, const struct http_headers *headers,
 			   struct base_str body, bool keep_alive)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
-	bool is_head = ex && ex->is_head;
+	bool has_body = !(ex && ex->is_head) &&
+			!http_message_status_has_no_body(status);
 
 	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			    reason_phrase(status));
 	write_headers(out, headers);
-	if (!has_no_body(status) && !is_head)
+	if (has_body)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
 	if (!keep_alive)
 		evbuffer_add_printf(out, "Connection: close\r\n");
 	evbuffer_add(out, "\r\n", 2);
-	if (!has_no_body(status) && !is_head)
+	if (has_body)
 		evbuffer_add(out, body.ptr, body.len);
 }
 
--- a/packages/http/tests/test_grammar.c
+++ b/packages/http/tests/test_grammar.c
@@ -412,3 +412,33 @@
 		cr_expect(eq(int, status_of_chunked(bodies[i]), -1), "'%s'",
 			  bodies[i]);
 }
+
+/*
+ * Guards against a response without a body whose reader waits for one, or takes
+ * the next response for it.
+ */
+Test(grammar, responses_that_end_with_their_head)
+{
+	static const char *const lengths[] = {
+		"Content-Length: 2",
+		"Content-Length: 999999999",
+		"Transfer-Encoding: chunked",
+		"X: 1",
+	};
+	char bytes[256];
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(lengths); i++) {
+		snprintf(bytes, sizeof(bytes),
+			 "HTTP/1.1 204 No Content\r\n%s\r\n\r\n", lengths[i]);
+		cr_expect(eq(int, status_of(bytes), 204), "'%s'", lengths[i]);
+		snprintf(bytes, sizeof(bytes),
+			 "HTTP/1.1 304 Not Modified\r\n%s\r\n\r\n", lengths[i]);
+		cr_expect(eq(int, status_of(bytes), 304), "'%s'", lengths[i]);
+		snprintf(bytes, sizeof(bytes),
+			 "HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n"
+			 "HTTP/1.1 200 OK" REST,
+			 lengths[i]);
+		cr_expect(eq(int, status_of(bytes), 200), "'%s'", lengths[i]);
+	}
+}
--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -74,6 +74,17 @@
 expect "an interim answer and then a sound one" "$(send \
 	"/o/raw-$(hex "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n$SOUND")/x" \
 	"r$REQUESTS")" 200
+# A length in the head of an answer that has no body is none of its body.
+for line in "204 No Content" "304 Not Modified"; do
+	REQUESTS=$((REQUESTS + 1))
+	expect "a length in '$line'" "$(send "/o/raw-$(hex \
+		"HTTP/1.1 $line\r\n${SEALED}Content-Length: 2\r\n\r\n")/x" \
+		"r$REQUESTS")" "${line%% *}"
+done
+REQUESTS=$((REQUESTS + 1))
+expect "a length in an interim answer" "$(send "/o/raw-$(hex \
+	"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n$SOUND")/x" \
+	"r$REQUESTS")" 200
 
 STATUS_LINES=("000 None" "0 None" "00 None" "1 None" "20 OK" "099 None"
 	"0200 OK" "2000 OK" "00200 OK" "600 None" "999 None" " 200 OK" "200"
