Refuse a body that is chunked twice or in HTTP/1.0

A body that its head declares as chunked twice was decoded once and passed on, so it was not the server's; one that is chunked in HTTP/1.0, where other readers read to the end of the connection, was decoded. Requests too.

Cause: the reader compared each Transfer-Encoding with "chunked" on its own.

Change: the field may occur once in a head, and not in HTTP/1.0 (RFC 9112, section 6.1). Twelve other forms of ambiguous framing were held already; their tests are kept.

--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -53,6 +53,14 @@
 	return -1;
 }
 
+/* A second coding would be applied to the first, also when both are chunked. */
+static bool is_only_coding(const struct http_message *m, struct base_str coding)
+{
+	return base_str_equal_nocase(coding, BASE_STR("chunked")) &&
+	       !http_headers_find(&m->headers, BASE_STR("Transfer-Encoding"))
+			.ptr;
+}
+
 /*
  * Checks and stores the header that was parsed last. It is known to be complete
  * when the next header begins, or at the end of the headers or trailers.
@@ -69,7 +77,7 @@
 	if (!http_grammar_is_token(name) || !http_grammar_is_text(value))
 		return set_fault(m, HTTP_MESSAGE_FAULT_SYNTAX);
 	if (base_str_equal_nocase(name, BASE_STR("Transfer-Encoding")) &&
-	    !base_str_equal_nocase(value, BASE_STR("chunked")))
+	    !is_only_coding(m, value))
 		return set_fault(m, HTTP_MESSAGE_FAULT_TRANSFER_CODING);
 	/* Trailers, which follow the body, are not stored. */
 	if (!m->headers_complete) {
@@ -150,6 +158,9 @@
 	m->headers_complete = true;
 	if (parser->http_major != 1)
 		return set_fault(m, HTTP_MESSAGE_FAULT_VERSION);
+	/* Transfer codings are not part of HTTP/1.0. */
+	if (parser->flags & F_CHUNKED && parser->http_minor == 0)
+		return set_fault(m, HTTP_MESSAGE_FAULT_TRANSFER_CODING);
 	if (parser->flags & F_CONTENTLENGTH &&
 	    parser->content_length > m->max_body && !ends_with_head(m))
 		return set_fault(m, HTTP_MESSAGE_FAULT_BODY_TOO_LARGE);
--- a/packages/http/tests/test_grammar.c
+++ b/packages/http/tests/test_grammar.c
@@ -442,3 +442,38 @@
 		cr_expect(eq(int, status_of(bytes), 200), "'%s'", lengths[i]);
 	}
 }
+
+/*
+ * Guards against a body whose end depends on the reader, and against one that
+ * is decoded once though it was coded twice.
+ */
+Test(grammar, framing_that_is_ambiguous)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Transfer-Encoding: chunked",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"transfer-encoding: identity",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding:",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Content-Length: 12",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Length: 12",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12, 12",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12 12",
+		"HTTP/1.1 200 OK\r\nContent-Length: +12",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0xc",
+		"HTTP/1.1 200 OK\r\nContent-Length: \"12\"",
+		"HTTP/1.1 200 OK\r\nContent-Length:",
+		"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551628",
+	};
+	char bytes[256];
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(heads); i++) {
+		snprintf(bytes, sizeof(bytes), "%s\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+			 heads[i]);
+		cr_expect(eq(int, status_of(bytes), -1), "'%s'", heads[i]);
+	}
+}
--- a/packages/http/tests/test_strict.c
+++ b/packages/http/tests/test_strict.c
@@ -111,6 +111,12 @@
 		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
 		  "chunked\r\n\r\n0\r\n\r\n" HIDDEN,
 		  501, 0 },
+		{ "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" HIDDEN,
+		  501, 0 },
+		{ "POST /a HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n0\r\n\r\n" HIDDEN,
+		  501, 0 },
 		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n" HIDDEN,
 		  400, 0 },
 		{ "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\n"
