Write no status and no header that are none in HTTP/1.1

Callers saw: whatever status another part of the daemon handed to the server, 000 among them. The reader of answers was one way in; messages of peers and answers kept for a key are others.

Cause: the server wrote status and headers without a check.

Change: http_exchange_reply() writes 502, which promises nothing, in place of a response whose status is not from 200 to 599 or one of whose headers is not a token and a text; the daemon logs it (response_invalid) and counts it. An assert was ruled out, as it would end the requests of all other callers.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -58,6 +58,16 @@
 	       peer_transport_queued_bytes(node->transport);
 }
 
+void node_log_invalid_response(struct node *node, int status)
+{
+	struct base_log_line line =
+		base_log_begin(node->log, BASE_LOG_ERROR, "response_invalid");
+
+	node_counter_add(node, "responses_invalid");
+	base_log_int(&line, "status", status);
+	base_log_end(&line);
+}
+
 bool node_is_self(const struct node *node, const struct config_vm *vm)
 {
 	return node->self == vm;
@@ -350,6 +360,11 @@
 	base_log_end(&line);
 }
 
+static void on_invalid_response(void *ctx, int status)
+{
+	node_log_invalid_response(ctx, status);
+}
+
 static void on_stop_signal(evutil_socket_t fd, short events, void *arg)
 {
 	drain_start(arg, base_now_us());
@@ -368,6 +383,7 @@
 		.idle_timeout_us = CALLER_IDLE_TIMEOUT_US,
 		.handler = on_caller_request,
 		.on_stalled_reader = on_stalled_caller,
+		.on_invalid_response = on_invalid_response,
 		.ctx = node,
 	};
 	struct peer_transport_settings peer = {
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -122,6 +122,8 @@
 bool node_is_resuming(const struct node *node);
 /** Bytes of answers that callers and peers have not taken yet. */
 size_t node_unsent_answer_bytes(const struct node *node);
+/** Logs that an HTTP server has replaced a response with this status by 502. */
+void node_log_invalid_response(struct node *node, int status);
 /** True for the VM on which this daemon runs. */
 bool node_is_self(const struct node *node, const struct config_vm *vm);
 
--- a/packages/daemon/onward.c
+++ b/packages/daemon/onward.c
@@ -43,6 +43,13 @@
 	refuse(ex);
 }
 
+static void on_invalid_response(void *ctx, int status)
+{
+	struct onward *o = ctx;
+
+	node_log_invalid_response(o->node, status);
+}
+
 struct onward *onward_create(struct node *node, struct base_error *err)
 {
 	struct onward *o = base_alloc(sizeof(*o));
@@ -53,6 +60,7 @@
 		.max_connections = MAX_CONNECTIONS,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.handler = on_request,
+		.on_invalid_response = on_invalid_response,
 		.ctx = o,
 	};
 
--- a/packages/http/grammar.c
+++ b/packages/http/grammar.c
@@ -1,5 +1,6 @@
 /* Grammar of the parts of a message head. */
 #include "grammar.h"
+#include "http.h"
 
 #include <string.h>
 
@@ -56,3 +57,13 @@
 	return http_grammar_is_text(
 		(struct base_str){ line.ptr + len, line.len - len });
 }
+
+bool http_header_is_valid(struct base_str name, struct base_str value)
+{
+	return http_grammar_is_token(name) && http_grammar_is_text(value);
+}
+
+bool http_status_is_final(int status)
+{
+	return status >= 200 && status <= 599;
+}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -65,6 +65,11 @@
 /** Whether a Connection header lists @p name as a connection option. */
 bool http_headers_has_connection_option(const struct http_headers *headers,
 					struct base_str name);
+/**
+ * Whether a message may have this header: its name is a token and its value has
+ * no control bytes but tabs.
+ */
+bool http_header_is_valid(struct base_str name, struct base_str value);
 /** Whether the header applies to one connection only and is not forwarded. */
 bool http_header_is_hop_by_hop(struct base_str name);
 
@@ -112,6 +117,12 @@
  */
 typedef void (*http_server_stalled_cb)(void *ctx, size_t unread);
 
+/**
+ * A response was not written, because its status is not final or one of its
+ * headers is not valid. The caller gets 502 in its place.
+ */
+typedef void (*http_server_invalid_cb)(void *ctx, int status);
+
 struct http_server_settings {
 	struct base_str listen;
 	/** Limit of a body in bytes; larger ones are refused with 413. */
@@ -131,6 +142,8 @@
 	http_server_handler handler;
 	/** May be NULL. */
 	http_server_stalled_cb on_stalled_reader;
+	/** May be NULL. */
+	http_server_invalid_cb on_invalid_response;
 	void *ctx;
 };
 
@@ -183,7 +196,13 @@
 
 void http_exchange_set_disconnect_cb(struct http_exchange *ex,
 				     http_disconnect_cb cb, void *ctx);
-/** Sends the response and frees the exchange. @p headers may be NULL. */
+/** Whether @p status is that of a final response, from 200 to 599. */
+bool http_status_is_final(int status);
+/**
+ * Sends the response and frees the exchange. In place of a response that is not
+ * valid, one of status 502 without headers and body is sent.
+ * @param headers  may be NULL
+ */
 void http_exchange_reply(struct http_exchange *pub, int status,
 			 const struct http_headers *headers,
 			 struct base_str body);
--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -74,7 +74,7 @@
 	if (!name.len)
 		return 0;
 	/* http_parser does not check the first byte of a value. */
-	if (!http_grammar_is_token(name) || !http_grammar_is_text(value))
+	if (!http_header_is_valid(name, value))
 		return set_fault(m, HTTP_MESSAGE_FAULT_SYNTAX);
 	if (base_str_equal_nocase(name, BASE_STR("Transfer-Encoding")) &&
 	    !is_only_coding(m, value))
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -80,6 +80,7 @@
 	int64_t header_timeout_us;
 	http_server_handler handler;
 	http_server_stalled_cb on_stalled_reader;
+	http_server_invalid_cb on_invalid_response;
 	void *ctx;
 	bool keep_alive_disabled;
 	char address[80];
@@ -476,6 +477,20 @@
 	private->disconnect_ctx = ctx;
 }
 
+/* Any other reader would refuse such a response or take it for another. */
+static bool is_valid_response(int status, const struct http_headers *headers)
+{
+	size_t i;
+
+	if (!http_status_is_final(status))
+		return false;
+	for (i = 0; headers && i < headers->count; i++)
+		if (!http_header_is_valid(headers->items[i].name,
+					  headers->items[i].value))
+			return false;
+	return true;
+}
+
 void http_exchange_reply(struct http_exchange *pub, int status,
 			 const struct http_headers *headers,
 			 struct base_str body)
@@ -491,6 +506,13 @@
 		exchange_free(ex);
 		return;
 	}
+	if (!is_valid_response(status, headers)) {
+		if (c->server->on_invalid_response)
+			c->server->on_invalid_response(c->server->ctx, status);
+		status = 502;
+		headers = NULL;
+		body = BASE_STR_NONE;
+	}
 	c->server->open_exchanges--;
 	keep_alive = ex->keep_alive && !c->server->keep_alive_disabled;
 	write_response(c, ex, status, headers, body, keep_alive);
@@ -629,6 +651,7 @@
 	server->header_timeout_us = REQUEST_TIMEOUT_US;
 	server->handler = settings->handler;
 	server->on_stalled_reader = settings->on_stalled_reader;
+	server->on_invalid_response = settings->on_invalid_response;
 	server->ctx = settings->ctx;
 	server->timeout_check =
 		event_new(base, -1, EV_PERSIST, check_timeouts, server);
