Take an answer in a message that is none in HTTP/1.1 for a lost one

Callers saw: the status of a message as it came. A refusal with such a status was believed: 503, not run. Names with blanks or control bytes and values with CR were written as they came.

A server's own 000, 0200, 99 or 600 to a request with a key was kept and given again to the next request with that key.

Cause: the entry trusted messages and kept answers to hold what a reader had checked.

Change: the entry takes an answer that is no final response for a lost one: the request may have run, an unsafe one is neither run again nor refused as not run, and its key stays in use. One that was kept ends as 502, not run again. Dropping the message when it is decoded was ruled out, as the caller would wait until its deadline. Each is logged (answer_invalid) and counted.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -1,4 +1,5 @@
 /* Entry: authentication and admission of each request. */
+#include "answer_check.h"
 #include "drain.h"
 #include "flow.h"
 
@@ -534,12 +535,21 @@
 		.detail = "the request has run, but its answer was too large "
 			  "to be stored",
 	};
+	struct flow_refusal invalid = {
+		.refusal = HTTP_REFUSAL_CONNECTION_LOST,
+		.detail = "the request has run, but its stored answer is not "
+			  "valid",
+	};
 
 	node_counter_add(f->node, "answers_replayed");
-	if (stored->status)
-		flow_answer(f, &answer, now);
-	else
+	if (!stored->status) {
 		flow_refuse(f, &not_stored, now);
+	} else if (answer_is_response(stored->status, &stored->headers)) {
+		flow_answer(f, &answer, now);
+	} else {
+		flow_log_invalid_answer(f, stored->status);
+		flow_refuse(f, &invalid, now);
+	}
 }
 
 static void refuse_claim(struct flow *f, enum peer_claim_result result,
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -1,5 +1,6 @@
 /* Routing, retries and the end of one request at the entry. */
 #include "flow.h"
+#include "answer_check.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -338,7 +339,14 @@
 	record_latency(f, latency_us, now);
 }
 
-void flow_on_answer(struct flow *f, const struct peer_answer *answer,
+/* Used in place of the answer of a try that ended without one. */
+static const struct peer_answer lost_answer = {
+	.status = 502,
+	.outcome = PEER_OUTCOME_UNKNOWN,
+	.reason = { "connection_lost", sizeof("connection_lost") - 1 },
+};
+
+static void end_try(struct flow *f, const struct peer_answer *answer,
 		    int64_t now)
 {
 	bool ok = answer->outcome == PEER_OUTCOME_RAN && answer->status < 500;
@@ -363,16 +371,20 @@
 		refuse_with_answer(f, answer, now);
 }
 
-/* Used in place of the answer of a try that ended without one. */
-static const struct peer_answer lost_answer = {
-	.status = 502,
-	.outcome = PEER_OUTCOME_UNKNOWN,
-	.reason = { "connection_lost", sizeof("connection_lost") - 1 },
-};
-
 void flow_on_try_lost(struct flow *f, int64_t now)
 {
-	flow_on_answer(f, &lost_answer, now);
+	end_try(f, &lost_answer, now);
+}
+
+void flow_on_answer(struct flow *f, const struct peer_answer *answer,
+		    int64_t now)
+{
+	if (answer_is_response(answer->status, &answer->headers)) {
+		end_try(f, answer, now);
+		return;
+	}
+	flow_log_invalid_answer(f, answer->status);
+	flow_on_try_lost(f, now);
 }
 
 void flow_on_vm_silent(struct flow *f, int64_t now)
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -171,7 +171,10 @@
 uint32_t flow_service_id(const struct flow *f);
 /** Average latency of the route at its fastest server; 0 when unknown. */
 int64_t flow_expected_latency_us(const struct flow *f);
-/** Handles the answer of the current try: retries it or ends the flow. */
+/**
+ * Handles the answer of the current try: retries it or ends the flow. One that
+ * is no response in HTTP/1.1 proves nothing, so its try counts as lost.
+ */
 void flow_on_answer(struct flow *f, const struct peer_answer *answer,
 		    int64_t now);
 /**
@@ -211,6 +214,8 @@
 /** Logs a failed try and the decision that follows it. */
 void flow_log_failed_try(struct flow *f, const struct peer_answer *answer,
 			 const char *decision);
+/** Logs and counts an answer that is no response in HTTP/1.1. */
+void flow_log_invalid_answer(struct flow *f, uint32_t status);
 /** Logs a refusal, and then the end of the flow. */
 void flow_log_refusal(struct flow *f,
 		      const struct http_refusal_details *details, int code,
--- a/packages/daemon/flow_log.c
+++ b/packages/daemon/flow_log.c
@@ -52,6 +52,20 @@
 	base_log_end(&line);
 }
 
+void flow_log_invalid_answer(struct flow *f, uint32_t status)
+{
+	struct base_log_line line = request_log_begin(f->node, "answer_invalid",
+						      f->request_id, false);
+	const struct config_vm *vm =
+		f->try_count ? roster_vm(f->node->roster, f->server) : NULL;
+
+	node_counter_add(f->node, "answers_invalid");
+	if (vm)
+		base_log_str(&line, "vm", vm->name);
+	base_log_int(&line, "status", status);
+	base_log_end(&line);
+}
+
 void flow_log_refusal(struct flow *f,
 		      const struct http_refusal_details *details, int code,
 		      int64_t now)
