Do not take a server for dead over an answer that is none

Callers would have seen: with the answers that are refused since the status line is read by its grammar, a server that is in use for one request alone was taken for dead by each of them (12 of 12 in session_broken_messages). A request that seems to kill its servers is a suspect, then refused everywhere, so one server in trouble could have had a popular request refused by all.

Cause: the guard handed both a lost connection and an invalid answer to the death detector. Where servers have no instance ids, losing all that is in flight is a death. This was so for other invalid answers before.

Change: a server whose answer is invalid is alive, so its work fails at once, with the same outcome (may have run). A server that ends in the middle of an answer without a length, which is never valid there, no longer counts as dead by that; a reset still does.

Measured: session_broken_messages fails before ("broken answers are no deaths: expected '0', got '12'") and passes now; session_crash, _faulty_answers, _broken_answers and _golden pass, with sanitizers.

--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -152,7 +152,9 @@
 		return;
 	}
 	failure = failure_from_result(result, now >= w->deadline);
-	if (failure.refusal == HTTP_REFUSAL_CONNECTION_LOST) {
+	/* A server that has sent an invalid answer is alive. */
+	if (failure.refusal == HTTP_REFUSAL_CONNECTION_LOST &&
+	    result != HTTP_RESULT_INVALID) {
 		death_detector_connection_lost(
 			g->death_detector, w->id,
 			overload_guard_in_flight(g->overload), now);
--- a/tests/session_broken_messages.sh
+++ b/tests/session_broken_messages.sh
@@ -127,6 +127,8 @@
 	done
 done
 wait_for 20 is_server_sound || fail "the server is not used any more"
+# A request whose server seems to die of it would be refused from then on.
+expect "broken answers are no deaths" "$(counter_of returns-1 backend_deaths)" 0
 key=$(key_of returns-1)
 post_return "$key" sound
 post_return "$key" sound
