Log answers that are refused as none in HTTP/1.1

Need: an operator saw such an answer only as a lost connection; a health check that was refused left no line at all, and a read of the store said "connection failed".

Change: backend_answer_invalid with the request, backend_check_invalid, the reason "the answer is not valid HTTP" of platform_lost, and a counter. No level above that of the other lines of a request, as a server in trouble may send many.

--- a/packages/daemon/backend_health.c
+++ b/packages/daemon/backend_health.c
@@ -37,6 +37,15 @@
 	event_add(h->timer, &tv);
 }
 
+static void log_invalid_answer(struct node *node)
+{
+	struct base_log_line line = base_log_begin(node->log, BASE_LOG_WARN,
+						   "backend_check_invalid");
+
+	node_counter_add(node, "backend_answers_invalid");
+	base_log_end(&line);
+}
+
 static void on_answer(void *ctx, enum http_result result,
 		      const struct http_response *answer)
 {
@@ -46,6 +55,8 @@
 	int64_t cold_ms = 0;
 
 	h->call = NULL;
+	if (result == HTTP_RESULT_INVALID)
+		log_invalid_answer(h->node);
 	if (result != HTTP_RESULT_RESPONSE) {
 		schedule_check(h);
 		return;
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -48,7 +48,7 @@
 	spans_add(w->guard->node->spans, &span);
 }
 
-static struct base_str request_id(const struct guard_work *w)
+struct base_str guard_work_request_id(const struct guard_work *w)
 {
 	const char *name = w->guard->node->dialect->headers.request_id;
 	const struct peer_headers *headers = &w->msg.request.headers;
@@ -66,7 +66,7 @@
 		    const struct routing_load_report *report, int64_t now)
 {
 	struct base_log_line line = request_log_begin(
-		w->guard->node, "work_ended", request_id(w),
+		w->guard->node, "work_ended", guard_work_request_id(w),
 		answer->outcome == PEER_OUTCOME_RAN && answer->status < 500);
 
 	base_log_cstr(&line, "decision", decision);
--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -1,6 +1,7 @@
 /* Work at the local backend server: start, answers, losses and identity. */
 #include "guard_work.h"
 #include "death_detector.h"
+#include "request_log.h"
 
 #include <sodium.h>
 
@@ -124,6 +125,18 @@
 	guard_dispatch(g, now);
 }
 
+static void log_invalid_answer(const struct guard_work *w)
+{
+	const struct guard *g = w->guard;
+	struct base_log_line line =
+		request_log_begin(g->node, "backend_answer_invalid",
+				  guard_work_request_id(w), false);
+
+	node_counter_add(g->node, "backend_answers_invalid");
+	base_log_str(&line, "instance", base_buf_str(&g->instance));
+	base_log_end(&line);
+}
+
 static void on_backend_answer(void *ctx, enum http_result result,
 			      const struct http_response *http)
 {
@@ -153,8 +166,9 @@
 	}
 	failure = failure_from_result(result, now >= w->deadline);
 	/* A server that has sent an invalid answer is alive. */
-	if (failure.refusal == HTTP_REFUSAL_CONNECTION_LOST &&
-	    result != HTTP_RESULT_INVALID) {
+	if (result == HTTP_RESULT_INVALID) {
+		log_invalid_answer(w);
+	} else if (failure.refusal == HTTP_REFUSAL_CONNECTION_LOST) {
 		death_detector_connection_lost(
 			g->death_detector, w->id,
 			overload_guard_in_flight(g->overload), now);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -143,6 +143,11 @@
 			    int64_t now);
 /** Removes the work item from the guard and frees it, without an answer. */
 void guard_work_free(struct guard_work *w);
+/**
+ * The id that its caller gave the request, as a view into the work item; empty
+ * without one.
+ */
+struct base_str guard_work_request_id(const struct guard_work *w);
 /** @param decision  see struct span */
 void guard_work_record_span(struct guard_work *w, int status,
 			    const char *decision, int64_t now);
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -193,6 +193,8 @@
 {
 	if (result == HTTP_RESULT_TIMED_OUT)
 		return "call timed out";
+	if (result == HTTP_RESULT_INVALID)
+		return "the answer is not valid HTTP";
 	if (result != HTTP_RESULT_RESPONSE)
 		return "connection failed";
 	return answer->status == 429 ? "rate limit of the platform exceeded"
--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -103,6 +103,10 @@
 done
 expect_no_answer "a version that is none" "$(final "HTTP/1.10 200 OK")"
 echo "ok   status lines"
+expect_logged() { # TEXT
+	grep -q "$1" "$WORK"/daemon-m*.err || fail "no line has $1"
+}
+expect_logged "event=backend_answer_invalid request=r"
 
 FIELD_LINES=("X Y: 1" 'X\tY: 1' "X : 1" 'X\x01: 1' '\x01X: 1' 'X\x7f: 1'
 	" X: 1" ": 1" "X" "Content-Length : 1" "Content Length: 1"
@@ -171,6 +175,7 @@
 	expect_no_identity "'$line'" "200 OK" "$line\r\n"
 done
 echo "ok   health checks"
+expect_logged "event=backend_check_invalid"
 
 # Each configuration brings another key. The former one stays in force until the
 # store answers soundly.
@@ -191,4 +196,5 @@
 	expect_no_read "$line"
 done
 echo "ok   reads of the store"
+expect_logged 'event=platform_lost why="the answer is not valid HTTP"'
 wait_for 10 is_sound || fail "sound answers are not passed on any more"
--- a/tests/session_broken_messages.sh
+++ b/tests/session_broken_messages.sh
@@ -100,6 +100,9 @@
 send POST /reservations/x -d x -H "Idempotency-Key: $(key_of reservations-1)"
 expect "a sound kept answer" "$STATUS $RUNS" "200 0"
 
+grep -q "event=answer_invalid .* vm=reservations-[12] status=" \
+	"$WORK/daemon-catalogue-1.err" || fail "a broken message is not logged"
+
 # A server's answer to a request with a key. Its outcome is unknown, so the key
 # stays in use and no answer is kept for it.
 hex() { printf "$1" | od -An -v -tx1 | tr -d ' \n'; }
