Fuzz: what was read can be written

Need: the fuzz target of answers checked that they do not depend on where their bytes are divided, not that they are answers.

Change: a response that is accepted has a status from 100 to 599, and every message has headers that may be written.

--- a/fuzz/targets.c
+++ b/fuzz/targets.c
@@ -19,15 +19,31 @@
 struct parse_result {
 	enum http_message_fault fault;
 	size_t messages;
+	/** Responses that may not be written as they were read. */
+	size_t invalid;
 	/** Targets, bodies and headers of all messages, concatenated. */
 	struct base_buf contents;
 };
 
+static bool is_valid(const struct http_message *m)
+{
+	int status = (int)m->parser.status_code;
+	size_t i;
+
+	for (i = 0; i < m->headers.count; i++)
+		if (!http_header_is_valid(m->headers.items[i].name,
+					  m->headers.items[i].value))
+			return false;
+	return m->type == HTTP_REQUEST || status / 100 == 1 ||
+	       http_status_is_final(status);
+}
+
 static void add_message(struct parse_result *r, const struct http_message *m)
 {
 	size_t i;
 
 	r->messages++;
+	r->invalid += !is_valid(m);
 	base_buf_addf(&r->contents, "|%zu %zu|", m->target.len, m->body.len);
 	base_buf_add_str(&r->contents, base_buf_str(&m->target));
 	base_buf_add_str(&r->contents, base_buf_str(&m->body));
@@ -98,6 +114,8 @@
 		 !base_str_equal(base_buf_str(&whole.contents),
 				 base_buf_str(&split.contents)))
 		problem = "the messages depend on where the input is split";
+	else if (whole.invalid)
+		problem = "a message cannot be written as it was read";
 	base_buf_release(&whole.contents);
 	base_buf_release(&split.contents);
 	return problem;
