--- a/tests/session_broken_answers.sh
+++ b/tests/session_broken_answers.sh
@@ -10,6 +10,7 @@
 . "$(dirname "$0")/platform_lib.sh"
 TESTS=$(dirname "$0")
 REQUESTS=0
+LOST=0
 
 hex() { printf "$1" | od -An -v -tx1 | tr -d ' \n'; }
 runs_of() { cat "$WORK"/app-*.out | grep -c "^run id=$1 "; }
@@ -40,6 +41,7 @@
 	for route in ${3:-b o}; do
 		wait_for 10 ends_as_lost $route "$bytes" "$1" ||
 			fail "$1: no request of route $route reached a server"
+		LOST=$((LOST + 1))
 	done
 }
 is_sound() { REQUESTS=$((REQUESTS + 1)); [ "$(send /o/x "r$REQUESTS")" = 200 ]; }
@@ -198,3 +200,4 @@
 echo "ok   reads of the store"
 expect_logged 'event=platform_lost why="the answer is not valid HTTP"'
 wait_for 10 is_sound || fail "sound answers are not passed on any more"
+echo "ok   $LOST requests with broken answers ended as lost"
--- a/tests/session_broken_messages.sh
+++ b/tests/session_broken_messages.sh
@@ -9,6 +9,7 @@
 TESTS=$(dirname "$0")
 KEY=bhk_ls1_example-secret-ls1
 REQUESTS=0
+LOST=0
 
 runs_of() { cat "$WORK"/fake-*.out "$WORK"/backend-*.out | grep -c "id=$1 "; }
 # Sets STATUS, HEADERS, ID and RUNS of a request of the entry.
@@ -43,6 +44,7 @@
 	answer_with "$2"
 	wait_for 10 ends_as_lost POST 1 "$1" || fail "$1: no peer got the POST"
 	wait_for 10 ends_as_lost GET 2 "$1" || fail "$1: no peer got the GET"
+	LOST=$((LOST + 2))
 	echo "ok   $1"
 }
 expect_no_kept_answer() { # NAME LINES
@@ -52,6 +54,7 @@
 	expect "$1 in a kept answer" "$STATUS $RUNS" "502 0"
 	expect "$1 in a kept answer: outcome" \
 		"$(header_value Bilberryhinge-Outcome)" unknown
+	LOST=$((LOST + 1))
 }
 is_sound() {
 	send POST /reservations/x -d x \
@@ -127,6 +130,7 @@
 		expect "'$line' with the key again" "$STATUS $RUNS" "409 0"
 		expect "'$line' with the key again: outcome" \
 			"$(header_value Bilberryhinge-Outcome)" unknown
+		LOST=$((LOST + 1))
 	done
 done
 wait_for 20 is_server_sound || fail "the server is not used any more"
@@ -136,3 +140,4 @@
 post_return "$key" sound
 post_return "$key" sound
 expect "a sound answer is kept" "$STATUS $RUNS" "200 0"
+echo "ok   $LOST requests with broken answers ended as lost"
