Check texts and header lists by one function each

The checker of chunks had its own test for control bytes, and the server and the fuzz targets each walked over a list of headers.

Change: http_grammar_is_text_byte() and http_headers_are_valid(); comments of the stand-in for a daemon and of the check of answers say what they do. No behaviour changes.

--- a/fakes/peer.c
+++ b/fakes/peer.c
@@ -11,8 +11,8 @@
  *     reason=TEXT        their reason for a refusal
  *     name=TEXT          name of a header in them and in stored answers
  *     value=TEXT         its value
- *     stored=N           claims are answered with a stored answer of this
- * status; without it they are new
+ *     stored=N           status of a stored answer, with which claims are
+ *                        answered; without it they are new
  *
  * Prints "request id=... path=..." for each request, with the X-Request-Id.
  */
--- a/fuzz/targets.c
+++ b/fuzz/targets.c
@@ -19,7 +19,7 @@
 struct parse_result {
 	enum http_message_fault fault;
 	size_t messages;
-	/** Responses that may not be written as they were read. */
+	/** Messages that may not be written as they were read. */
 	size_t invalid;
 	/** Targets, bodies and headers of all messages, concatenated. */
 	struct base_buf contents;
@@ -28,14 +28,10 @@
 static bool is_valid(const struct http_message *m)
 {
 	int status = (int)m->parser.status_code;
-	size_t i;
 
-	for (i = 0; i < m->headers.count; i++)
-		if (!http_header_is_valid(m->headers.items[i].name,
-					  m->headers.items[i].value))
-			return false;
-	return m->type == HTTP_REQUEST || status / 100 == 1 ||
-	       http_status_is_final(status);
+	return http_headers_are_valid(&m->headers) &&
+	       (m->type == HTTP_REQUEST || status / 100 == 1 ||
+		http_status_is_final(status));
 }
 
 static void add_message(struct parse_result *r, const struct http_message *m)
--- a/packages/daemon/answer_check.c
+++ b/packages/daemon/answer_check.c
@@ -1,4 +1,4 @@
-/* Check of answers that come in messages of other daemons. */
+/* Check of answers that no reader of this daemon has checked. */
 #include "answer_check.h"
 #include "http.h"
 
--- a/packages/daemon/answer_check.h
+++ b/packages/daemon/answer_check.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * Check of answers that come in messages of other daemons.
+ * Check of answers that come in messages of other daemons, or were stored for
+ * an idempotency key.
  */
 #ifndef ANSWER_CHECK_H
 #define ANSWER_CHECK_H
--- a/packages/http/chunked.c
+++ b/packages/http/chunked.c
@@ -1,5 +1,6 @@
 /* Checks the framing of chunked bodies byte by byte. */
 #include "chunked.h"
+#include "grammar.h"
 
 #include <ctype.h>
 
@@ -16,11 +17,6 @@
 	return c == ' ' || c == '\t';
 }
 
-static bool is_control(unsigned char c)
-{
-	return (c < ' ' && c != '\t') || c == 0x7f;
-}
-
 /* A byte after the first digit of a chunk's size, in the same line. */
 static bool check_size_line(struct http_chunked *c, unsigned char byte)
 {
@@ -32,7 +28,7 @@
 		c->state = HTTP_CHUNKED_EXTENSION;
 	else if (may_extend && is_blank(byte))
 		c->state = HTTP_CHUNKED_SIZE_BLANK;
-	else if (may_extend || is_control(byte))
+	else if (may_extend || !http_grammar_is_text_byte(byte))
 		return false;
 	return true;
 }
--- a/packages/http/chunked.h
+++ b/packages/http/chunked.h
@@ -8,7 +8,7 @@
 #include "base.h"
 
 enum http_chunked_state {
-	/** A digit of a chunk's size; the first one must follow. */
+	/** The first digit of a chunk's size is due. */
 	HTTP_CHUNKED_SIZE_START = 0,
 	HTTP_CHUNKED_SIZE,
 	/** Blanks between the size and an extension. */
--- a/packages/http/grammar.c
+++ b/packages/http/grammar.c
@@ -25,16 +25,18 @@
 	return s.len > 0;
 }
 
+bool http_grammar_is_text_byte(unsigned char c)
+{
+	return c == '\t' || (c >= ' ' && c != 0x7f);
+}
+
 bool http_grammar_is_text(struct base_str s)
 {
 	size_t i;
 
-	for (i = 0; i < s.len; i++) {
-		unsigned char c = (unsigned char)s.ptr[i];
-
-		if ((c < ' ' && c != '\t') || c == 0x7f)
+	for (i = 0; i < s.len; i++)
+		if (!http_grammar_is_text_byte((unsigned char)s.ptr[i]))
 			return false;
-	}
 	return true;
 }
 
@@ -63,6 +65,17 @@
 	return http_grammar_is_token(name) && http_grammar_is_text(value);
 }
 
+bool http_headers_are_valid(const struct http_headers *headers)
+{
+	size_t i;
+
+	for (i = 0; i < headers->count; i++)
+		if (!http_header_is_valid(headers->items[i].name,
+					  headers->items[i].value))
+			return false;
+	return true;
+}
+
 bool http_status_is_final(int status)
 {
 	return status >= 200 && status <= 599;
--- a/packages/http/grammar.h
+++ b/packages/http/grammar.h
@@ -9,6 +9,8 @@
 
 /** Whether @p s is a token, as names of fields are. */
 bool http_grammar_is_token(struct base_str s);
+/** Whether @p c is no control byte, or a tab. */
+bool http_grammar_is_text_byte(unsigned char c);
 /**
  * Whether @p s, which may be empty, has no control bytes but tabs, as values of
  * fields and reasons.
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -70,6 +70,7 @@
  * no control bytes but tabs.
  */
 bool http_header_is_valid(struct base_str name, struct base_str value);
+bool http_headers_are_valid(const struct http_headers *headers);
 /** Whether the header applies to one connection only and is not forwarded. */
 bool http_header_is_hop_by_hop(struct base_str name);
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -477,18 +477,11 @@
 	private->disconnect_ctx = ctx;
 }
 
-/* Any other reader would refuse such a response or take it for another. */
+/* A reader would refuse any other response or take it for another one. */
 static bool is_valid_response(int status, const struct http_headers *headers)
 {
-	size_t i;
-
-	if (!http_status_is_final(status))
-		return false;
-	for (i = 0; headers && i < headers->count; i++)
-		if (!http_header_is_valid(headers->items[i].name,
-					  headers->items[i].value))
-			return false;
-	return true;
+	return http_status_is_final(status) &&
+	       (!headers || http_headers_are_valid(headers));
 }
 
 void http_exchange_reply(struct http_exchange *pub, int status,
