Give tests that open an address again a port of their own

The log has the leaks of the node that is opened at line 174 only. Traced in a scratch copy: with another socket on that port, binding fails ("Address already in use") and leaves exactly these leaks; when the check after it fails instead, there are none of that line. The test closes a listener on a port that the system chose, waits 300 ms and listens there again; a socket of a test beside it, or the link that it opens itself, may get this port meanwhile.

Change: both tests that do so take a port below those that the system hands out. Their checks are the same. No code of the product changes.

--- a/packages/peer/tests/node.c
+++ b/packages/peer/tests/node.c
@@ -3,7 +3,15 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <event2/event.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+/* Ports that no socket gets by itself; each test begins at another one. */
+#define RESERVED_PORT_MIN 28000
+#define RESERVED_PORT_COUNT 4000
+#define RESERVED_PORT_STEP 37
+#define EPHEMERAL_PORT_MIN 32768
 
 static void record_event(struct node *node, char event)
 {
@@ -96,6 +104,23 @@
 	return node_open_at(loop, BASE_STR("127.0.0.1:0"), FLEET_SECRET);
 }
 
+struct node *node_open_reserved(struct event_base *loop)
+{
+	struct node *node = base_alloc(sizeof(*node));
+	int port = RESERVED_PORT_MIN +
+		   getpid() * RESERVED_PORT_STEP % RESERVED_PORT_COUNT;
+	struct base_error err;
+	char at[32];
+
+	node->loop = loop;
+	node->counters = base_counters_create();
+	do {
+		cr_assert(lt(int, port, EPHEMERAL_PORT_MIN), "%s", err.message);
+		snprintf(at, sizeof(at), "127.0.0.1:%d", port++);
+	} while (node_try_open(node, base_str_from(at), FLEET_SECRET, &err));
+	return node;
+}
+
 void node_close(struct node *node)
 {
 	peer_transport_destroy(node->transport);
--- a/packages/peer/tests/node.h
+++ b/packages/peer/tests/node.h
@@ -38,6 +38,11 @@
 			  struct base_str secret);
 /** Opens a node on a free loopback port with FLEET_SECRET. */
 struct node *node_open(struct event_base *loop);
+/**
+ * Opens a node on a port that the system gives to no other socket, so that it
+ * can be opened there again after it was closed.
+ */
+struct node *node_open_reserved(struct event_base *loop);
 void node_close(struct node *node);
 /** Returns whether these events were recorded in direct succession. */
 bool node_has_recorded(const struct node *node, const char *events);
--- a/packages/peer/tests/test_transport.c
+++ b/packages/peer/tests/test_transport.c
@@ -164,7 +164,7 @@
 {
 	struct event_base *loop = event_base_new();
 	struct node *a = node_open(loop);
-	struct node *b = node_open(loop);
+	struct node *b = node_open_reserved(loop);
 	char *address = base_str_dup(peer_transport_address(b->transport));
 
 	node_close(b);
@@ -189,7 +189,7 @@
 {
 	struct event_base *loop = event_base_new();
 	struct node *a = node_open(loop);
-	struct node *b = node_open(loop);
+	struct node *b = node_open_reserved(loop);
 	struct peer_link *link = node_connect(a, b);
 	char *address = base_str_dup(peer_transport_address(b->transport));
 
