Learn how much load a backend server sustains

Servers with an instance id get a fixed limit of 0.94 of their slots. Some servers slow down at 0.6 of their slots, so the fixed limit fills them and throughput falls; nothing tells a server's speed either. The gradient limiter cannot be used there, as it takes each slow-down for a full server and needs latencies without onward calls by request.

overload_capacity is a limiter that puts a lower limit on trial when requests are slow at the limit (or rejected) and keeps it only if the throughput holds (or the rejections fall). It measures the server's own time at low load and now; the mean number of onward calls in flight is subtracted by Little's law. Rejections and fast failures never count as fast requests. Requests that have not ended yet raise the present time, so a server that hangs shows early. Two new outcomes, REJECTED and ABANDONED, count for the other limiters as FAILED and OK did.

--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -349,6 +349,13 @@
 	       overload_bucket_has_token(&guard->stated_starts, guard->now);
 }
 
+static void report_in_flight(struct overload_guard *guard)
+{
+	if (guard->limiter->ops->in_flight)
+		guard->limiter->ops->in_flight(guard->limiter, guard->in_flight,
+					       guard->now);
+}
+
 static bool next_start(struct overload_guard *guard,
 		       struct overload_action *action)
 {
@@ -373,6 +380,7 @@
 	HASH_ADD(hh, guard->running, id, sizeof(run->id), run);
 	overload_cutoff_count_started(&guard->cutoff);
 	overload_ramp_work_started(&guard->ramp, guard->now);
+	report_in_flight(guard);
 	if (guard->has_stated_rate)
 		overload_bucket_take(&guard->stated_starts, guard->now);
 	*action = (struct overload_action){ .type = OVERLOAD_ACTION_START,
@@ -432,7 +440,10 @@
 		.started_at = run->started_at,
 		.in_flight = run->in_flight,
 		.latency_valid = !run->paused,
-		.failed = outcome != OVERLOAD_OUTCOME_OK,
+		.failed = outcome == OVERLOAD_OUTCOME_FAILED ||
+			  outcome == OVERLOAD_OUTCOME_REJECTED,
+		.rejected = outcome == OVERLOAD_OUTCOME_REJECTED,
+		.abandoned = outcome == OVERLOAD_OUTCOME_ABANDONED,
 		.limit_reached = run->limit_reached,
 	};
 
@@ -462,6 +473,7 @@
 		return false;
 	HASH_DEL(guard->running, run);
 	guard->in_flight--;
+	report_in_flight(guard);
 	guard->idempotent_in_flight -= run->idempotent;
 	overload_ramp_work_ended(&guard->ramp, run->started_at, guard->now);
 	if (outcome != OVERLOAD_OUTCOME_SERVER_LOST)
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -55,6 +55,14 @@
 	OVERLOAD_OUTCOME_FAILED,
 	/** The connection broke or could not be opened. */
 	OVERLOAD_OUTCOME_SERVER_LOST,
+	/** The backend server states that it has not run the work; a failure.
+	 */
+	OVERLOAD_OUTCOME_REJECTED,
+	/**
+	 * The caller gave up and the work was cancelled. Treated as
+	 * OVERLOAD_OUTCOME_OK, but no measurement of the learned capacity.
+	 */
+	OVERLOAD_OUTCOME_ABANDONED,
 };
 
 /**
@@ -74,7 +82,10 @@
 	uint32_t in_flight;
 	/** False when the process was paused while the work was in flight. */
 	bool latency_valid;
+	/** Set for rejections too. */
 	bool failed;
+	bool rejected;
+	bool abandoned;
 	/** The work in flight had reached the limit when this work started. */
 	bool limit_reached;
 };
@@ -90,6 +101,9 @@
 	 * ignored.
 	 */
 	void (*reset)(struct overload_limiter *limiter, int64_t now);
+	/** The work in flight has changed. May be NULL. */
+	void (*in_flight)(struct overload_limiter *limiter, uint32_t in_flight,
+			  int64_t now);
 };
 
 /**
@@ -101,6 +115,81 @@
 struct overload_limiter *overload_limiter_fixed_create(uint32_t slots);
 void overload_limiter_destroy(struct overload_limiter *limiter);
 
+/**
+ * A limiter that learns how much load its server sustains: the time that the
+ * server itself takes for a request at low load and now, and the concurrency
+ * above which the throughput no longer grows (the knee). See
+ * docs/design/learned-capacity.md.
+ */
+struct overload_capacity;
+
+struct overload_capacity_config {
+	/** Largest limit; at least 1. */
+	uint32_t slots;
+	/**
+	 * What a cold start gives, in slots or requests a second; the limit
+	 * does not fall below it.
+	 */
+	uint32_t cold_slots;
+	double cold_rate_per_s;
+};
+
+/** What the limiter did last. */
+enum overload_capacity_decision {
+	OVERLOAD_CAPACITY_RESET,
+	/** Requests take long at the limit; a lower one is on trial. */
+	OVERLOAD_CAPACITY_TRY_KNEE,
+	/** The server rejects work; a lower limit is on trial. */
+	OVERLOAD_CAPACITY_TRY_REJECTIONS,
+	/** The lower limit costs no throughput, or avoids rejections. */
+	OVERLOAD_CAPACITY_KEPT,
+	OVERLOAD_CAPACITY_RESTORED,
+	/** The limit has grown to all slots again. */
+	OVERLOAD_CAPACITY_GROWN,
+};
+
+/** Returns a static name. Never NULL. */
+const char *
+overload_capacity_decision_str(enum overload_capacity_decision decision);
+
+struct overload_capacity_view {
+	uint32_t limit;
+	uint32_t slots;
+	/** Last limit that was lowered and kept; 0 when unknown. */
+	uint32_t knee;
+	/** Time of the server per request at low load; 0 when unknown. */
+	int64_t base_us;
+	/**
+	 * The same at present; 0 when unknown or when nothing has ended for
+	 * 10 s.
+	 */
+	int64_t service_us;
+	/** Share of work that succeeds, 1 to 1000; 0 when unknown. */
+	uint32_t success_permille;
+	enum overload_capacity_decision last;
+	/** Number of decisions, and of trials by their result. */
+	uint32_t decisions;
+	uint32_t lowered;
+	uint32_t restored;
+};
+
+struct overload_capacity *
+overload_capacity_create(const struct overload_capacity_config *config,
+			 int64_t now);
+/** The limiter; owns the object, which lives as long as the limiter. */
+struct overload_limiter *
+overload_capacity_limiter(struct overload_capacity *capacity);
+/**
+ * Reports how many onward calls the backend server has in flight, whenever the
+ * number changes. Used where onward calls do not name their parent: their mean
+ * number is subtracted, see overload_guard_add_onward_wait() for the other
+ * case.
+ */
+void overload_capacity_set_onward(struct overload_capacity *capacity,
+				  uint32_t in_flight, int64_t now);
+struct overload_capacity_view
+overload_capacity_view(const struct overload_capacity *capacity, int64_t now);
+
 /**
  * Queues the work for one backend server, and decides what is started and what
  * is refused.
--- a/packages/overload/tests/guard_sim.c
+++ b/packages/overload/tests/guard_sim.c
@@ -4,6 +4,13 @@
 #include <string.h>
 
 void guard_sim_init(struct guard_sim *sim, uint32_t slots, int64_t service_us)
+{
+	guard_sim_init_limiter(sim, slots, service_us, NULL);
+}
+
+void guard_sim_init_limiter(struct guard_sim *sim, uint32_t slots,
+			    int64_t service_us,
+			    struct overload_limiter *limiter)
 {
 	struct overload_guard_config config = {
 		.slots = slots,
@@ -16,7 +23,7 @@
 	memset(sim, 0, sizeof(*sim));
 	sim->now = 1000;
 	sim->service_us = service_us;
-	sim->guard = overload_guard_create(&config, NULL, sim->now);
+	sim->guard = overload_guard_create(&config, limiter, sim->now);
 	base_rand_seed(&sim->rnd, 7);
 }
 
@@ -36,9 +43,15 @@
 	assert(run < sim->running + GUARD_SIM_RUNNING_MAX);
 	if (sim->capacity && in_flight > sim->capacity)
 		factor *= (double)in_flight / sim->capacity;
+	if (sim->factor)
+		factor *= sim->factor(sim, in_flight);
 	run->work = *work;
 	run->used = true;
 	run->finish_at = sim->now + (int64_t)(factor * (double)sim->service_us);
+	run->rejected = sim->reject_share > 0 &&
+			base_rand_unit(&sim->rnd) < sim->reject_share;
+	if (run->rejected)
+		run->finish_at = sim->now + 2 * BASE_MS_US;
 	if (in_flight > sim->max_in_flight)
 		sim->max_in_flight = in_flight;
 	sim->started++;
@@ -101,6 +114,12 @@
 		   enum overload_outcome outcome)
 {
 	run->used = false;
+	if (run->rejected && outcome == OVERLOAD_OUTCOME_OK) {
+		sim->rejected++;
+		overload_guard_finish(sim->guard, run->work.id,
+				      OVERLOAD_OUTCOME_REJECTED, sim->now);
+		return;
+	}
 	sim->finished++;
 	sim->finished_by_account[run->work.account]++;
 	overload_guard_finish(sim->guard, run->work.id, outcome, sim->now);
--- a/packages/overload/tests/guard_sim.h
+++ b/packages/overload/tests/guard_sim.h
@@ -11,6 +11,7 @@
 	struct overload_work work;
 	int64_t finish_at;
 	bool used;
+	bool rejected;
 };
 
 struct guard_sim {
@@ -23,6 +24,11 @@
 	 * takes proportionally longer; 0 for unlimited capacity.
 	 */
 	uint32_t capacity;
+	/** Factor on the service time of work that starts; NULL for 1. */
+	double (*factor)(const struct guard_sim *sim, uint32_t in_flight);
+	/** Share of the work that the server rejects after 2 ms. */
+	double reject_share;
+	uint32_t rejected;
 	uint64_t next_id;
 	struct guard_sim_work running[GUARD_SIM_RUNNING_MAX];
 	uint32_t max_in_flight;
@@ -42,6 +48,10 @@
  * and can then use a tenth of the slots.
  */
 void guard_sim_init(struct guard_sim *sim, uint32_t slots, int64_t service_us);
+/** The same with a limiter, which the guard owns. */
+void guard_sim_init_limiter(struct guard_sim *sim, uint32_t slots,
+			    int64_t service_us,
+			    struct overload_limiter *limiter);
 /**
  * Processes 100 requests one after another until the server is warm, and resets
  * the counters of offered, started and finished work.
