Select servers by expected completion time

Entries select the less loaded of two servers and know nothing of their speed or failures before their own requests show it, so a server of half the speed gets an equal share, and one that rejects quickly looks idle.

Load reports carry the expected service time and the success share, as optional signed fields at the end of heartbeats and answers. With routing_use_completion_times() two servers are drawn by the rate that they sustain and compared by (load + 1) x service time / limit / success^2. Tiers, headroom, trials and the exclusion of late servers stay. Servers that fail most requests come last while a sound one has headroom; one idempotent request in 64 refreshes figures. Figures out of range count as unknown and are counted; without any known figures the selection is the same request by request, which a test checks against a second table.

--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -78,6 +78,8 @@
 	DIGEST(peer_heartbeat, hash),
 	LIST(peer_heartbeat, domains, &domain_version),
 	BOOL(peer_heartbeat, stopping),
+	I64(peer_heartbeat, service_us),
+	I64(peer_heartbeat, success_permille),
 };
 #define HEARTBEAT_REQUIRED_FIELDS 7
 
@@ -111,6 +113,8 @@
 	BOOL(peer_answer, retried),
 	BOOL(peer_answer, arrived),
 	BOOL(peer_answer, stopping),
+	I64(peer_answer, service_us),
+	I64(peer_answer, success_permille),
 };
 #define ANSWER_REQUIRED_FIELDS 12
 
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -217,6 +217,9 @@
 	struct peer_domain_versions domains;
 	/** The daemon accepts requests for a short time before it drains. */
 	bool stopping;
+	/** As in struct routing_load_report; 0 when omitted. */
+	int64_t service_us;
+	int64_t success_permille;
 };
 
 struct peer_request {
@@ -264,6 +267,8 @@
 	bool arrived;
 	/** Part of the load report. */
 	bool stopping;
+	int64_t service_us;
+	int64_t success_permille;
 };
 
 /** Asks the owner of an idempotency key whether the request may run. */
--- a/packages/peer/tests/samples.c
+++ b/packages/peer/tests/samples.c
@@ -70,6 +70,8 @@
 		.retried = true,
 		.arrived = true,
 		.stopping = true,
+		.service_us = 160000,
+		.success_permille = -1,
 	};
 }
 
@@ -161,6 +163,8 @@
 		.cold_full = true,
 		.draining = true,
 		.stopping = true,
+		.service_us = 160000,
+		.success_permille = -1,
 		.version = 42,
 		.hash = base_digest_of(BASE_STR("42")),
 		.domains = { domains, BASE_ARRAY_SIZE(domains) },
@@ -259,6 +263,8 @@
 	ASSERT_SAME(a->retried, b->retried);
 	ASSERT_SAME(a->arrived, b->arrived);
 	ASSERT_SAME(a->stopping, b->stopping);
+	ASSERT_SAME(a->service_us, b->service_us);
+	ASSERT_SAME(a->success_permille, b->success_permille);
 }
 
 static void assert_same_heartbeat(const struct peer_heartbeat *a,
@@ -271,6 +277,8 @@
 	ASSERT_SAME(a->cold_full, b->cold_full);
 	ASSERT_SAME(a->draining, b->draining);
 	ASSERT_SAME(a->stopping, b->stopping);
+	ASSERT_SAME(a->service_us, b->service_us);
+	ASSERT_SAME(a->success_permille, b->success_permille);
 	ASSERT_SAME(a->version, b->version);
 	ASSERT_SAME_DIGEST(a->hash, b->hash);
 	ASSERT_SAME(a->domains.count, b->domains.count);
--- a/packages/routing/internal.h
+++ b/packages/routing/internal.h
@@ -83,8 +83,44 @@
 	struct base_rand rnd;
 	struct routing_state *states;
 	struct routing_service *services;
+	bool by_completion;
+	uint64_t absurd_reports;
+	uint64_t completion_picks;
+	uint64_t probes;
 };
 
+/* policy.c */
+
+/* Estimate of the requests that run or are queued at the server. */
+int64_t routing_outstanding(const struct routing_state *s, int64_t now);
+/* Concurrency limit; at least 1. */
+uint32_t routing_limit(const struct routing_state *s);
+
+/* completion.c */
+
+bool routing_figures_valid(const struct routing_load_report *report);
+/* The report states figures, but not all are in range. */
+bool routing_figures_absurd(const struct routing_load_report *report);
+/* The last report is fresh and states valid figures. */
+bool routing_figures_known(const struct routing_state *s, int64_t now);
+/* Expected completion time; the figures of the server must be known. */
+double routing_completion_us(const struct routing_state *s, int64_t now);
+/*
+ * Draws two different servers, with probabilities by the rates that they
+ * sustain. Returns false when the figures of all are unknown or there are fewer
+ * than two servers.
+ */
+bool routing_completion_draw(struct routing_table *table,
+			     struct routing_state *const *servers, size_t n,
+			     int64_t now, struct routing_state *drawn[2]);
+/* Highest success share of the servers with headroom; 0 when unknown. */
+int64_t routing_best_success(struct routing_state *const *servers, size_t n,
+			     int64_t now);
+/* Whether the server fails most requests while another one is healthy. */
+bool routing_is_failing(const struct routing_state *s, int64_t best_success,
+			int64_t now);
+bool routing_probe_is_due(struct routing_table *table);
+
 /* health.c */
 
 void routing_health_init(struct routing_state *state);
--- a/packages/routing/policy.c
+++ b/packages/routing/policy.c
@@ -33,7 +33,7 @@
 	return TIER_ANY;
 }
 
-static uint32_t effective_limit(const struct routing_state *s)
+uint32_t routing_limit(const struct routing_state *s)
 {
 	if (s->has_report && s->report.limit)
 		return s->report.limit;
@@ -44,7 +44,7 @@
  * Estimates the requests at the server. The reported load includes the requests
  * that this entry had in flight at the time, so only the change is added.
  */
-static int64_t outstanding_requests(const struct routing_state *s, int64_t now)
+int64_t routing_outstanding(const struct routing_state *s, int64_t now)
 {
 	int64_t change;
 
@@ -56,7 +56,7 @@
 
 static bool has_headroom(const struct routing_state *s, int64_t now)
 {
-	return outstanding_requests(s, now) < effective_limit(s);
+	return routing_outstanding(s, now) < routing_limit(s);
 }
 
 static double relative_load(const struct routing_state *s, bool with_reports)
@@ -65,7 +65,7 @@
 
 	if (with_reports)
 		load += s->report.load;
-	return load / effective_limit(s);
+	return load / routing_limit(s);
 }
 
 /*
@@ -83,15 +83,30 @@
 		       : b;
 }
 
+/* The same by expected completion time, if that of both is known. */
+static struct routing_state *
+sooner_completed(struct routing_state *a, struct routing_state *b, int64_t now)
+{
+	if (!routing_figures_known(a, now) || !routing_figures_known(b, now))
+		return less_loaded(a, b, now);
+	return routing_completion_us(a, now) <= routing_completion_us(b, now)
+		       ? a
+		       : b;
+}
+
 static struct routing_state *two_choices(struct routing_table *table,
 					 struct routing_state **pool, size_t n,
 					 int64_t now)
 {
+	struct routing_state *drawn[2];
 	uint32_t first, second;
 
 	assert(n > 0);
 	if (n == 1)
 		return pool[0];
+	if (table->by_completion &&
+	    routing_completion_draw(table, pool, n, now, drawn))
+		return sooner_completed(drawn[0], drawn[1], now);
 	first = base_rand_below(&table->rnd, (uint32_t)n);
 	second = base_rand_below(&table->rnd, (uint32_t)n - 1);
 	if (second >= first)
@@ -234,26 +249,32 @@
 }
 
 /*
- * Moves the servers at which the request would probably be late to the end of
- * the pool, and splits them off as a pool of their own.
+ * Moves the servers at which the request would probably be late or fail to the
+ * end of the pool, and splits them off as a pool of their own.
  */
-static struct pool split_slow(struct pool *pool,
+static struct pool split_slow(const struct routing_table *table,
+			      struct pool *pool,
 			      const struct routing_query *query, int64_t now)
 {
 	double fastest_us = fastest_average_us(pool, query, now);
+	int64_t best =
+		table->by_completion
+			? routing_best_success(pool->servers, pool->len, now)
+			: 0;
 	struct pool slow = *pool;
 	struct routing_state *s;
 	size_t i, n = 0;
 
-	for (i = 0; query->latency_target_us && i < pool->len; i++) {
+	for (i = 0; i < pool->len; i++) {
 		s = pool->servers[i];
-		if (routing_latency_is_slow(s, query, fastest_us, now))
+		if (routing_is_failing(s, best, now) ||
+		    (query->latency_target_us &&
+		     routing_latency_is_slow(s, query, fastest_us, now)))
 			continue;
 		pool->servers[i] = pool->servers[n];
 		pool->servers[n++] = s;
 	}
-	if (query->latency_target_us)
-		pool->len = n;
+	pool->len = n;
 	slow.servers += pool->len;
 	slow.len -= pool->len;
 	return slow;
@@ -266,15 +287,45 @@
 	return s;
 }
 
+static bool has_trial(const struct candidates *c)
+{
+	return c->trial[TIER_DOMAIN] || c->trial[TIER_REGION] ||
+	       c->trial[TIER_ANY];
+}
+
+/*
+ * A probe refreshes the figures of a server of the own failure domain that
+ * would get no requests by them. Servers that are late for the route are left
+ * out, as they are rechecked anyway. Trials of failed servers take precedence.
+ */
+static struct routing_state *choose_probe(struct routing_table *table,
+					  const struct routing_query *query,
+					  struct candidates *c, int64_t now)
+{
+	size_t n;
+
+	if (!table->by_completion || query->avoid_trial || has_trial(c) ||
+	    !routing_best_success(c->usable.servers, c->usable.len, now) ||
+	    !routing_probe_is_due(table))
+		return NULL;
+	n = move_headroom_first(&c->usable, query, TIER_DOMAIN, now);
+	if (!n)
+		return NULL;
+	table->probes++;
+	return c->usable.servers[base_rand_below(&table->rnd, (uint32_t)n)];
+}
+
 static struct routing_state *choose(struct routing_table *table,
 				    const struct routing_query *query,
 				    struct candidates *c, int64_t now)
 {
 	struct pool all = c->usable;
-	struct pool slow = split_slow(&c->usable, query, now);
-	struct routing_state *s;
+	struct pool slow = split_slow(table, &c->usable, query, now);
+	struct routing_state *s = choose_probe(table, query, c, now);
 	enum tier tier;
 
+	if (s)
+		return s;
 	for (tier = TIER_DOMAIN; tier < TIER_COUNT; tier++) {
 		if (c->trial[tier])
 			return start_trial(table, c->trial[tier], now);
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -78,6 +78,13 @@
 	 * `draining`.
 	 */
 	bool stopping;
+	/**
+	 * Time that the server itself takes for a request at present, in
+	 * microseconds, and the share of requests that succeed there, 1 to
+	 * 1000; 0 when unknown. Values out of range count as unknown.
+	 */
+	int64_t service_us;
+	int64_t success_permille;
 };
 
 /** Why a request got no answer from its server. */
@@ -177,6 +184,24 @@
 struct routing_table *routing_table_create(uint64_t seed,
 					   const struct routing_policy *policy);
 void routing_table_destroy(struct routing_table *table);
+/**
+ * Whether the default policy selects servers by the expected completion time
+ * (load + 1) * service time / limit, weighed with the success share, where
+ * reports state these. Off when the table is created.
+ */
+void routing_use_completion_times(struct routing_table *table, bool use);
+
+/** Totals since the table was created. */
+struct routing_figures {
+	/** Reports whose service time or success share was out of range. */
+	uint64_t absurd_reports;
+	/** Servers selected by expected completion time. */
+	uint64_t completion_picks;
+	/** Requests sent to a server without regard to its figures. */
+	uint64_t probes;
+};
+
+struct routing_figures routing_figures(const struct routing_table *table);
 
 /**
  * Replaces the servers of all services. Servers that remain keep their
@@ -299,6 +324,9 @@
 	/** As last reported; before the first report 0 and the slots. */
 	uint32_t load;
 	uint32_t limit;
+	/** As last reported, when in range; else 0. */
+	int64_t service_us;
+	int64_t success_permille;
 	/** The server may get requests other than a trial. */
 	bool usable;
 	/** Static name of the reason when it is not usable; else "". */
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -147,6 +147,13 @@
 		s->in_flight--;
 }
 
+static void record_report(struct routing_table *table, struct routing_state *s,
+			  const struct routing_load_report *report, int64_t now)
+{
+	table->absurd_reports += routing_figures_absurd(report);
+	routing_health_report(s, report, &table->rnd, now);
+}
+
 void routing_answered(struct routing_table *table, uint32_t server,
 		      const struct routing_load_report *report, int64_t now)
 {
@@ -160,7 +167,7 @@
 	s->failures = 0;
 	s->in_trial = false;
 	if (report)
-		routing_health_report(s, report, &table->rnd, now);
+		record_report(table, s, report, now);
 }
 
 void routing_failed(struct routing_table *table, uint32_t server,
@@ -213,7 +220,7 @@
 		s->failure = ROUTING_OUT_NONE;
 		s->in_trial = false;
 	}
-	routing_health_report(s, report, &table->rnd, now);
+	record_report(table, s, report, now);
 }
 
 void routing_drain_notice(struct routing_table *table, uint32_t server,
@@ -326,9 +333,14 @@
 	if (!s)
 		return false;
 	out = routing_health_out_reason(s, now);
+	*view = (struct routing_view){ 0 };
 	view->in_flight = s->in_flight;
 	view->load = s->report.load;
 	view->limit = s->has_report ? s->report.limit : s->conf.slots;
+	if (routing_figures_known(s, now)) {
+		view->service_us = s->report.service_us;
+		view->success_permille = s->report.success_permille;
+	}
 	view->usable = out == ROUTING_OUT_NONE;
 	view->unusable_reason = routing_health_out_reason_str(out);
 	return true;
--- a/packages/routing/tests/test_routing.c
+++ b/packages/routing/tests/test_routing.c
@@ -521,3 +521,72 @@
 		routing_table_destroy(t);
 	}
 }
+
+/*
+ * Guards against a peer whose figures change the selection although they are
+ * unknown, negative or absurd.
+ */
+Test(completion, figures_out_of_range_leave_the_selection_as_it_is)
+{
+	static const struct routing_load_report bad[] = {
+		{ .limit = SLOTS },
+		{ .limit = SLOTS, .service_us = -5, .success_permille = 1000 },
+		{ .limit = SLOTS,
+		  .service_us = INT64_MAX,
+		  .success_permille = 1000 },
+		{ .limit = SLOTS,
+		  .service_us = 1000,
+		  .success_permille = 1001 },
+	};
+	struct routing_table *off = setup(5);
+	struct routing_table *on = setup(5);
+	uint32_t s, i;
+
+	routing_use_completion_times(on, true);
+	for (i = 0; i < 1000; i++) {
+		for (s = 0; s < SERVERS; s++) {
+			routing_heartbeat(off, s, &idle, 0, i);
+			routing_heartbeat(on, s, &bad[(i + s) % 4], 0, i);
+		}
+		s = pick(off, i);
+		cr_assert(eq(u32, pick(on, i), s));
+		routing_sent(off, s, i);
+		routing_sent(on, s, i);
+		if (i % 2)
+			routing_abandoned(off, s);
+		if (i % 2)
+			routing_abandoned(on, s);
+	}
+	cr_assert(eq(u64, routing_figures(on).absurd_reports,
+		     3 * SERVERS * 1000 / 4));
+	cr_assert(eq(u64, routing_figures(on).completion_picks, 0));
+	routing_table_destroy(off);
+	routing_table_destroy(on);
+}
+
+/*
+ * Guards against equal shares for unequal servers, and against a server that is
+ * never asked again: the figures of a slow one are refreshed by probes.
+ */
+Test(completion, a_slow_server_of_the_own_domain_gets_few_requests)
+{
+	struct routing_load_report report = idle;
+	struct routing_table *t = setup(3);
+	uint32_t s, got[SERVERS] = { 0 };
+	int i;
+
+	routing_use_completion_times(t, true);
+	for (s = 0; s < SERVERS; s++) {
+		report.service_us = s ? 100000 : 500000;
+		report.success_permille = 1000;
+		routing_heartbeat(t, s, &report, 0, 0);
+	}
+	for (i = 0; i < 1000; i++) {
+		s = pick(t, 0);
+		got[s]++;
+	}
+	cr_assert(eq(u32, got[0] + got[1], 1000));
+	cr_assert(gt(u32, got[0], 5));
+	cr_assert(lt(u32, got[0], 50));
+	routing_table_destroy(t);
+}
