--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -41,15 +41,33 @@
 		text_json(&node->last_conflict));
 }
 
+/* Returns NULL, which leaves the object out, when nothing is learned. */
+static json_t *capacity_json(const struct node *node, int64_t now)
+{
+	struct overload_capacity_view v;
+
+	if (!guard_capacity_view(node->guard, now, &v))
+		return NULL;
+	return json_pack(
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:s,s:I,s:I}", "limit",
+		(json_int_t)v.limit, "slots", (json_int_t)v.slots, "knee",
+		(json_int_t)v.knee, "base_us", (json_int_t)v.base_us,
+		"service_us", (json_int_t)v.service_us, "success_permille",
+		(json_int_t)v.success_permille, "decision",
+		overload_capacity_decision_str(v.last), "lowered",
+		(json_int_t)v.lowered, "restored", (json_int_t)v.restored);
+}
+
 static json_t *guard_json(const struct node *node, int64_t now)
 {
 	struct routing_load_report report = guard_load_report(node->guard, now);
 
 	return json_pack(
-		"{s:I,s:I,s:b,s:i,s:I}", "load", (json_int_t)report.load,
+		"{s:I,s:I,s:b,s:i,s:I,s:o*}", "load", (json_int_t)report.load,
 		"limit", (json_int_t)report.limit, "cold_full",
 		report.cold_full, "cutoff", guard_cutoff(node->guard), "works",
-		(json_int_t)guard_open_work_count(node->guard));
+		(json_int_t)guard_open_work_count(node->guard), "capacity",
+		capacity_json(node, now));
 }
 
 static json_t *peer_json(const struct node *node, const struct config_vm *vm,
@@ -57,15 +75,23 @@
 {
 	uint32_t id = roster_vm_id(node->roster, vm->name);
 	struct routing_view view;
+	json_t *peer;
 
 	if (!routing_server_view(node->routing, id, now, &view))
 		return NULL;
-	return json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s}", "vm",
+	peer = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s}", "vm",
 			 vm->name.ptr, "domain", vm->domain->name.ptr,
 			 "service", vm->service->name.ptr, "in_flight",
 			 (json_int_t)view.in_flight, "load",
 			 (json_int_t)view.load, "limit", (json_int_t)view.limit,
 			 "usable", view.usable, "why", view.unusable_reason);
+	if (peer && view.service_us) {
+		json_object_set_new(peer, "service_us",
+				    json_integer(view.service_us));
+		json_object_set_new(peer, "success_permille",
+				    json_integer(view.success_permille));
+	}
+	return peer;
 }
 
 static json_t *peers_json(const struct node *node, int64_t now)
@@ -110,10 +136,18 @@
 {
 	int64_t now = base_now_us();
 	struct routing_load_report report = guard_load_report(node->guard, now);
+	struct overload_capacity_view capacity;
 
 	set_gauge(node, "guard_load", report.load);
 	set_gauge(node, "guard_limit", report.limit);
 	set_gauge(node, "guard_cutoff", guard_cutoff(node->guard));
+	if (guard_capacity_view(node->guard, now, &capacity)) {
+		set_gauge(node, "capacity_limit", capacity.limit);
+		set_gauge(node, "capacity_base_us", capacity.base_us);
+		set_gauge(node, "capacity_service_us", capacity.service_us);
+		set_gauge(node, "capacity_success_permille",
+			  capacity.success_permille);
+	}
 	set_gauge(node, "open_requests",
 		  (int64_t)entry_open_flow_count(node->entry));
 	set_gauge(node, "platform_up", node->platform_up);
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -437,6 +437,8 @@
 	node->resume_event = event_new(node->base, -1, 0, on_resume, node);
 	node->roster = roster_create();
 	node->routing = routing_table_create(node->incarnation, NULL);
+	routing_use_completion_times(node->routing,
+				     node->settings->learned_capacity);
 	node->throttle = overload_throttle_create(1, node->incarnation);
 	node->spans = spans_create(SPAN_CAPACITY);
 	node->entry = entry_create(node);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -66,6 +66,11 @@
 	int64_t max_connections;
 	/** Largest request and answer body, in bytes. */
 	int64_t max_body;
+	/**
+	 * Learn how much load the backend server sustains, and select servers
+	 * by expected completion time.
+	 */
+	bool learned_capacity;
 };
 
 /**
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -387,8 +387,11 @@
 	 * Without call tokens, onward calls arrive here, on open routes and
 	 * without a key.
 	 */
-	if (!f->node->dialect->headers.call_token && !f->account)
+	if (!f->node->dialect->headers.call_token && !f->account) {
 		f->onward = true;
+		f->counted_onward = true;
+		guard_count_onward_call(f->node->guard, 1, now);
+	}
 	if (f->account && f->account->cancelled) {
 		refuse(f, HTTP_REFUSAL_FORBIDDEN,
 		       "the client account is cancelled", now);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -27,6 +27,8 @@
 static void flow_free(struct flow *f)
 {
 	flow_clear_message_id(f);
+	if (f->counted_onward)
+		guard_count_onward_call(f->node->guard, -1, base_now_us());
 	HASH_DELETE(hh, f->entry->flows, f);
 	if (f->timer)
 		event_free(f->timer);
@@ -290,6 +292,8 @@
 		.draining = answer->draining,
 		.cold_full = answer->cold_full,
 		.stopping = answer->stopping,
+		.service_us = answer->service_us,
+		.success_permille = answer->success_permille,
 	};
 	struct routing_table *routing = f->node->routing;
 
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -106,6 +106,8 @@
 	uint32_t arrivals;
 	/** Onward calls are exempt from rate limits and early refusal. */
 	bool onward;
+	/** An onward call without a parent, counted in total by the guard. */
+	bool counted_onward;
 	/** It holds the claim @p claim_id on its idempotency key. */
 	bool claimed;
 	/** The retry of the call chain was used or forgone, at any hop. */
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -232,8 +232,8 @@
 	if (!work->call || !work->idempotent)
 		return;
 	http_call_cancel(work->call);
-	overload_guard_finish(guard->overload, work->id, OVERLOAD_OUTCOME_OK,
-			      now);
+	overload_guard_finish(guard->overload, work->id,
+			      OVERLOAD_OUTCOME_ABANDONED, now);
 	guard_work_record_span(work, 499, "cancelled", now);
 	guard_work_free(work);
 	guard_dispatch(guard, now);
@@ -274,7 +274,7 @@
 	if (guard->overload)
 		overload_guard_reconfigure(guard->overload, &config, now);
 	else
-		guard->overload = guard_create_overload(&config, self, now);
+		guard->overload = guard_create_overload(guard, &config, now);
 	/* The backend server may have become cold while the domain was out. */
 	domain_returned = guard->domain_out && !self->domain->out;
 	guard->domain_out = self->domain->out;
--- a/packages/daemon/guard.h
+++ b/packages/daemon/guard.h
@@ -93,6 +93,16 @@
 /** Replaces the callback set before. */
 void guard_work_set_end_cb(struct guard_work *work, guard_end_cb cb, void *ctx);
 
+/**
+ * An onward call that does not name its parent has started (@p change is 1) or
+ * ended (-1).
+ */
+void guard_count_onward_call(struct guard *guard, int change, int64_t now);
+
+/** @return false when the capacity of the backend server is not learned */
+bool guard_capacity_view(const struct guard *guard, int64_t now,
+			 struct overload_capacity_view *view);
+
 /** Returns the load fields of heartbeats and answers. */
 struct routing_load_report guard_load_report(const struct guard *guard,
 					     int64_t now);
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -105,6 +105,8 @@
 	answer.draining = report.draining;
 	answer.cold_full = report.cold_full;
 	answer.stopping = report.stopping;
+	answer.service_us = report.service_us;
+	answer.success_permille = report.success_permille;
 	answer.cutoffs = (struct peer_cutoffs){ &cutoff, 1 };
 	answer.retried = w->retried;
 	answer.arrived = w->sent;
--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -117,7 +117,8 @@
 		w->sent = false;
 		guard_hold_backend(g, "another server has the address", now);
 	}
-	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_FAILED, now);
+	overload_guard_finish(g->overload, w->id, OVERLOAD_OUTCOME_REJECTED,
+			      now);
 	guard_work_fail_not_run(w,
 				misdirected ? HTTP_REFUSAL_NO_SERVER
 					    : HTTP_REFUSAL_OVERLOADED,
--- a/packages/daemon/guard_bounds.c
+++ b/packages/daemon/guard_bounds.c
@@ -32,19 +32,20 @@
 }
 
 struct overload_guard *
-guard_create_overload(const struct overload_guard_config *config,
-		      const struct config_vm *self, int64_t now)
+guard_create_overload(struct guard *g,
+		      const struct overload_guard_config *config, int64_t now)
 {
 	/*
 	 * The latency of a server with an instance id includes its onward
-	 * calls, which are not reported to the guard, so no limit can be
-	 * derived from it.
+	 * calls, which are not reported to the guard by request, so the
+	 * gradient limiter cannot derive a limit from it.
 	 */
-	struct overload_limiter *limiter =
-		self->instance.len
-			? overload_limiter_fixed_create(config->slots)
-			: NULL;
+	struct overload_limiter *limiter = NULL;
 
+	if (g->node->self->instance.len)
+		limiter = guard_create_capacity(g, config, now);
+	if (g->node->self->instance.len && !limiter)
+		limiter = overload_limiter_fixed_create(config->slots);
 	return overload_guard_create(config, limiter, now);
 }
 
@@ -62,6 +63,7 @@
 	report.limit = overload_guard_limit(o, now);
 	report.cold_full =
 		overload_guard_is_cold(o, now) && report.load >= report.limit;
+	guard_capacity_report(guard, now, &report);
 	return report;
 }
 
--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -122,6 +122,7 @@
 	if ((n->has_rate_limit || n->leaving) &&
 	    now - n->answered_at >= NOTICE_CHECK_INTERVAL_US)
 		backend_health_check(g->health, now);
+	guard_capacity_tick(g, now);
 }
 
 void guard_clear_notices(struct guard *g)
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -72,6 +72,14 @@
 	struct node *node;
 	/** NULL until the local VM is in a snapshot. */
 	struct overload_guard *overload;
+	/** Limiter of @p overload; NULL when the capacity is not learned. */
+	struct overload_capacity *capacity;
+	/** Onward calls in flight that do not name their parent. */
+	uint32_t onward_calls;
+	/** Totals at the last guard_capacity_tick(). */
+	struct overload_capacity_view capacity_logged;
+	struct routing_figures figures_logged;
+	int64_t capacity_logged_at;
 	struct http_client *backend;
 	struct death_detector *death_detector;
 	struct backend_health *health;
@@ -133,8 +141,20 @@
 struct overload_guard_config guard_overload_config(struct node *node);
 /** The caller owns the result. */
 struct overload_guard *
-guard_create_overload(const struct overload_guard_config *config,
-		      const struct config_vm *self, int64_t now);
+guard_create_overload(struct guard *g,
+		      const struct overload_guard_config *config, int64_t now);
+/**
+ * Creates the limiter that learns the capacity of the backend server, if the
+ * settings ask for it; else returns NULL.
+ */
+struct overload_limiter *
+guard_create_capacity(struct guard *g,
+		      const struct overload_guard_config *config, int64_t now);
+/** Adds the learned figures to the report. */
+void guard_capacity_report(const struct guard *g, int64_t now,
+			   struct routing_load_report *report);
+/** Updates the counters, and logs decisions, at most once a second. */
+void guard_capacity_tick(struct guard *g, int64_t now);
 /** Sets path and query of @p request to views into @p target. */
 void guard_work_split_target(struct base_str target,
 			     struct http_request *request);
--- a/packages/daemon/links.c
+++ b/packages/daemon/links.c
@@ -35,6 +35,8 @@
 			.cold_full = report.cold_full,
 			.draining = report.draining,
 			.stopping = report.stopping,
+			.service_us = report.service_us,
+			.success_permille = report.success_permille,
 		},
 	};
 	if (node->snapshot) {
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -140,6 +140,8 @@
 		.draining = beat->draining,
 		.cold_full = beat->cold_full,
 		.stopping = beat->stopping,
+		.service_us = beat->service_us,
+		.success_permille = beat->success_permille,
 	};
 
 	out_link->received_at = now;
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -18,6 +18,8 @@
 	SETTING_ADDRESS_LIST,
 	SETTING_SECRET,
 	SETTING_LEVEL,
+	/** "on" or "off". */
+	SETTING_SWITCH,
 	SETTING_NUMBER,
 	/** A number of seconds, or a number with the unit "s" or "ms". */
 	SETTING_DURATION,
@@ -105,6 +107,11 @@
 	  "BILBERRYHINGE_ANSWER_MEMORY_MB", FIELD(answer_memory), "48", 4,
 	  65536, 1 << 20, "MB",
 	  "Largest memory for answers that are being received or sent" },
+	{ 'C', SETTING_SWITCH, "learned-capacity",
+	  "BILBERRYHINGE_LEARNED_CAPACITY", FIELD(learned_capacity), "off", 0,
+	  0, 1, "on|off",
+	  "Learn how much load the own backend server sustains, and select "
+	  "servers by expected completion time" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
@@ -244,6 +251,12 @@
 			return DAEMON_OK;
 		set_error(err, s, value, "error, warn, info or debug");
 		return DAEMON_ERR_SETTING;
+	case SETTING_SWITCH:
+		*(bool *)field = !strcmp(value, "on");
+		if (*(bool *)field || !strcmp(value, "off"))
+			return DAEMON_OK;
+		set_error(err, s, value, "on or off");
+		return DAEMON_ERR_SETTING;
 	case SETTING_NUMBER:
 		return set_number(s, value, field, err);
 	case SETTING_DURATION:
@@ -335,7 +348,7 @@
 		const struct setting *s = &settings_table[i];
 
 		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL &&
-		    s->type != SETTING_DURATION)
+		    s->type != SETTING_SWITCH && s->type != SETTING_DURATION)
 			free(*(char **)((char *)settings + s->offset));
 	}
 	memset(settings, 0, sizeof(*settings));
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -80,3 +80,22 @@
 		     DAEMON_ERR_SETTING));
 	daemon_settings_release(&settings);
 }
+
+/* Guards against a misspelt switch that is taken for "off" without a word. */
+Test(settings, learned_capacity_is_off_unless_it_is_switched_on)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	cr_assert(eq(int, parse("--drain-seconds=9", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(not(settings.learned_capacity));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--learned-capacity=on", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(settings.learned_capacity);
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--learned-capacity=yes", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	daemon_settings_release(&settings);
+}
