Decide at the entry on whole call graphs, by how their requests end

Cause: the cutoff that answers carry follows only the queue of a guard. When a service rejects a share of its calls, requests with many calls keep being begun and fail after most of their work, and calls of half-done requests compete with new ones on equal terms.

The share falls until those begun mostly end well, is raised in growing steps, and is held when lowering does not help. Work of a guard can be marked as a call of a backend server; it starts before other work of its level and is shed after it. The division of a share between accounts moves from the throttle to demand.[ch].

--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -137,6 +137,11 @@
 	/** Priority level; 0 is the highest. */
 	uint8_t level;
 	bool idempotent;
+	/**
+	 * A call made by a backend server for a request that is running. It
+	 * starts before other work of its level and kind, and is shed after it.
+	 */
+	bool onward;
 	/** Index of the client account and its weight (at least 1). */
 	uint32_t account;
 	uint32_t weight;
@@ -337,4 +342,89 @@
 int32_t overload_throttle_cutoff(const struct overload_throttle *throttle,
 				 uint32_t route, int64_t now);
 
+/**
+ * Admission of whole call graphs at an entry. It follows how the requests of
+ * each route and priority level end. When they end badly for causes downstream,
+ * fewer of them are begun, until those that are begun mostly end well. Without
+ * records everything is admitted.
+ */
+struct overload_graph;
+
+/** How an admitted request ended. */
+enum overload_graph_outcome {
+	OVERLOAD_GRAPH_OK,
+	/** Refused for load by a guard after it was sent. */
+	OVERLOAD_GRAPH_REFUSED,
+	/** A backend server answered with an error (5xx). */
+	OVERLOAD_GRAPH_FAILED,
+	/** The deadline passed after it was sent. */
+	OVERLOAD_GRAPH_DEADLINE,
+};
+
+#define OVERLOAD_GRAPH_OUTCOMES (OVERLOAD_GRAPH_DEADLINE + 1)
+
+/** Returns a static string, never NULL, for logs. */
+const char *overload_graph_outcome_str(enum overload_graph_outcome outcome);
+
+struct overload_graph_end {
+	enum overload_graph_outcome outcome;
+	/** Time of the admission. */
+	int64_t begun_at;
+	/** Any id of the server of the last try. */
+	uint32_t server;
+};
+
+enum overload_graph_verdict {
+	OVERLOAD_GRAPH_ADMIT,
+	/** Its route's share is used up. */
+	OVERLOAD_GRAPH_REFUSE,
+	/** Its remaining time is too short for requests of its route. */
+	OVERLOAD_GRAPH_REFUSE_LATE,
+};
+
+/** A clear change of a share, for the log. */
+struct overload_graph_change {
+	uint32_t route;
+	uint8_t level;
+	double old_share;
+	double new_share;
+	/** Whether lowering was stopped as it did not improve the outcomes. */
+	bool held;
+	/** Ends since the last report, by outcome. */
+	uint32_t ends[OVERLOAD_GRAPH_OUTCOMES];
+};
+
+/** @param seed  seeds the random choices and the jitter */
+struct overload_graph *overload_graph_create(uint32_t routes, uint64_t seed);
+void overload_graph_destroy(struct overload_graph *graph);
+/** Changes the number of routes; discards everything learned. */
+void overload_graph_set_routes(struct overload_graph *graph, uint32_t routes);
+/**
+ * Decides whether to begin a request. Call it once for a request, at the first
+ * hop only. A non-idempotent request is refused only when the idempotent ones
+ * at this entry that end badly are refused already.
+ * @param remaining_us    time until the deadline of the request
+ * @param retry_after_us  set on refusal; may be NULL
+ */
+enum overload_graph_verdict overload_graph_admit(
+	struct overload_graph *graph, const struct overload_request *request,
+	int64_t remaining_us, int64_t now, int64_t *retry_after_us);
+/**
+ * Records the end of an admitted request. Ends without a meaning for load, such
+ * as a lost connection or a caller that has gone, are not recorded.
+ */
+void overload_graph_record(struct overload_graph *graph,
+			   const struct overload_request *request,
+			   const struct overload_graph_end *end, int64_t now);
+/** Returns the share of the requests of a route and level that is begun. */
+double overload_graph_share(const struct overload_graph *graph, uint32_t route,
+			    uint8_t level);
+/**
+ * Returns the next change of a share that is worth a log line: at most one a
+ * second for each route and level.
+ * @return false when there is none
+ */
+bool overload_graph_next_change(struct overload_graph *graph, int64_t now,
+				struct overload_graph_change *change);
+
 #endif
--- a/packages/overload/queue.c
+++ b/packages/overload/queue.c
@@ -10,7 +10,7 @@
  * The non-idempotent levels precede the idempotent ones, so that idempotent
  * work never starts before non-idempotent work.
  */
-#define CLASS_COUNT (2 * OVERLOAD_LEVELS)
+#define CLASS_COUNT (2 * OVERLOAD_FIRST_IDEMPOTENT_CLASS)
 
 struct item {
 	struct overload_work work;
@@ -94,10 +94,12 @@
 static struct class *class_for(struct overload_queue *queue,
 			       const struct overload_work *work)
 {
-	size_t offset = work->idempotent ? OVERLOAD_LEVELS : 0;
+	size_t class = work->idempotent ? OVERLOAD_FIRST_IDEMPOTENT_CLASS
+					: OVERLOAD_FIRST_CLASS;
 
 	assert(work->level < OVERLOAD_LEVELS);
-	return &queue->classes[offset + work->level];
+	class += (size_t)work->level * OVERLOAD_CLASSES_PER_LEVEL;
+	return &queue->classes[class + !work->onward];
 }
 
 static struct flow *find_or_add_flow(struct class *class,
--- a/packages/overload/queue.h
+++ b/packages/overload/queue.h
@@ -9,10 +9,13 @@
 
 /*
  * Classes are numbered by priority: first the levels of non-idempotent work,
- * then the levels of idempotent work.
+ * then the levels of idempotent work. Each level has two classes: the calls of
+ * backend servers, then other work.
  */
+#define OVERLOAD_CLASSES_PER_LEVEL 2
 #define OVERLOAD_FIRST_CLASS 0
-#define OVERLOAD_FIRST_IDEMPOTENT_CLASS OVERLOAD_LEVELS
+#define OVERLOAD_FIRST_IDEMPOTENT_CLASS \
+	(OVERLOAD_CLASSES_PER_LEVEL * OVERLOAD_LEVELS)
 
 struct overload_queue;
 
@@ -23,8 +26,8 @@
 			 const struct overload_work *work, int64_t now);
 /**
  * Removes the next work to start: non-idempotent before idempotent work, then
- * by level, then by start-time fair queuing between accounts, then in order of
- * arrival.
+ * by level, then calls of backend servers before other work, then by start-time
+ * fair queuing between accounts, then in order of arrival.
  * @return false when the queue is empty
  */
 bool overload_queue_pop(struct overload_queue *queue, int64_t now,
--- a/packages/overload/throttle.c
+++ b/packages/overload/throttle.c
@@ -1,8 +1,8 @@
 /* Early refusal of requests at an entry, fair between client accounts. */
+#include "demand.h"
 #include "overload.h"
 
 #include <assert.h>
-#include <uthash.h>
 
 /*
  * Weight of one observation in the moving average. The average is needed as the
@@ -21,22 +21,9 @@
 #define CUTOFF_EXPIRY_US (1500 * BASE_MS_US)
 #define PROBE_SHARE 0.01
 #define RETRY_AFTER_US (200 * BASE_MS_US)
-/* Time over which the demand of an account is averaged. */
-#define DEMAND_WINDOW_US (500 * BASE_MS_US)
 /* Minimum time between two computations of the shares. */
 #define SHARES_INTERVAL_US (20 * BASE_MS_US)
 
-/* Demand of one account on one route. */
-struct demand {
-	uint32_t account;
-	uint32_t weight;
-	/* Decaying count of requests. */
-	double count;
-	/* Probability with which a request is admitted. */
-	double share;
-	UT_hash_handle hh;
-};
-
 struct route {
 	uint8_t level;
 	/*
@@ -47,8 +34,7 @@
 	double admitted_share;
 	int32_t last_cutoff;
 	int64_t observed_at;
-	struct demand *demands;
-	int64_t shares_computed_at;
+	struct overload_demands demands;
 };
 
 struct overload_throttle {
@@ -57,24 +43,12 @@
 	struct base_rand rnd;
 };
 
-static void free_demands(struct route *route)
-{
-	struct demand *demand = route->demands;
-	struct demand *next;
-
-	HASH_CLEAR(hh, route->demands);
-	for (; demand; demand = next) {
-		next = demand->hh.next;
-		free(demand);
-	}
-}
-
 static void free_routes(struct overload_throttle *throttle)
 {
 	uint32_t i;
 
 	for (i = 0; i < throttle->route_count; i++)
-		free_demands(&throttle->routes[i]);
+		overload_demands_release(&throttle->routes[i].demands);
 	free(throttle->routes);
 }
 
@@ -171,83 +145,6 @@
 	       (int32_t)(admitted_share * OVERLOAD_CUTOFF_STEPS);
 }
 
-static struct demand *find_or_add_demand(struct route *route,
-					 const struct overload_request *request)
-{
-	struct demand *demand;
-
-	HASH_FIND(hh, route->demands, &request->account,
-		  sizeof(request->account), demand);
-	if (!demand) {
-		demand = base_alloc(sizeof(*demand));
-		demand->account = request->account;
-		demand->share = 1;
-		HASH_ADD(hh, route->demands, account, sizeof(demand->account),
-			 demand);
-	}
-	demand->weight = request->weight ? request->weight : 1;
-	return demand;
-}
-
-static double decay_demands(struct route *route, int64_t now)
-{
-	double factor = 1 - (double)(now - route->shares_computed_at) /
-				    DEMAND_WINDOW_US;
-	struct demand *demand, *next;
-	double total = 0;
-
-	if (factor <= 0) {
-		free_demands(route);
-		return 0;
-	}
-	HASH_ITER (hh, route->demands, demand, next) {
-		demand->count *= factor;
-		total += demand->count;
-	}
-	return total;
-}
-
-/*
- * Returns the max-min fair share for one unit of weight: accounts with less
- * demand are served in full and the others up to it, so that @p admitted_count
- * requests are admitted in total.
- */
-static double fair_share_of(const struct route *route, double admitted_count)
-{
-	const struct demand *demand, *next;
-	double fair_share = 0;
-	double weights, remaining, previous;
-
-	do {
-		previous = fair_share;
-		weights = 0;
-		remaining = admitted_count;
-		HASH_ITER (hh, route->demands, demand, next) {
-			if (demand->count <= fair_share * demand->weight)
-				remaining -= demand->count;
-			else
-				weights += demand->weight;
-		}
-		if (weights > 0)
-			fair_share = remaining / weights;
-	} while (weights > 0 && fair_share > previous * 1.000001);
-	return fair_share;
-}
-
-static void compute_shares(struct route *route, double admitted_share,
-			   int64_t now)
-{
-	double total = decay_demands(route, now);
-	double fair_share = fair_share_of(route, total * admitted_share);
-	struct demand *demand, *next;
-
-	route->shares_computed_at = now;
-	HASH_ITER (hh, route->demands, demand, next) {
-		demand->share =
-			fair_share * demand->weight / (demand->count + 1e-9);
-	}
-}
-
 /*
  * Decides on a request that is over its share: admits it as a probe or sets the
  * retry-after. Probes are admitted only while next to nothing else is, since
@@ -271,7 +168,7 @@
 			     int64_t now, int64_t *retry_after_us)
 {
 	struct route *route = &throttle->routes[request->route];
-	struct demand *demand;
+	struct overload_demand *demand;
 	double admitted_share;
 
 	assert(request->route < throttle->route_count);
@@ -283,9 +180,10 @@
 			cutoff_admitted_share(route->last_cutoff, route->level);
 	}
 	admitted_share = current_admitted_share(route, now);
-	if (now - route->shares_computed_at >= SHARES_INTERVAL_US)
-		compute_shares(route, admitted_share, now);
-	demand = find_or_add_demand(route, request);
+	if (now - route->demands.computed_at >= SHARES_INTERVAL_US)
+		overload_demands_compute(&route->demands, admitted_share, now);
+	demand = overload_demands_find_or_add(&route->demands, request->account,
+					      request->weight);
 	demand->count += 1;
 	if (admitted_share > 1 - DEAD_BAND ||
 	    base_rand_unit(&throttle->rnd) < demand->share)
