--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -168,9 +168,14 @@
 					     base_str_from(node->settings->vm));
 	roster_update(node->roster, node->snapshot);
 	roster_configure_routing(node->roster, node->routing);
-	if (!has_same_routes(previous, node->snapshot))
+	if (!has_same_routes(previous, node->snapshot)) {
 		overload_throttle_set_routes(
 			node->throttle, (uint32_t)node->snapshot->route_count);
+		if (node->graph)
+			overload_graph_set_routes(
+				node->graph,
+				(uint32_t)node->snapshot->route_count);
+	}
 	peer_transport_set_config_version(node->transport,
 					  (uint64_t)msg->version);
 	apply_limits(node);
@@ -438,6 +443,8 @@
 	node->roster = roster_create();
 	node->routing = routing_table_create(node->incarnation, NULL);
 	node->throttle = overload_throttle_create(1, node->incarnation);
+	if (node->settings->graph_admission)
+		node->graph = overload_graph_create(1, node->incarnation);
 	node->spans = spans_create(SPAN_CAPACITY);
 	node->entry = entry_create(node);
 	node->claims = claims_create(node, base_wall_ms(), now);
@@ -587,6 +594,7 @@
 	publication_unref(node->publication);
 	routing_table_destroy(node->routing);
 	overload_throttle_destroy(node->throttle);
+	overload_graph_destroy(node->graph);
 	roster_destroy(node->roster);
 	spans_destroy(node->spans);
 	base_buf_release(&node->last_refused);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -66,6 +66,8 @@
 	int64_t max_connections;
 	/** Largest request and answer body, in bytes. */
 	int64_t max_body;
+	/** Admission control for whole call graphs is in force. */
+	bool graph_admission;
 };
 
 /**
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -296,6 +296,8 @@
 		flow_refuse(f, &refusal, now);
 		return;
 	}
+	if (!flow_graph_admit(f, now))
+		return;
 	if (!f->onward && f->node->dialect->headers.call_token)
 		f->attempt = retry_initial_attempt(&f->node->budget, now);
 	flow_route(f, now);
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -186,6 +186,7 @@
 		details.retry_after_us = default_retry_after_us(f, &details);
 	code = http_refusal_status(&details);
 	count_refusal(f, refusal->refusal);
+	flow_graph_on_refusal(f, refusal->refusal, now);
 	record_span(f, code, http_refusal_name(refusal->refusal), now);
 	flow_log_refusal(f, &details, code, now);
 	end_claim(f, NULL, details.not_run, now);
@@ -228,6 +229,7 @@
 			    now);
 		return;
 	}
+	flow_graph_on_answer(f, answer->status, now);
 	record_span(f, (int)answer->status, "answered", now);
 	flow_log_end(f, "request_answered", (int)answer->status,
 		     answer->status < 500, now);
@@ -454,6 +456,8 @@
 			.caller_service =
 				base_str_from(f->node->settings->service),
 			.idempotent = f->route->idempotent,
+			.onward = f->onward &&
+				  f->node->settings->graph_admission,
 		},
 	};
 }
@@ -641,6 +645,7 @@
 	bool not_run = f->state != FLOW_SENT;
 
 	node_counter_add(f->node, "callers_gone");
+	flow_graph_on_caller_gone(f, now);
 	if (!not_run && f->claimed) {
 		f->ex = NULL;
 		/* It points into the exchange, which is freed here. */
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -81,6 +81,11 @@
 	/** Fires at the deadline. */
 	struct event *timer;
 
+	/**
+	 * Time of the admission by the state of the call graph; 0 when that did
+	 * not decide or the end was recorded.
+	 */
+	int64_t graph_begun_at;
 	/** Expiry of the tokens of the rate decision; INT64_MAX without. */
 	int64_t rate_tokens_expire_at;
 	uint64_t claim_id;
@@ -123,6 +128,8 @@
 	uint32_t service;
 	/** For retries, where requests carry no call token. */
 	struct retry_budget retries;
+	/** For retries of onward calls, when these have a larger part. */
+	struct retry_budget onward_retries;
 	/** For resends after a VM has become silent. */
 	struct retry_budget resends;
 	UT_hash_handle hh;
@@ -209,6 +216,20 @@
  * @param up  false when the link did not come up in time
  */
 void flow_on_link(struct flow *f, bool up, int64_t now);
+/**
+ * Refuses the request, as not run, when too many requests of its route fail
+ * downstream or its remaining time is too short. Call it once, before the first
+ * try.
+ * @return false when the request was refused and the flow freed
+ */
+bool flow_graph_admit(struct flow *f, int64_t now);
+/** Records an answer of a backend server as the end of the request. */
+void flow_graph_on_answer(struct flow *f, uint32_t status, int64_t now);
+/** Records a refusal as the end of the request, if it tells of load. */
+void flow_graph_on_refusal(struct flow *f, enum http_refusal refusal,
+			   int64_t now);
+/** Records that the caller has hung up, if it did so near the deadline. */
+void flow_graph_on_caller_gone(struct flow *f, int64_t now);
 /** Logs the choice of a server for the current try. */
 void flow_log_sent(struct flow *f, const struct config_vm *vm);
 /** Logs a failed try and the decision that follows it. */
--- a/packages/daemon/flow_retry.c
+++ b/packages/daemon/flow_retry.c
@@ -31,6 +31,17 @@
 #define SERVICE_RETRY_SHARE 0.04
 #define SERVICE_RETRY_CAP 2.0
 
+/*
+ * With admission control for call graphs, most of these go to onward calls, for
+ * which work was done before. The repeats at the last of four hops stay the
+ * same: 1.02 * 1.046^3 = 1.167, as 1.04^4 = 1.170. The caps over all daemons of
+ * a service stay below those of one budget, as only the daemons of its callers
+ * use the second one.
+ */
+#define FIRST_HOP_RETRY_SHARE 0.02
+#define FIRST_HOP_RETRY_CAP 1.2
+#define ONWARD_RETRY_SHARE 0.046
+
 /*
  * A try whose VM has become silent has seldom reached its backend server, and
  * the tries in flight when the silence is detected were sent within 0.7 s. With
@@ -50,7 +61,15 @@
 		return b;
 	b = base_alloc(sizeof(*b));
 	b->service = service;
-	retry_budget_init(&b->retries, SERVICE_RETRY_SHARE, SERVICE_RETRY_CAP);
+	if (f->node->settings->graph_admission) {
+		retry_budget_init(&b->retries, FIRST_HOP_RETRY_SHARE,
+				  FIRST_HOP_RETRY_CAP);
+		retry_budget_init(&b->onward_retries, ONWARD_RETRY_SHARE,
+				  SERVICE_RETRY_CAP);
+	} else {
+		retry_budget_init(&b->retries, SERVICE_RETRY_SHARE,
+				  SERVICE_RETRY_CAP);
+	}
 	retry_budget_init(&b->resends, RESEND_SHARE, RESEND_CAP);
 	HASH_ADD(hh, f->entry->budgets, service, sizeof(b->service), b);
 	return b;
@@ -60,6 +79,8 @@
 {
 	if (f->node->dialect->headers.call_token)
 		return &f->node->budget;
+	if (f->onward && f->node->settings->graph_admission)
+		return &service_budgets(f)->onward_retries;
 	return &service_budgets(f)->retries;
 }
 
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -70,6 +70,8 @@
 	struct roster *roster;
 	struct routing_table *routing;
 	struct overload_throttle *throttle;
+	/** NULL without admission control for call graphs. */
+	struct overload_graph *graph;
 	struct retry_budget budget;
 
 	struct http_server *callers;
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -18,6 +18,8 @@
 	SETTING_ADDRESS_LIST,
 	SETTING_SECRET,
 	SETTING_LEVEL,
+	/** "on" or "off". */
+	SETTING_SWITCH,
 	SETTING_NUMBER,
 	/** A number of seconds, or a number with the unit "s" or "ms". */
 	SETTING_DURATION,
@@ -105,6 +107,10 @@
 	  "BILBERRYHINGE_ANSWER_MEMORY_MB", FIELD(answer_memory), "48", 4,
 	  65536, 1 << 20, "MB",
 	  "Largest memory for answers that are being received or sent" },
+	{ 'G', SETTING_SWITCH, "graph-admission",
+	  "BILBERRYHINGE_GRAPH_ADMISSION", FIELD(graph_admission), "off", 0, 0,
+	  1, "on|off",
+	  "Whether requests whose calls would fail are refused at their entry" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
@@ -201,6 +207,16 @@
 	return DAEMON_OK;
 }
 
+static enum daemon_status set_switch(const struct setting *s, const char *value,
+				     bool *field, struct base_error *err)
+{
+	*field = !strcmp(value, "on");
+	if (*field || !strcmp(value, "off"))
+		return DAEMON_OK;
+	set_error(err, s, value, "on or off");
+	return DAEMON_ERR_SETTING;
+}
+
 static bool is_dialect(const char *value)
 {
 	return !strcmp(value, "native") || !strcmp(value, "platform");
@@ -244,6 +260,8 @@
 			return DAEMON_OK;
 		set_error(err, s, value, "error, warn, info or debug");
 		return DAEMON_ERR_SETTING;
+	case SETTING_SWITCH:
+		return set_switch(s, value, field, err);
 	case SETTING_NUMBER:
 		return set_number(s, value, field, err);
 	case SETTING_DURATION:
@@ -335,7 +353,7 @@
 		const struct setting *s = &settings_table[i];
 
 		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL &&
-		    s->type != SETTING_DURATION)
+		    s->type != SETTING_DURATION && s->type != SETTING_SWITCH)
 			free(*(char **)((char *)settings + s->offset));
 	}
 	memset(settings, 0, sizeof(*settings));
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -63,6 +63,25 @@
 	daemon_settings_release(&settings);
 }
 
+/* Guards against a new behaviour in deployments that did not ask for it. */
+Test(settings, graph_admission_is_off_unless_switched_on)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	cr_assert(
+		eq(int, parse("--max-body=2048", NULL, &settings), DAEMON_OK));
+	cr_assert(eq(int, settings.graph_admission, false));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--graph-admission=on", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(int, settings.graph_admission, true));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--graph-admission=yes", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	daemon_settings_release(&settings);
+}
+
 /* Guards against rejecting durations that a platform gives with their unit. */
 Test(settings, durations_accept_units)
 {
