Lower a route steeply only on clear evidence that hardly any requests end well

Cause: four bad ends in a row were taken as proof of that, and they are common at a success of a half.

Change: it takes eight ends, or four when the average success is below 0.3.

--- a/packages/overload/graph.c
+++ b/packages/overload/graph.c
@@ -8,7 +8,7 @@
  * Log-likelihood ratios of one end between a success share of 0.5 and one of
  * 0.95. The sum drifts upwards when less than 0.78 end well. An entry sees
  * about ten requests of a route per second, too few for a measured share, while
- * four bad ends in a row already exceed the threshold.
+ * four bad ends in a row exceed the threshold.
  */
 #define SCORE_BAD 2.3
 #define SCORE_GOOD (-0.64)
@@ -52,6 +52,9 @@
 #define HOLD_MIN_SUCCESS 0.2
 #define HOLD_US (3 * BASE_SECOND_US)
 #define HOLD_MAX_US (12 * BASE_SECOND_US)
+/* Average success, and otherwise the ends, that show a success below that. */
+#define HOPELESS_AVERAGE 0.3
+#define HOPELESS_MIN_ENDS 8
 /* Bound of the first step, when part of the requests end well. */
 #define TEST_FACTOR_MIN 0.7
 /* Ends needed for this test. With six, chance decided it in one of three. */
@@ -292,27 +295,28 @@
 	return first;
 }
 
+/*
+ * Whether next to no requests end well. Four bad ends in a row are common at a
+ * success of a half, so they are enough only when the average is low as well.
+ */
+static bool is_hopeless(const struct overload_graph_class *c, double success)
+{
+	return success < HOLD_MIN_SUCCESS &&
+	       (c->success < HOPELESS_AVERAGE ||
+		c->good + c->bad >= HOPELESS_MIN_ENDS);
+}
+
 static bool is_futile(const struct overload_graph_class *c, double success)
 {
 	double first = c->first_success;
 	double expected;
 
-	if (first < 0 || c->share > HOLD_BELOW || success < HOLD_MIN_SUCCESS)
+	if (first < 0 || c->share > HOLD_BELOW)
 		return false;
 	expected = first < c->share ? first / c->share : 1;
 	return success < first + HOLD_IMPROVEMENT_PART * (expected - first);
 }
 
-/*
- * When part of the requests end well, lowering costs these, so it needs more
- * evidence than when hardly any does.
- */
-static bool needs_more_ends(const struct overload_graph_class *c,
-			    double success)
-{
-	return success >= HOLD_MIN_SUCCESS && c->good + c->bad < HOLD_MIN_ENDS;
-}
-
 static void hold(struct overload_graph_class *c, int64_t now)
 {
 	c->held_until = now + c->hold_us;
@@ -363,6 +367,7 @@
 {
 	double success = (c->good + 0.5) / (c->good + c->bad + 1);
 	double factor = step_factor(c, success);
+	bool hopeless = is_hopeless(c, success);
 	struct overload_graph_class *before = find_class_before(graph, c, now);
 
 	if (before) {
@@ -372,13 +377,17 @@
 			 now);
 		return;
 	}
-	if (needs_more_ends(c, success))
+	/*
+	 * When part of the requests end well, lowering costs these, so it needs
+	 * more evidence than when hardly any does.
+	 */
+	if (!hopeless && c->good + c->bad < HOLD_MIN_ENDS)
 		return;
-	if (now < c->held_until && success >= HOLD_MIN_SUCCESS) {
+	if (!hopeless && now < c->held_until) {
 		start_epoch(c, now);
 		return;
 	}
-	if (is_futile(c, success)) {
+	if (!hopeless && is_futile(c, success)) {
 		start_epoch(c, now);
 		hold(c, now);
 		return;
