--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -71,6 +71,8 @@
 	 * by expected completion time.
 	 */
 	bool learned_capacity;
+	/** Admission control for whole call graphs is in force. */
+	bool graph_admission;
 };
 
 /**
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -112,6 +112,10 @@
 	  0, 1, "on|off",
 	  "Learn how much load the own backend server sustains, and select "
 	  "servers by expected completion time" },
+	{ 'G', SETTING_SWITCH, "graph-admission",
+	  "BILBERRYHINGE_GRAPH_ADMISSION", FIELD(graph_admission), "off", 0, 0,
+	  1, "on|off",
+	  "Whether requests whose calls would fail are refused at their entry" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
@@ -208,6 +212,16 @@
 	return DAEMON_OK;
 }
 
+static enum daemon_status set_switch(const struct setting *s, const char *value,
+				     bool *field, struct base_error *err)
+{
+	*field = !strcmp(value, "on");
+	if (*field || !strcmp(value, "off"))
+		return DAEMON_OK;
+	set_error(err, s, value, "on or off");
+	return DAEMON_ERR_SETTING;
+}
+
 static bool is_dialect(const char *value)
 {
 	return !strcmp(value, "native") || !strcmp(value, "platform");
@@ -252,11 +266,7 @@
 		set_error(err, s, value, "error, warn, info or debug");
 		return DAEMON_ERR_SETTING;
 	case SETTING_SWITCH:
-		*(bool *)field = !strcmp(value, "on");
-		if (*(bool *)field || !strcmp(value, "off"))
-			return DAEMON_OK;
-		set_error(err, s, value, "on or off");
-		return DAEMON_ERR_SETTING;
+		return set_switch(s, value, field, err);
 	case SETTING_NUMBER:
 		return set_number(s, value, field, err);
 	case SETTING_DURATION:
@@ -348,7 +358,7 @@
 		const struct setting *s = &settings_table[i];
 
 		if (s->type != SETTING_NUMBER && s->type != SETTING_LEVEL &&
-		    s->type != SETTING_SWITCH && s->type != SETTING_DURATION)
+		    s->type != SETTING_DURATION && s->type != SETTING_SWITCH)
 			free(*(char **)((char *)settings + s->offset));
 	}
 	memset(settings, 0, sizeof(*settings));
