Format log lines, refusals and message heads without printf

A refusal without characters that JSON escapes is now written directly, others by Jansson as before; lines go to log4c's appender and its layout without its printf; quoted values are copied in pieces; the texts of a span are copied; names of hop-by-hop headers are compared only where the length fits; the bytes of a token are looked up in a table (computed and compared with the former rule for all 256 bytes).

--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -25,6 +25,7 @@
 
 struct base_log {
 	log4c_category_t *category;
+	log4c_appender_t *appender;
 	/* Protects the fields below; several threads log. */
 	pthread_mutex_t lock;
 	struct base_buf pending;
@@ -196,6 +197,7 @@
 	log4c_appender_set_type(appender, &stdout_appender);
 	log4c_appender_set_udata(appender, log);
 	log4c_appender_set_layout(appender, layout);
+	log->appender = appender;
 	log->category = log4c_category_get(program);
 	log4c_category_set_appender(log->category, appender);
 	log4c_category_set_additivity(log->category, 0);
@@ -244,6 +246,22 @@
 	base_buf_add(text, "=", 1);
 }
 
+/*
+ * Passes the line to the appender itself: log4c_category_log() would format it
+ * once more.
+ */
+static void write_line(struct base_log *log, enum base_log_level level,
+		       const char *text)
+{
+	log4c_logging_event_t event = {
+		.evt_category = log4c_category_get_name(log->category),
+		.evt_priority = priority_of(level),
+		.evt_msg = text,
+	};
+
+	log4c_appender_append(log->appender, &event);
+}
+
 struct base_log_line base_log_begin(struct base_log *log,
 				    enum base_log_level level,
 				    const char *event)
@@ -282,19 +300,24 @@
 
 static void add_quoted(struct base_buf *text, struct base_str value)
 {
+	size_t plain = 0;
 	size_t i;
 
 	base_buf_add(text, "\"", 1);
 	for (i = 0; i < value.len; i++) {
 		unsigned char c = (unsigned char)value.ptr[i];
 
+		if (c != '"' && c != '\\' && c >= ' ' && c != 0x7f)
+			continue;
+		base_buf_add(text, value.ptr + plain, i - plain);
+		plain = i + 1;
 		if (c == '"' || c == '\\')
 			base_buf_addf(text, "\\%c", c);
-		else if (c < ' ' || c == 0x7f)
-			base_buf_addf(text, "\\x%02x", c);
 		else
-			base_buf_add(text, &value.ptr[i], 1);
+			base_buf_addf(text, "\\x%02x", c);
 	}
+	if (value.len > plain)
+		base_buf_add(text, value.ptr + plain, value.len - plain);
 	base_buf_add(text, "\"", 1);
 }
 
@@ -328,9 +351,7 @@
 {
 	if (line->enabled) {
 		base_buf_add(&line->text, "\n", 1);
-		log4c_category_log(line->log->category,
-				   priority_of(line->level), "%s",
-				   line->text.ptr);
+		write_line(line->log, line->level, line->text.ptr);
 	}
 	base_buf_release(&line->text);
 	line->enabled = false;
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -51,15 +51,15 @@
 
 	memcpy(span.parent_id, f->parent_span, sizeof(span.parent_id));
 	if (f->route)
-		snprintf(span.route, sizeof(span.route), "%s",
-			 f->route->name.ptr);
+		spans_set_text(span.route, sizeof(span.route), f->route->name);
 	if (f->account)
-		snprintf(span.account, sizeof(span.account), "%s",
-			 f->account->name.ptr);
-	snprintf(span.decision, sizeof(span.decision), "%s", decision);
+		spans_set_text(span.account, sizeof(span.account),
+			       f->account->name);
+	spans_set_text(span.decision, sizeof(span.decision),
+		       base_str_from(decision));
 	if (vm)
-		snprintf(span.served_by, sizeof(span.served_by), "%s",
-			 vm->name.ptr);
+		spans_set_text(span.served_by, sizeof(span.served_by),
+			       vm->name);
 	spans_add(f->node->spans, &span);
 }
 
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -622,8 +622,9 @@
 			    BASE_STR_ARG(request->path));
 	if (request->query.len)
 		evbuffer_add_printf(out, "?%.*s", BASE_STR_ARG(request->query));
-	evbuffer_add_printf(out, " HTTP/1.1\r\nHost: %.*s\r\n",
-			    BASE_STR_ARG(host));
+	evbuffer_add(out, " HTTP/1.1\r\n", 11);
+	http_output_add_header(out,
+			       &(struct http_header){ BASE_STR("Host"), host });
 	for (i = 0; i < request->headers.count; i++) {
 		const struct http_header *h = &request->headers.items[i];
 
@@ -631,8 +632,7 @@
 			http_output_add_header(out, h);
 	}
 	if (request->body.len || !may_omit_content_length(request->method))
-		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
-				    request->body.len);
+		http_output_add_length(out, request->body.len);
 	evbuffer_add(out, "\r\n", 2);
 	evbuffer_add(out, request->body.ptr, request->body.len);
 }
--- a/packages/http/grammar.c
+++ b/packages/http/grammar.c
@@ -11,15 +11,15 @@
 
 bool http_grammar_is_token(struct base_str s)
 {
-	static const char special[] = "!#$%&'*+-.^_`|~";
+	/* Bit c % 32 of word c / 32 is set for the bytes of a token. */
+	static const uint32_t token_bytes[8] = { 0, 0x03ff6cfa, 0xc7fffffe,
+						 0x57ffffff };
 	size_t i;
 
 	for (i = 0; i < s.len; i++) {
-		char c = s.ptr[i];
-		bool ok = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-			  is_digit(c) || (c && strchr(special, c));
+		unsigned char c = (unsigned char)s.ptr[i];
 
-		if (!ok)
+		if (!(token_bytes[c / 32] >> (c % 32) & 1))
 			return false;
 	}
 	return s.len > 0;
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -227,8 +227,14 @@
 		NAME("Host"),
 	};
 #undef NAME
+	/* Most other headers have a length that no name has. */
+	static const uint32_t lengths = 1U << 2 | 1U << 4 | 1U << 6 | 1U << 7 |
+					1U << 10 | 1U << 14 | 1U << 16 |
+					1U << 17 | 1U << 18 | 1U << 19;
 	size_t i;
 
+	if (name.len > 19 || !(lengths >> name.len & 1))
+		return false;
 	for (i = 0; i < BASE_ARRAY_SIZE(names); i++)
 		if (names[i].len == name.len &&
 		    base_str_equal_nocase(name, names[i]))
--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -295,9 +295,9 @@
 
 	skip_empty_lines(in);
 	end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-	bare = evbuffer_search(in, "\n\n", 2, NULL);
 	*fault = HTTP_MESSAGE_OK;
 	if (end.pos < 0) {
+		bare = evbuffer_search(in, "\n\n", 2, NULL);
 		if (bare.pos >= 0)
 			*fault = HTTP_MESSAGE_FAULT_SYNTAX;
 		else if (evbuffer_get_length(in) > max_head)
--- a/packages/http/output.c
+++ b/packages/http/output.c
@@ -57,3 +57,47 @@
 	at[h->value.len + 1] = '\n';
 	evbuffer_add(out, line, len);
 }
+
+static char *append_text(char *at, const char *text)
+{
+	size_t len = strlen(text);
+
+	memcpy(at, text, len + 1);
+	return at + len;
+}
+
+/* @return the first of the digits that end at @p end */
+static char *format_digits(char *end, size_t value)
+{
+	do {
+		*--end = (char)('0' + value % 10);
+		value /= 10;
+	} while (value);
+	return end;
+}
+
+void http_output_add_length(struct evbuffer *out, size_t len)
+{
+	char digits[24] = "";
+	char line[64];
+	char *at = append_text(line, "Content-Length: ");
+
+	at = append_text(at, format_digits(digits + sizeof(digits) - 1, len));
+	at = append_text(at, "\r\n");
+	evbuffer_add(out, line, (size_t)(at - line));
+}
+
+void http_output_add_status(struct evbuffer *out, int status,
+			    const char *phrase)
+{
+	char digits[24] = "";
+	char start[48];
+	char *at = append_text(start, "HTTP/1.1 ");
+
+	at = append_text(
+		at, format_digits(digits + sizeof(digits) - 1, (size_t)status));
+	at = append_text(at, " ");
+	evbuffer_add(out, start, (size_t)(at - start));
+	evbuffer_add(out, phrase, strlen(phrase));
+	evbuffer_add(out, "\r\n", 2);
+}
--- a/packages/http/output.h
+++ b/packages/http/output.h
@@ -21,4 +21,10 @@
 /** Appends a header line. */
 void http_output_add_header(struct evbuffer *out, const struct http_header *h);
 
+/** Appends a Content-Length header. */
+void http_output_add_length(struct evbuffer *out, size_t len);
+/** Appends the first line of a response. */
+void http_output_add_status(struct evbuffer *out, int status,
+			    const char *phrase);
+
 #endif
--- a/packages/http/refusal.c
+++ b/packages/http/refusal.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <string.h>
 
 /*
  * Temporary conditions usually end within about a second: a link opens in
@@ -15,6 +16,9 @@
 /* A suspect request waits for a permit, which is valid for up to this long. */
 #define SUSPECT_RETRY_AFTER_MS 5000
 
+/* Room that the body of a refusal starts with. */
+#define BODY_TYPICAL_BYTES 200
+
 struct refusal_properties {
 	const char *name;
 	int default_status;
@@ -127,13 +131,66 @@
 	http_headers_add(headers, base_str_from(name), base_str_from(value));
 }
 
+/* Whether JSON has the text as it is. */
+static bool needs_no_escape(struct base_str text)
+{
+	size_t i;
+
+	for (i = 0; i < text.len; i++) {
+		unsigned char c = (unsigned char)text.ptr[i];
+
+		if (c < ' ' || c > '~' || c == '"' || c == '\\')
+			return false;
+	}
+	return true;
+}
+
+static void add_text(struct base_buf *body, const char *text)
+{
+	base_buf_add(body, text, strlen(text));
+}
+
+/*
+ * Under overload most requests are refused, and Jansson would take a quarter of
+ * the processor time of a refusal.
+ */
+static void add_plain_body(const struct http_refusal_details *details,
+			   const char *outcome, int64_t ms,
+			   struct base_buf *body)
+{
+	base_buf_reserve(body, BODY_TYPICAL_BYTES);
+	add_text(body, "{\"reason\":\"");
+	add_text(body, http_refusal_name(details->refusal));
+	add_text(body, "\",\"outcome\":\"");
+	add_text(body, outcome);
+	add_text(body, "\",\"retry_after_ms\":");
+	base_buf_add_int(body, ms);
+	add_text(body, ",\"detail\":\"");
+	base_buf_add_str(body, details->detail);
+	add_text(body, "\"}\n");
+}
+
+static void add_escaped_body(const struct http_refusal_details *details,
+			     const char *outcome, int64_t ms,
+			     struct base_buf *body)
+{
+	json_t *json =
+		json_pack("{s:s,s:s,s:I,s:s%}", "reason",
+			  http_refusal_name(details->refusal), "outcome",
+			  outcome, "retry_after_ms", (json_int_t)ms, "detail",
+			  details->detail.ptr, details->detail.len);
+	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+
+	base_buf_addf(body, "%s\n", text ? text : "{}");
+	free(text);
+	json_decref(json);
+}
+
 void http_refusal_build(const struct http_refusal_details *details,
 			struct http_headers *headers, struct base_buf *body)
 {
 	const char *outcome = details->not_run ? "not-run" : "unknown";
 	int64_t ms = (details->retry_after_us + 999) / 1000;
-	char *text;
-	json_t *json;
 
 	if (!details->status_implies_not_run) {
 		add_header(headers, "Bilberryhinge-Refusal",
@@ -143,13 +200,8 @@
 	add_header(headers, "Content-Type", "application/json");
 	if (details->retry_after_us > 0)
 		add_retry_after(headers, details, ms);
-	json = json_pack("{s:s,s:s,s:I,s:s%}", "reason",
-			 http_refusal_name(details->refusal), "outcome",
-			 outcome, "retry_after_ms", (json_int_t)ms, "detail",
-			 details->detail.ptr ? details->detail.ptr : "",
-			 details->detail.len);
-	text = json ? json_dumps(json, JSON_COMPACT) : NULL;
-	base_buf_addf(body, "%s\n", text ? text : "{}");
-	free(text);
-	json_decref(json);
+	if (needs_no_escape(details->detail))
+		add_plain_body(details, outcome, ms, body);
+	else
+		add_escaped_body(details, outcome, ms, body);
 }
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -203,11 +203,10 @@
 	bool has_body = !(ex && ex->is_head) &&
 			!http_message_status_has_no_body(status);
 
-	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
-			    reason_phrase(status));
+	http_output_add_status(out, status, reason_phrase(status));
 	write_headers(out, headers);
 	if (has_body)
-		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
+		http_output_add_length(out, body.len);
 	if (!keep_alive)
 		evbuffer_add_printf(out, "Connection: close\r\n");
 	evbuffer_add(out, "\r\n", 2);
--- a/packages/http/tests/test_output.c
+++ b/packages/http/tests/test_output.c
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <event2/event.h>
+#include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -70,3 +72,57 @@
 				 BASE_STR("value")));
 	http_headers_release(&headers);
 }
+
+static void assert_refusal_body(const char *detail, const char *expected)
+{
+	struct http_refusal_details details = {
+		.refusal = HTTP_REFUSAL_OVERLOADED,
+		.not_run = true,
+		.retry_after_us = 1500 * BASE_MS_US,
+		.detail = base_str_from(detail),
+	};
+	struct http_headers headers = { 0 };
+	struct base_buf body = BASE_BUF_INIT;
+
+	http_refusal_build(&details, &headers, &body);
+	cr_assert(eq(str, body.ptr, (char *)expected));
+	http_headers_release(&headers);
+	base_buf_release(&body);
+}
+
+/* Guards against a body that is not JSON, or that depends on how it is made. */
+Test(refusal, body_is_the_same_with_and_without_escapes)
+{
+	static const char start[] = "{\"reason\":\"overloaded\",\"outcome\":"
+				    "\"not-run\",\"retry_after_ms\":1500,"
+				    "\"detail\":\"";
+	static const char *const texts[][2] = {
+		{ "plain text, /path", "plain text, /path" },
+		{ NULL, "" },
+		{ "a \"b\" \\ \n", "a \\\"b\\\" \\\\ \\n" },
+		{ "caf\xc3\xa9", "caf\xc3\xa9" },
+	};
+	char expected[256];
+	size_t i;
+
+	for (i = 0; i < BASE_ARRAY_SIZE(texts); i++) {
+		snprintf(expected, sizeof(expected), "%s%s\"}\n", start,
+			 texts[i][1]);
+		assert_refusal_body(texts[i][0], expected);
+	}
+}
+
+/* Guards against status lines and lengths that are formatted wrongly. */
+Test(output, formats_numbers)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	http_output_add_status(out, 200, "OK");
+	http_output_add_length(out, 0);
+	http_output_add_length(out, SIZE_MAX);
+	evbuffer_add(out, "", 1);
+	cr_assert(eq(str, (char *)evbuffer_pullup(out, -1),
+		     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+		     "Content-Length: 18446744073709551615\r\n"));
+	evbuffer_free(out);
+}
