--- a/bench/processor_time.sh
+++ b/bench/processor_time.sh
@@ -7,7 +7,7 @@
 #   entry    the entry of a request that another VM serves
 #   guard    the guard of such a request
 #   refused  a request with an unknown API key, refused by the entry
-#   idle     a daemon without requests for five seconds
+#   idle     a daemon without requests for five seconds, with links to others
 BUILD=$1
 MODE=$2
 shift 2
@@ -18,8 +18,11 @@
 COUNT=${COUNT:-500}
 CONNECTIONS=4
 WARM=100
+# Number of VMs; all but the first run the service of the remote requests.
+FLEET=${FLEET:-2}
 declare -A VM_OF=([local]=1 [entry]=1 [guard]=2 [refused]=1 [idle]=1)
-declare -A PATH_OF=([local]=/b/x [entry]=/i/x [guard]=/i/x [refused]=/b/x)
+declare -A PATH_OF=([local]=/b/x [entry]=/i/x [guard]=/i/x [refused]=/b/x
+	[idle]=/i/x)
 declare -A KEY_OF=([refused]=unknown)
 
 # Runs the daemons named in PROFILED under the tool.
@@ -97,8 +100,8 @@
 	[ "$case" = idle ] && TOTAL=5
 	start_store
 	put_config 1 '["key1"]' 100000
-	start_vms front back
-	[ "$case" = idle ] || load "$case" $WARM warm >/dev/null
+	start_vms front $(yes back | head -n $((FLEET - 1)))
+	load "$case" $WARM warm >/dev/null
 	if [ "$MODE" = instructions ]; then
 		measure_instructions "$case"
 	else
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -234,8 +234,8 @@
 	end_claim(f, answer, false, now);
 	end_parent(f, now);
 	for (i = 0; i < answer->headers.count; i++)
-		http_headers_add(&headers, answer->headers.items[i].name,
-				 answer->headers.items[i].value);
+		http_headers_add_view(&headers, answer->headers.items[i].name,
+				      answer->headers.items[i].value);
 	if (vm && f->try_count && f->node->dialect->headers.served_by)
 		http_headers_add(
 			&headers,
--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -283,8 +283,9 @@
 		make_token(w);
 	guard_work_split_target(r->path, &request);
 	for (i = 0; i < r->headers.count; i++)
-		http_headers_add(&request.headers, r->headers.items[i].name,
-				 r->headers.items[i].value);
+		http_headers_add_view(&request.headers,
+				      r->headers.items[i].name,
+				      r->headers.items[i].value);
 	guard_work_add_headers(w, &request.headers, now);
 	w->call = http_client_send(g->backend, &request, w->deadline - now,
 				   on_backend_answer, w);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -34,6 +34,8 @@
 	/** Span of the entry; 0 when it sent none. */
 	uint8_t parent_span[8];
 	uint32_t onward_open_count;
+	/** Time left when it was sent, in ms, as text. */
+	char remaining_ms[24];
 	/** Since when at least one onward call has been open. */
 	int64_t onward_started_at;
 	/** Strictest cutoff of the answers to onward calls. */
@@ -141,7 +143,10 @@
 /** Sets path and query of @p request to views into @p target. */
 void guard_work_split_target(struct base_str target,
 			     struct http_request *request);
-/** Adds the headers that the dialect has for backend servers. */
+/**
+ * Adds the headers that the dialect has for backend servers, as views into the
+ * work item.
+ */
 void guard_work_add_headers(struct guard_work *w, struct http_headers *headers,
 			    int64_t now);
 /** Removes the work item from the guard and frees it, without an answer. */
--- a/packages/http/headers.c
+++ b/packages/http/headers.c
@@ -127,6 +127,13 @@
 {
 	char *bytes = reserve_bytes(headers, name.len + value.len + 2);
 
+	http_headers_add_view(headers, copy_str(bytes, name),
+			      copy_str(bytes + name.len + 1, value));
+}
+
+void http_headers_add_view(struct http_headers *headers, struct base_str name,
+			   struct base_str value)
+{
 	if (headers->count == headers->capacity) {
 		headers->capacity = headers->capacity ? headers->capacity * 2
 						      : ITEMS_MIN_CAPACITY;
@@ -135,8 +142,8 @@
 						      sizeof(*headers->items));
 	}
 	headers->items[headers->count++] = (struct http_header){
-		.name = copy_str(bytes, name),
-		.value = copy_str(bytes + name.len + 1, value),
+		.name = name,
+		.value = value,
 	};
 }
 
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -55,6 +55,9 @@
 /** Appends a header; copies both strings. */
 void http_headers_add(struct http_headers *headers, struct base_str name,
 		      struct base_str value);
+/** Appends a header without copies; the strings must outlive the list. */
+void http_headers_add_view(struct http_headers *headers, struct base_str name,
+			   struct base_str value);
 /** Appends copies of all headers of @p from to @p to. */
 void http_headers_copy(struct http_headers *to,
 		       const struct http_headers *from);
--- a/packages/http/tests/test_output.c
+++ b/packages/http/tests/test_output.c
@@ -66,7 +66,9 @@
 		http_headers_add(&headers, BASE_STR("Accept-Language"),
 				 BASE_STR("en, de;q=0.5"));
 	cr_assert(eq(u64, base_allocation_count() - before, 2));
-	http_headers_add(&headers, BASE_STR("Last"), BASE_STR("value"));
+	before = base_allocation_count();
+	http_headers_add_view(&headers, BASE_STR("Last"), BASE_STR("value"));
+	cr_assert(le(u64, base_allocation_count() - before, 1));
 	http_headers_remove(&headers, BASE_STR("accept-language"));
 	cr_assert(base_str_equal(http_headers_find(&headers, BASE_STR("last")),
 				 BASE_STR("value")));
--- a/packages/peer/encode.c
+++ b/packages/peer/encode.c
@@ -10,7 +10,16 @@
  */
 static int append(void *data, const char *bytes, size_t len)
 {
-	base_buf_add(data, bytes, len);
+	struct base_buf *out = data;
+
+	/* Most pieces are a few bytes. */
+	if (out->cap - out->len <= len) {
+		base_buf_add(out, bytes, len);
+		return 0;
+	}
+	if (len)
+		memcpy(out->ptr + out->len, bytes, len);
+	out->len += len;
 	return 0;
 }
 
@@ -171,9 +180,8 @@
 			       out->len - start, PEER_FRAME_MAX_BYTES);
 		status = PEER_ERR_TOO_LARGE;
 	}
-	if (status != PEER_OK) {
+	if (status != PEER_OK)
 		out->len = start;
-		out->ptr[start] = '\0';
-	}
+	out->ptr[out->len] = '\0';
 	return status;
 }
