--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -53,15 +53,15 @@
 
 	memcpy(span.parent_id, f->parent_span, sizeof(span.parent_id));
 	if (f->route)
-		snprintf(span.route, sizeof(span.route), "%s",
-			 f->route->name.ptr);
+		spans_set_text(span.route, sizeof(span.route), f->route->name);
 	if (f->account)
-		snprintf(span.account, sizeof(span.account), "%s",
-			 f->account->name.ptr);
-	snprintf(span.decision, sizeof(span.decision), "%s", decision);
+		spans_set_text(span.account, sizeof(span.account),
+			       f->account->name);
+	spans_set_text(span.decision, sizeof(span.decision),
+		       base_str_from(decision));
 	if (vm)
-		snprintf(span.served_by, sizeof(span.served_by), "%s",
-			 vm->name.ptr);
+		spans_set_text(span.served_by, sizeof(span.served_by),
+			       vm->name);
 	spans_add(f->node->spans, &span);
 }
 
@@ -238,8 +238,8 @@
 	end_claim(f, answer, false, now);
 	end_parent(f, now);
 	for (i = 0; i < answer->headers.count; i++)
-		http_headers_add(&headers, answer->headers.items[i].name,
-				 answer->headers.items[i].value);
+		http_headers_add_view(&headers, answer->headers.items[i].name,
+				      answer->headers.items[i].value);
 	if (vm && f->try_count && f->node->dialect->headers.served_by)
 		http_headers_add(
 			&headers,
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -16,10 +16,9 @@
 struct guard_work {
 	uint64_t id;
 	struct guard *guard;
-	/** Copy of the submitted request, in the encoding of the peer links. */
-	struct base_buf encoded;
-	/** Decoded from @p encoded; its views point there. */
-	struct peer_message msg;
+	/** Copy of the submitted request; its views point to @p memory. */
+	struct peer_request request;
+	void *memory;
 	int64_t deadline;
 	int64_t submitted_at;
 	guard_answer_cb cb;
@@ -32,7 +31,11 @@
 	struct peer_remote remote;
 	uint64_t remote_id;
 	struct http_trace trace;
+	/** Span of the entry; 0 when it sent none. */
+	uint8_t parent_span[8];
 	uint32_t onward_open_count;
+	/** Time left when it was sent, in ms, as text. */
+	char remaining_ms[24];
 	/** Since when at least one onward call has been open. */
 	int64_t onward_started_at;
 	/** Strictest cutoff of the answers to onward calls. */
@@ -92,6 +95,8 @@
 	bool closed;
 	/** Fires when the overload guard has an action due. */
 	struct event *timer;
+	/** When the timer fires; 0 when it is not pending. */
+	int64_t timer_at;
 	struct guard_work *work_items;
 	/** Work items that have started. */
 	struct guard_work *work_items_by_token;
@@ -160,7 +165,10 @@
 /** Sets path and query of @p request to views into @p target. */
 void guard_work_split_target(struct base_str target,
 			     struct http_request *request);
-/** Adds the headers that the dialect has for backend servers. */
+/**
+ * Adds the headers that the dialect has for backend servers, as views into the
+ * work item.
+ */
 void guard_work_add_headers(struct guard_work *w, struct http_headers *headers,
 			    int64_t now);
 /** Removes the work item from the guard and frees it, without an answer. */
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -40,17 +40,24 @@
 	struct base_str value;
 };
 
+struct http_header_block;
+
 /** A list of headers that owns its strings. */
 struct http_headers {
 	struct http_header *items;
 	size_t count;
 	size_t capacity;
+	/** Private: memory of the strings. */
+	struct http_header_block *blocks;
 };
 
 void http_headers_release(struct http_headers *headers);
 /** Appends a header; copies both strings. */
 void http_headers_add(struct http_headers *headers, struct base_str name,
 		      struct base_str value);
+/** Appends a header without copies; the strings must outlive the list. */
+void http_headers_add_view(struct http_headers *headers, struct base_str name,
+			   struct base_str value);
 /** Appends copies of all headers of @p from to @p to. */
 void http_headers_copy(struct http_headers *to,
 		       const struct http_headers *from);
