Run pipelined requests of a connection beside each other

Cause: the server handed out one request of a connection at a time, so that a slow request delayed all those behind it, and responses to a caller that does not read were kept without a bound. Input at the high watermark also made libevent call the read callback in each turn of the loop.

Other requests run alone. A response that closes the connection is the last, and only the last one carries Connection: close. Reading is disabled while the input is full, with an event for the end of the caller. Bodies are moved out of the parser and not copied. Serialization and checks of the head are in files of their own.

Before reading was disabled at the watermark, bounds_a_caller_who_sends_without_end did not end: a debugger showed on_read() called without pause by libevent.

--- a/packages/http/http_message.c
+++ b/packages/http/http_message.c
@@ -307,11 +307,12 @@
 	return true;
 }
 
-void http_message_parse(struct http_message *m, struct evbuffer *in)
+static void parse(struct http_message *m, struct evbuffer *in, bool head_only)
 {
 	struct evbuffer_iovec chunk;
 
 	while (!m->complete && !m->fault &&
+	       !(head_only && m->headers_complete) &&
 	       evbuffer_peek(in, -1, NULL, &chunk, 1) > 0 && chunk.iov_len) {
 		size_t len = chunk.iov_len;
 		enum http_errno error;
@@ -332,6 +333,16 @@
 	}
 }
 
+void http_message_parse(struct http_message *m, struct evbuffer *in)
+{
+	parse(m, in, false);
+}
+
+void http_message_parse_head(struct http_message *m, struct evbuffer *in)
+{
+	parse(m, in, true);
+}
+
 bool http_message_is_close_delimited(const struct http_message *m)
 {
 	if (!m->headers_complete || ends_with_head(m))
--- a/packages/http/http_message.h
+++ b/packages/http/http_message.h
@@ -60,6 +60,11 @@
  * after the message remain. Check m->fault and m->complete afterwards.
  */
 void http_message_parse(struct http_message *m, struct evbuffer *in);
+/**
+ * Like http_message_parse(), but leaves a body in @p in. A message without a
+ * body is complete then.
+ */
+void http_message_parse_head(struct http_message *m, struct evbuffer *in);
 /** Whether responses with this status end with their head. */
 bool http_message_status_has_no_body(int status);
 /** Completes a close-delimited message after a clean end of the connection. */
--- /dev/null
+++ b/packages/http/response.c
@@ -0,0 +1,63 @@
+/* Serialization of the server's responses. */
+#include "response.h"
+#include "http_message.h"
+
+static void write_headers(struct evbuffer *out,
+			  const struct http_headers *headers)
+{
+	size_t i;
+
+	for (i = 0; i < headers->count; i++) {
+		const struct http_header *h = &headers->items[i];
+
+		if (!http_header_is_hop_by_hop(h->name))
+			evbuffer_add_printf(out, "%.*s: %.*s\r\n",
+					    BASE_STR_ARG(h->name),
+					    BASE_STR_ARG(h->value));
+	}
+}
+
+/* Returns "Unknown" for a status that http_parser.h does not list. */
+static const char *reason_phrase(int status)
+{
+	switch (status) {
+#define PHRASE(number, name, string) \
+	case number:                 \
+		return #string;
+		HTTP_STATUS_MAP(PHRASE)
+#undef PHRASE
+	}
+	return "Unknown";
+}
+
+static bool has_body(const struct http_response *response, bool is_head)
+{
+	return !is_head && !http_message_status_has_no_body(response->status);
+}
+
+void http_response_write_head(struct evbuffer *out,
+			      const struct http_response *response,
+			      bool is_head)
+{
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", response->status,
+			    reason_phrase(response->status));
+	write_headers(out, &response->headers);
+	if (has_body(response, is_head))
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+				    response->body.len);
+}
+
+void http_response_end_head(struct evbuffer *out, bool keep_alive)
+{
+	if (!keep_alive)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+	evbuffer_add(out, "\r\n", 2);
+}
+
+void http_response_write_body(struct evbuffer *out,
+			      const struct http_response *response,
+			      bool is_head)
+{
+	if (has_body(response, is_head))
+		evbuffer_add(out, response->body.ptr, response->body.len);
+}
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,9 @@
 /* HTTP server over libevent's bufferevents. */
 #include "http.h"
 #include "http_message.h"
+#include "pipeline.h"
+#include "request_check.h"
+#include "response.h"
 
 #include <assert.h>
 #include <event2/bufferevent.h>
@@ -24,22 +27,40 @@
  */
 #define LINGER_MAX_BYTES (8U << 20)
 #define LINGER_TIMEOUT_US (2 * BASE_SECOND_US)
-/* Bytes that are read ahead while a request is being handled. */
+/* Bytes that are read ahead while no further request may be started. */
 #define READ_AHEAD_BYTES (64U << 10)
 #define LISTEN_BACKLOG 1024
 #define TIMEOUT_CHECK_INTERVAL_US (250 * BASE_MS_US)
 
-struct exchange;
-
 struct connection {
 	LIST_ENTRY(connection) link;
 	struct http_server *server;
 	struct bufferevent *bev;
 	struct evbuffer_cb_entry *output_cb;
-	struct exchange *current;
+	struct evbuffer_cb_entry *input_cb;
+	/* The requests that were handed out, in their order. */
+	struct http_pipeline pipeline;
+	/* The request that is being read, or that waits to be handed out. */
 	struct http_message message;
-	/* When the current request began to be read, 0 between requests. */
+	/*
+	 * When that request began to be read. 0 between requests, and while it
+	 * waits for earlier ones, as its caller is not late then.
+	 */
 	int64_t request_started_at;
+	int64_t last_input_at;
+	/* When the request in `message` was complete; 0 before. */
+	int64_t completed_at;
+	/* The part of the body that came with the head was read. */
+	bool body_started;
+	size_t max_input;
+	bool reading_paused;
+	/* Reports the end of the caller while reading is paused. */
+	struct event *closed_event;
+	/* Input waits until a further request may be started. */
+	bool parked;
+	/* A response that closes the connection is due; the rest is not read.
+	 */
+	bool last_request_read;
 	int64_t idle_since;
 	/* The last response was written; input is discarded. */
 	bool closing;
@@ -56,6 +77,7 @@
 
 struct exchange {
 	struct http_exchange pub;
+	struct http_pipeline_slot slot;
 	struct connection *connection;
 	http_disconnect_cb on_disconnect;
 	void *disconnect_ctx;
@@ -71,7 +93,10 @@
 	LIST_HEAD(, connection) connections;
 	size_t connection_count;
 	size_t open_exchanges;
-	/* Bytes in the output buffers of all connections. */
+	/*
+	 * Bytes in the output buffers of all connections and of responses that
+	 * wait for earlier ones.
+	 */
 	size_t unsent_bytes;
 	size_t max_body;
 	size_t max_head_bytes;
@@ -86,42 +111,65 @@
 	char address[80];
 };
 
+static void release_request(struct http_request *r)
+{
+	http_headers_release(&r->headers);
+	free((char *)r->method.ptr);
+	free((char *)r->path.ptr);
+	free((char *)r->query.ptr);
+	free((char *)r->body.ptr);
+	*r = (struct http_request){ 0 };
+}
+
 static void exchange_free(struct exchange *ex)
 {
-	if (ex->connection)
-		ex->connection->current = NULL;
-	http_headers_release(&ex->pub.request.headers);
-	free((char *)ex->pub.request.method.ptr);
-	free((char *)ex->pub.request.path.ptr);
-	free((char *)ex->pub.request.query.ptr);
-	free((char *)ex->pub.request.body.ptr);
+	http_pipeline_remove(&ex->slot);
+	release_request(&ex->pub.request);
 	free(ex);
 }
 
+/*
+ * A callback may reply to any exchange of the connection, which takes it out of
+ * @p p, so that its own callback is not called any more.
+ */
+static void cancel_exchanges(struct http_pipeline *p)
+{
+	struct http_pipeline_slot *slot;
+
+	while ((slot = http_pipeline_first(p))) {
+		struct exchange *ex = slot->owner;
+		http_disconnect_cb on_disconnect = ex->on_disconnect;
+
+		http_pipeline_remove(slot);
+		ex->on_disconnect = NULL;
+		if (ex->replied)
+			exchange_free(ex);
+		else if (on_disconnect)
+			on_disconnect(ex->disconnect_ctx, &ex->pub);
+	}
+}
+
 static void connection_free(struct connection *c)
 {
-	struct exchange *ex = c->current;
-	http_disconnect_cb on_disconnect;
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	struct http_pipeline_slot *slot;
+	struct http_pipeline pipeline;
 
 	LIST_REMOVE(c, link);
 	c->server->connection_count--;
-	evbuffer_remove_cb_entry(bufferevent_get_output(c->bev), c->output_cb);
+	evbuffer_remove_cb_entry(out, c->output_cb);
+	evbuffer_remove_cb_entry(bufferevent_get_input(c->bev), c->input_cb);
+	http_pipeline_move(&pipeline, &c->pipeline);
 	c->server->unsent_bytes -=
-		evbuffer_get_length(bufferevent_get_output(c->bev));
-	if (ex) {
-		c->server->open_exchanges--;
-		ex->connection = NULL;
-		c->current = NULL;
-	}
+		evbuffer_get_length(out) + pipeline.waiting_bytes;
+	c->server->open_exchanges -= pipeline.open_count;
+	TAILQ_FOREACH (slot, &pipeline.slots, link)
+		((struct exchange *)slot->owner)->connection = NULL;
+	event_free(c->closed_event);
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
 	free(c);
-	if (!ex)
-		return;
-	on_disconnect = ex->on_disconnect;
-	ex->on_disconnect = NULL;
-	if (on_disconnect)
-		on_disconnect(ex->disconnect_ctx, &ex->pub);
+	cancel_exchanges(&pipeline);
 }
 
 static struct base_str copy_str(struct base_str s)
@@ -145,6 +193,19 @@
 	r->query = copy_str(query);
 }
 
+/* The memory that the body may have grown into is given back. */
+static struct base_str take_body(struct base_buf *body)
+{
+	struct base_str taken = { NULL, body->len };
+
+	if (!body->len)
+		return copy_str(BASE_STR(""));
+	taken.ptr = base_realloc(body->ptr, body->len + 1);
+	*body = BASE_BUF_INIT;
+	return taken;
+}
+
+/* Takes the request that was read; the next one can be read then. */
 static struct exchange *exchange_create(struct connection *c)
 {
 	struct exchange *ex = base_alloc(sizeof(*ex));
@@ -154,68 +215,24 @@
 	ex->connection = c;
 	ex->keep_alive = http_should_keep_alive(&m->parser);
 	ex->is_head = m->parser.method == HTTP_HEAD;
-	ex->pub.received_at = base_now_us();
+	ex->pub.received_at = c->completed_at;
+	http_pipeline_add(&c->pipeline, &ex->slot, ex,
+			  http_request_is_parallel(m));
 	r->method = copy_str(base_str_from(http_method_str(m->parser.method)));
 	set_target(r, base_buf_str(&m->target));
 	r->headers = m->headers;
 	m->headers = (struct http_headers){ 0 };
-	r->body = copy_str(base_buf_str(&m->body));
+	r->body = take_body(&m->body);
 	http_message_reset(m);
-	c->current = ex;
 	c->request_started_at = 0;
+	c->completed_at = 0;
+	c->body_started = false;
 	c->idle_since = 0;
+	c->last_request_read = !ex->keep_alive;
 	c->server->open_exchanges++;
 	return ex;
 }
 
-static void write_headers(struct evbuffer *out,
-			  const struct http_headers *headers)
-{
-	size_t i;
-
-	for (i = 0; headers && i < headers->count; i++) {
-		const struct http_header *h = &headers->items[i];
-
-		if (!http_header_is_hop_by_hop(h->name))
-			evbuffer_add_printf(out, "%.*s: %.*s\r\n",
-					    BASE_STR_ARG(h->name),
-					    BASE_STR_ARG(h->value));
-	}
-}
-
-/* Returns "Unknown" for a status that http_parser.h does not list. */
-static const char *reason_phrase(int status)
-{
-	switch (status) {
-#define PHRASE(number, name, string) \
-	case number:                 \
-		return #string;
-		HTTP_STATUS_MAP(PHRASE)
-#undef PHRASE
-	}
-	return "Unknown";
-}
-
-static void write_response(struct connection *c, const struct exchange *ex,
-			   int status, const struct http_headers *headers,
-			   struct base_str body, bool keep_alive)
-{
-	struct evbuffer *out = bufferevent_get_output(c->bev);
-	bool has_body = !(ex && ex->is_head) &&
-			!http_message_status_has_no_body(status);
-
-	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
-			    reason_phrase(status));
-	write_headers(out, headers);
-	if (has_body)
-		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
-	if (!keep_alive)
-		evbuffer_add_printf(out, "Connection: close\r\n");
-	evbuffer_add(out, "\r\n", 2);
-	if (has_body)
-		evbuffer_add(out, body.ptr, body.len);
-}
-
 /*
  * Bytes of responses that the caller's system has not acknowledged. Those that
  * are still in the output buffer are lost when the connection is freed.
@@ -236,15 +253,111 @@
 		shutdown(bufferevent_getfd(c->bev), SHUT_WR);
 }
 
+/*
+ * While a buffer is at its high watermark, libevent calls the read callback in
+ * each turn of the loop, unless reading is disabled.
+ */
+static void update_reading(struct connection *c)
+{
+	size_t len = evbuffer_get_length(bufferevent_get_input(c->bev));
+	bool pause = !c->closing && len >= c->max_input;
+
+	if (pause == c->reading_paused)
+		return;
+	c->reading_paused = pause;
+	if (pause) {
+		bufferevent_disable(c->bev, EV_READ);
+		event_add(c->closed_event, NULL);
+	} else {
+		bufferevent_enable(c->bev, EV_READ);
+		event_del(c->closed_event);
+	}
+}
+
 /* Lets the caller read the last response before the connection is reset. */
 static void start_lingering_close(struct connection *c)
 {
 	c->closing = true;
 	c->request_started_at = 0;
 	bufferevent_setwatermark(c->bev, EV_READ, 0, 0);
+	update_reading(c);
 	shut_down_when_written(c);
 }
 
+/*
+ * Whether the connection stays open after this response. With keep-alive
+ * disabled, requests that were handed out before are still answered on it.
+ */
+static bool keeps_alive(const struct connection *c, const struct exchange *ex)
+{
+	return ex->keep_alive && !(c->server->keep_alive_disabled &&
+				   http_pipeline_is_last(&ex->slot));
+}
+
+static void end_exchange(struct connection *c, struct exchange *ex)
+{
+	bool keep_alive = keeps_alive(c, ex);
+
+	exchange_free(ex);
+	if (!http_pipeline_first(&c->pipeline))
+		c->idle_since = base_now_us();
+	if (!keep_alive)
+		start_lingering_close(c);
+}
+
+/* Sends the waiting responses that have none before them any more. */
+static void send_waiting(struct connection *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	struct http_pipeline_slot *slot;
+
+	while ((slot = http_pipeline_first(&c->pipeline)) && slot->response) {
+		struct exchange *ex = slot->owner;
+		struct evbuffer *response = http_pipeline_take(slot);
+
+		c->server->unsent_bytes -= evbuffer_get_length(response);
+		evbuffer_remove_buffer(response, out, slot->head_len);
+		http_response_end_head(out, keeps_alive(c, ex));
+		evbuffer_add_buffer(out, response);
+		evbuffer_free(response);
+		end_exchange(c, ex);
+	}
+}
+
+static void hold_response(struct connection *c, struct exchange *ex,
+			  const struct http_response *response)
+{
+	struct evbuffer *buf = evbuffer_new();
+	size_t head_len;
+
+	if (!buf)
+		abort();
+	http_response_write_head(buf, response, ex->is_head);
+	head_len = evbuffer_get_length(buf);
+	http_response_write_body(buf, response, ex->is_head);
+	http_pipeline_hold(&ex->slot, buf, head_len);
+	c->server->unsent_bytes += evbuffer_get_length(buf);
+	release_request(&ex->pub.request);
+}
+
+/* Sends the response, or keeps it until those before it were sent. */
+static void respond(struct connection *c, struct exchange *ex,
+		    const struct http_response *response)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	if (http_pipeline_first(&c->pipeline) != &ex->slot) {
+		hold_response(c, ex, response);
+		return;
+	}
+	http_response_write_head(out, response, ex->is_head);
+	http_response_end_head(out, keeps_alive(c, ex));
+	http_response_write_body(out, response, ex->is_head);
+	end_exchange(c, ex);
+	send_waiting(c);
+}
+
+/* The refusal is the last response; it is sent after those due before it. */
 static void refuse(struct connection *c, enum http_refusal refusal, int status,
 		   const char *detail)
 {
@@ -255,64 +368,26 @@
 		.not_run = true,
 		.detail = base_str_from(detail),
 	};
+	struct exchange *ex = base_alloc(sizeof(*ex));
 
 	http_refusal_build(&details, &headers, &body);
-	write_response(c, NULL, status, &headers, base_buf_str(&body), false);
-	start_lingering_close(c);
+	ex->connection = c;
+	ex->replied = true;
+	c->request_started_at = 0;
+	c->last_request_read = true;
+	http_pipeline_add(&c->pipeline, &ex->slot, ex, false);
+	respond(c, ex,
+		&(struct http_response){ .status = status,
+					 .headers = headers,
+					 .body = base_buf_str(&body) });
 }
 
 static void refuse_invalid_message(struct connection *c,
 				   enum http_message_fault fault)
 {
-	switch (fault) {
-	case HTTP_MESSAGE_FAULT_VERSION:
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 505,
-		       "the HTTP version is not supported");
-		return;
-	case HTTP_MESSAGE_FAULT_TRANSFER_CODING:
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 501,
-		       "the transfer coding is not supported");
-		return;
-	case HTTP_MESSAGE_FAULT_HEAD_TOO_LARGE:
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 431,
-		       "the request line and headers exceed the size limit");
-		return;
-	case HTTP_MESSAGE_FAULT_BODY_TOO_LARGE:
-		refuse(c, HTTP_REFUSAL_BODY_TOO_LARGE, 413,
-		       "the body is over the limit of this daemon");
-		return;
-	default:
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400,
-		       "the request is malformed");
-	}
-}
+	struct http_request_fault f = http_request_fault_of(fault);
 
-/*
- * Returns why the request is not acceptable, or NULL. If one of the headers in
- * `single` occurred twice, two parsers could interpret the request differently.
- */
-static const char *check_headers(const struct connection *c,
-				 const struct http_headers *headers)
-{
-	static const char *const single[] = { "Host", "Authorization",
-					      "Idempotency-Key",
-					      "Content-Length" };
-	size_t i, j, n;
-
-	for (i = 0; i < BASE_ARRAY_SIZE(single); i++) {
-		n = 0;
-		for (j = 0; j < headers->count; j++)
-			n += base_str_equal_nocase(headers->items[j].name,
-						   base_str_from(single[i]));
-		if (n > 1)
-			return "a header that may occur only once is repeated";
-	}
-	if (!http_headers_find(headers, BASE_STR("Host")).ptr &&
-	    c->message.parser.http_minor > 0)
-		return "the Host header is missing";
-	if (!c->message.target.len || c->message.target.ptr[0] != '/')
-		return "the request target is not an absolute path";
-	return NULL;
+	refuse(c, f.refusal, f.status, f.detail);
 }
 
 static void handle_request(struct connection *c)
@@ -335,50 +410,115 @@
 		bufferevent_write(c->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
-/* Reads the head, then the body; returns true when the request is complete. */
-static bool read_request(struct connection *c, struct evbuffer *in)
+static bool read_head(struct connection *c, struct evbuffer *in)
 {
 	struct http_message *m = &c->message;
 	enum http_message_fault fault = HTTP_MESSAGE_OK;
 	const char *problem;
-	bool first = !m->headers_complete;
 
-	if (first && !http_message_check_head(
-			     in, m->type, c->server->max_head_bytes, &fault))
+	if (!http_message_check_head(in, m->type, c->server->max_head_bytes,
+				     &fault)) {
+		/* Empty lines between requests are the start of none. */
+		if (!evbuffer_get_length(in))
+			c->request_started_at = 0;
 		return false;
+	}
 	if (!fault) {
-		http_message_parse(m, in);
+		http_message_parse_head(m, in);
 		fault = m->fault;
 	}
 	if (fault) {
 		refuse_invalid_message(c, fault);
 		return false;
 	}
-	problem = first && m->headers_complete ? check_headers(c, &m->headers)
-					       : NULL;
+	problem = m->headers_complete ? http_request_check(m) : NULL;
 	if (problem) {
 		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400, problem);
 		return false;
 	}
-	if (first && !m->complete)
+	return m->headers_complete;
+}
+
+static bool read_body(struct connection *c, struct evbuffer *in)
+{
+	struct http_message *m = &c->message;
+
+	http_message_parse(m, in);
+	if (m->fault) {
+		refuse_invalid_message(c, m->fault);
+		return false;
+	}
+	if (!c->body_started && !m->complete)
 		send_continue(c);
+	c->body_started = true;
 	return m->complete;
 }
 
-/* Handles the received requests one at a time. */
-static void process_input(struct connection *c)
+/* In a planned stop, what was not handed out is left to be sent again. */
+static bool takes_requests(const struct connection *c)
+{
+	return !c->closing && !c->last_request_read &&
+	       !(c->server->keep_alive_disabled &&
+		 http_pipeline_first(&c->pipeline));
+}
+
+static bool has_input(const struct connection *c)
+{
+	return c->message.headers_complete ||
+	       evbuffer_get_length(bufferevent_get_input(c->bev));
+}
+
+/*
+ * Before the head of the next request is read, the request is taken for one
+ * that may run beside others. A body is only read when its request may start.
+ */
+static bool may_start_next(const struct connection *c)
+{
+	const struct http_message *m = &c->message;
+	size_t unsent = evbuffer_get_length(bufferevent_get_output(c->bev));
+	bool parallel = !m->headers_complete || http_request_is_parallel(m);
+
+	return http_pipeline_may_start(&c->pipeline, parallel, unsent);
+}
+
+/* Reads the head or the body; returns false when it is not complete yet. */
+static bool read_part(struct connection *c)
 {
 	struct evbuffer *in = bufferevent_get_input(c->bev);
+	struct http_message *m = &c->message;
+	bool done;
+
+	if (!c->request_started_at)
+		c->request_started_at = base_now_us();
+	done = m->headers_complete ? read_body(c, in) : read_head(c, in);
+	if (m->complete)
+		c->completed_at = c->last_input_at;
+	return done;
+}
 
-	while (!c->current && !c->closing && evbuffer_get_length(in)) {
-		if (!c->request_started_at)
-			c->request_started_at = base_now_us();
-		if (!read_request(c, in))
+static void start_requests(struct connection *c)
+{
+	c->parked = false;
+	while (takes_requests(c) && has_input(c)) {
+		c->parked = !may_start_next(c);
+		if (c->parked) {
+			c->request_started_at = 0;
+			return;
+		}
+		if (c->message.complete)
+			handle_request(c);
+		else if (!read_part(c))
 			return;
-		handle_request(c);
 	}
 }
 
+/* Hands out the received requests that may run now. */
+static void process_input(struct connection *c)
+{
+	start_requests(c);
+	update_reading(c);
+}
+
 static void discard_input(struct connection *c)
 {
 	struct evbuffer *in = bufferevent_get_input(c->bev);
@@ -402,7 +542,11 @@
 
 static void on_write(struct bufferevent *bev, void *arg)
 {
-	shut_down_when_written(arg);
+	struct connection *c = arg;
+
+	shut_down_when_written(c);
+	if (c->parked)
+		process_input(c);
 }
 
 /*
@@ -411,7 +555,7 @@
  */
 static bool awaits_response(const struct connection *c)
 {
-	return !c->current &&
+	return !http_pipeline_first(&c->pipeline) &&
 	       evbuffer_get_length(bufferevent_get_output(c->bev));
 }
 
@@ -431,6 +575,15 @@
 	}
 }
 
+/* Reading finds the end again if the caller still awaits a response. */
+static void on_closed(evutil_socket_t fd, short events, void *arg)
+{
+	struct connection *c = arg;
+
+	if (!awaits_response(c))
+		connection_free(c);
+}
+
 static void on_output_changed(struct evbuffer *out,
 			      const struct evbuffer_cb_info *info, void *arg)
 {
@@ -440,6 +593,15 @@
 	server->unsent_bytes -= info->n_deleted;
 }
 
+static void on_input_changed(struct evbuffer *in,
+			     const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+
+	if (info->n_added)
+		c->last_input_at = base_now_us();
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int len, void *arg)
 {
@@ -458,13 +620,17 @@
 	c->bev =
 		bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	http_message_init(&c->message, HTTP_REQUEST, server->max_body);
+	http_pipeline_init(&c->pipeline);
+	c->closed_event = event_new(server->base, fd, EV_CLOSED, on_closed, c);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
 	c->output_cb = evbuffer_add_cb(bufferevent_get_output(c->bev),
 				       on_output_changed, server);
+	c->input_cb = evbuffer_add_cb(bufferevent_get_input(c->bev),
+				      on_input_changed, c);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
-	bufferevent_setwatermark(c->bev, EV_READ, 0,
-				 server->max_head_bytes + READ_AHEAD_BYTES);
+	c->max_input = server->max_head_bytes + READ_AHEAD_BYTES;
+	bufferevent_setwatermark(c->bev, EV_READ, 0, c->max_input);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
@@ -484,13 +650,23 @@
 	       (!headers || http_headers_are_valid(headers));
 }
 
+/*
+ * Further requests are handed out from the event loop and not here, because the
+ * code that replies may be in the middle of its own work.
+ */
+static void resume_input(struct connection *c)
+{
+	if (!c->in_handler && !c->closing && has_input(c))
+		bufferevent_trigger(c->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
 void http_exchange_reply(struct http_exchange *pub, int status,
 			 const struct http_headers *headers,
 			 struct base_str body)
 {
 	struct exchange *ex = (struct exchange *)pub;
 	struct connection *c = ex->connection;
-	bool keep_alive;
+	struct http_response response = { .status = status, .body = body };
 
 	assert(!ex->replied);
 	ex->replied = true;
@@ -499,29 +675,16 @@
 		exchange_free(ex);
 		return;
 	}
+	if (headers)
+		response.headers = *headers;
 	if (!is_valid_response(status, headers)) {
 		if (c->server->on_invalid_response)
 			c->server->on_invalid_response(c->server->ctx, status);
-		status = 502;
-		headers = NULL;
-		body = BASE_STR_NONE;
+		response = (struct http_response){ .status = 502 };
 	}
 	c->server->open_exchanges--;
-	keep_alive = ex->keep_alive && !c->server->keep_alive_disabled;
-	write_response(c, ex, status, headers, body, keep_alive);
-	exchange_free(ex);
-	c->idle_since = base_now_us();
-	if (!keep_alive) {
-		start_lingering_close(c);
-		return;
-	}
-	/*
-	 * Pipelined requests are handled from the event loop and not here,
-	 * because the code that replies may be in the middle of its own work.
-	 */
-	if (!c->in_handler &&
-	    evbuffer_get_length(bufferevent_get_input(c->bev)))
-		bufferevent_trigger(c->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+	respond(c, ex, &response);
+	resume_input(c);
 }
 
 /*
@@ -565,14 +728,14 @@
 				? REQUEST_TIMEOUT_US
 				: c->server->header_timeout_us;
 
-	if (c->current)
-		return;
-	if (c->request_started_at && now - c->request_started_at > limit)
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
-		       "the request was not completed in time");
-	else if (!c->request_started_at && c->idle_since &&
-		 now - c->idle_since > c->server->idle_timeout_us)
+	if (c->request_started_at) {
+		if (takes_requests(c) && now - c->request_started_at > limit)
+			refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
+			       "the request was not completed in time");
+	} else if (!http_pipeline_first(&c->pipeline) && c->idle_since &&
+		   now - c->idle_since > c->server->idle_timeout_us) {
 		connection_free(c);
+	}
 }
 
 static void check_timeouts(evutil_socket_t fd, short events, void *arg)
@@ -711,7 +874,7 @@
 	const struct connection *c;
 
 	LIST_FOREACH (c, &server->connections, link)
-		if (undelivered_bytes(c))
+		if (c->pipeline.waiting_bytes || undelivered_bytes(c))
 			return true;
 	return false;
 }
