--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -38,6 +38,8 @@
 	struct bufferevent *bev;
 	struct evbuffer_cb_entry *output_cb;
 	struct evbuffer_cb_entry *input_cb;
+	/* Reports the end of the caller while reading is paused. */
+	struct event *closed_event;
 	/* The requests that were handed out, in their order. */
 	struct http_pipeline pipeline;
 	/* The request that is being read, or that waits to be handed out. */
@@ -50,28 +52,26 @@
 	int64_t last_input_at;
 	/* When the request in `message` was complete; 0 before. */
 	int64_t completed_at;
+	int64_t idle_since;
+	/* Since when a closing connection has delivered all; 0 before. */
+	int64_t delivered_at;
+	/* Limit of the input buffer in bytes. */
+	size_t max_input;
+	size_t discarded_bytes;
+	/* Undelivered bytes when they last became fewer, and that time. */
+	size_t undelivered_bytes;
+	int64_t progress_at;
 	/* The part of the body that came with the head was read. */
 	bool body_started;
-	size_t max_input;
 	bool reading_paused;
-	/* Reports the end of the caller while reading is paused. */
-	struct event *closed_event;
 	/* Input waits until a further request may be started. */
 	bool parked;
-	/* A response that closes the connection is due; the rest is not read.
-	 */
+	/* The last request was read; its response closes the connection. */
 	bool last_request_read;
-	int64_t idle_since;
 	/* The last response was written; input is discarded. */
 	bool closing;
 	/* The caller sends nothing more. */
 	bool input_ended;
-	/* Since when a closing connection has delivered all; 0 before. */
-	int64_t delivered_at;
-	size_t discarded_bytes;
-	/* Undelivered bytes when they last became fewer, and that time. */
-	size_t undelivered_bytes;
-	int64_t progress_at;
 	bool in_handler;
 };
 
