--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,11 +1,8 @@
 /* HTTP server over libevent's bufferevents. */
 #include "http.h"
-#include "http_message.h"
-#include "pipeline.h"
 #include "request_check.h"
-#include "response.h"
+#include "server_internal.h"
 
-#include <assert.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -32,123 +29,6 @@
 #define LISTEN_BACKLOG 1024
 #define TIMEOUT_CHECK_INTERVAL_US (250 * BASE_MS_US)
 
-struct connection {
-	LIST_ENTRY(connection) link;
-	struct http_server *server;
-	struct bufferevent *bev;
-	struct evbuffer_cb_entry *output_cb;
-	struct evbuffer_cb_entry *input_cb;
-	/* Reports the end of the caller while reading is paused. */
-	struct event *closed_event;
-	/* The requests that were handed out, in their order. */
-	struct http_pipeline pipeline;
-	/* The request that is being read, or that waits to be handed out. */
-	struct http_message message;
-	/*
-	 * When that request began to be read. 0 between requests, and while it
-	 * waits for earlier ones, as its caller is not late then.
-	 */
-	int64_t request_started_at;
-	int64_t last_input_at;
-	/* When the request in `message` was complete; 0 before. */
-	int64_t completed_at;
-	int64_t idle_since;
-	/* Since when a closing connection has delivered all; 0 before. */
-	int64_t delivered_at;
-	/* Limit of the input buffer in bytes. */
-	size_t max_input;
-	size_t discarded_bytes;
-	/* Undelivered bytes when they last became fewer, and that time. */
-	size_t undelivered_bytes;
-	int64_t progress_at;
-	/* The part of the body that came with the head was read. */
-	bool body_started;
-	bool reading_paused;
-	/* Input waits until a further request may be started. */
-	bool parked;
-	/* The last request was read; its response closes the connection. */
-	bool last_request_read;
-	/* The last response was written; input is discarded. */
-	bool closing;
-	/* The caller sends nothing more. */
-	bool input_ended;
-	bool in_handler;
-};
-
-struct exchange {
-	struct http_exchange pub;
-	struct http_pipeline_slot slot;
-	struct connection *connection;
-	http_disconnect_cb on_disconnect;
-	void *disconnect_ctx;
-	bool replied;
-	bool keep_alive;
-	bool is_head;
-};
-
-struct http_server {
-	struct event_base *base;
-	struct evconnlistener *listener;
-	struct event *timeout_check;
-	LIST_HEAD(, connection) connections;
-	size_t connection_count;
-	size_t open_exchanges;
-	/*
-	 * Bytes in the output buffers of all connections and of responses that
-	 * wait for earlier ones.
-	 */
-	size_t unsent_bytes;
-	size_t max_body;
-	size_t max_head_bytes;
-	size_t max_connections;
-	int64_t idle_timeout_us;
-	int64_t header_timeout_us;
-	http_server_handler handler;
-	http_server_stalled_cb on_stalled_reader;
-	http_server_invalid_cb on_invalid_response;
-	void *ctx;
-	bool keep_alive_disabled;
-	char address[80];
-};
-
-static void release_request(struct http_request *r)
-{
-	http_headers_release(&r->headers);
-	free((char *)r->method.ptr);
-	free((char *)r->path.ptr);
-	free((char *)r->query.ptr);
-	free((char *)r->body.ptr);
-	*r = (struct http_request){ 0 };
-}
-
-static void exchange_free(struct exchange *ex)
-{
-	http_pipeline_remove(&ex->slot);
-	release_request(&ex->pub.request);
-	free(ex);
-}
-
-/*
- * A callback may reply to any exchange of the connection, which takes it out of
- * @p p, so that its own callback is not called any more.
- */
-static void cancel_exchanges(struct http_pipeline *p)
-{
-	struct http_pipeline_slot *slot;
-
-	while ((slot = http_pipeline_first(p))) {
-		struct exchange *ex = slot->owner;
-		http_disconnect_cb on_disconnect = ex->on_disconnect;
-
-		http_pipeline_remove(slot);
-		ex->on_disconnect = NULL;
-		if (ex->replied)
-			exchange_free(ex);
-		else if (on_disconnect)
-			on_disconnect(ex->disconnect_ctx, &ex->pub);
-	}
-}
-
 static void connection_free(struct connection *c)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -169,68 +49,7 @@
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
 	free(c);
-	cancel_exchanges(&pipeline);
-}
-
-static struct base_str copy_str(struct base_str s)
-{
-	return (struct base_str){ base_str_dup(s), s.len };
-}
-
-static void set_target(struct http_request *r, struct base_str target)
-{
-	const char *mark =
-		target.len ? memchr(target.ptr, '?', target.len) : NULL;
-	struct base_str path = target;
-	struct base_str query = BASE_STR("");
-
-	if (mark) {
-		path.len = (size_t)(mark - target.ptr);
-		query.ptr = mark + 1;
-		query.len = target.len - path.len - 1;
-	}
-	r->path = copy_str(path);
-	r->query = copy_str(query);
-}
-
-/* The memory that the body may have grown into is given back. */
-static struct base_str take_body(struct base_buf *body)
-{
-	struct base_str taken = { NULL, body->len };
-
-	if (!body->len)
-		return copy_str(BASE_STR(""));
-	taken.ptr = base_realloc(body->ptr, body->len + 1);
-	*body = BASE_BUF_INIT;
-	return taken;
-}
-
-/* Takes the request that was read; the next one can be read then. */
-static struct exchange *exchange_create(struct connection *c)
-{
-	struct exchange *ex = base_alloc(sizeof(*ex));
-	struct http_message *m = &c->message;
-	struct http_request *r = &ex->pub.request;
-
-	ex->connection = c;
-	ex->keep_alive = http_should_keep_alive(&m->parser);
-	ex->is_head = m->parser.method == HTTP_HEAD;
-	ex->pub.received_at = c->completed_at;
-	http_pipeline_add(&c->pipeline, &ex->slot, ex,
-			  http_request_is_parallel(m));
-	r->method = copy_str(base_str_from(http_method_str(m->parser.method)));
-	set_target(r, base_buf_str(&m->target));
-	r->headers = m->headers;
-	m->headers = (struct http_headers){ 0 };
-	r->body = take_body(&m->body);
-	http_message_reset(m);
-	c->request_started_at = 0;
-	c->completed_at = 0;
-	c->body_started = false;
-	c->idle_since = 0;
-	c->last_request_read = !ex->keep_alive;
-	c->server->open_exchanges++;
-	return ex;
+	http_exchange_cancel_all(&pipeline);
 }
 
 /*
@@ -275,7 +94,7 @@
 }
 
 /* Lets the caller read the last response before the connection is reset. */
-static void start_lingering_close(struct connection *c)
+void http_connection_linger(struct connection *c)
 {
 	c->closing = true;
 	c->request_started_at = 0;
@@ -284,116 +103,18 @@
 	shut_down_when_written(c);
 }
 
-/*
- * Whether the connection stays open after this response. With keep-alive
- * disabled, requests that were handed out before are still answered on it.
- */
-static bool keeps_alive(const struct connection *c, const struct exchange *ex)
-{
-	return ex->keep_alive && !(c->server->keep_alive_disabled &&
-				   http_pipeline_is_last(&ex->slot));
-}
-
-static void end_exchange(struct connection *c, struct exchange *ex)
-{
-	bool keep_alive = keeps_alive(c, ex);
-
-	exchange_free(ex);
-	if (!http_pipeline_first(&c->pipeline))
-		c->idle_since = base_now_us();
-	if (!keep_alive)
-		start_lingering_close(c);
-}
-
-/* Sends the waiting responses that have none before them any more. */
-static void send_waiting(struct connection *c)
-{
-	struct evbuffer *out = bufferevent_get_output(c->bev);
-	struct http_pipeline_slot *slot;
-
-	while ((slot = http_pipeline_first(&c->pipeline)) && slot->response) {
-		struct exchange *ex = slot->owner;
-		struct evbuffer *response = http_pipeline_take(slot);
-
-		c->server->unsent_bytes -= evbuffer_get_length(response);
-		evbuffer_remove_buffer(response, out, slot->head_len);
-		http_response_end_head(out, keeps_alive(c, ex));
-		evbuffer_add_buffer(out, response);
-		evbuffer_free(response);
-		end_exchange(c, ex);
-	}
-}
-
-static void hold_response(struct connection *c, struct exchange *ex,
-			  const struct http_response *response)
-{
-	struct evbuffer *buf = evbuffer_new();
-	size_t head_len;
-
-	if (!buf)
-		abort();
-	http_response_write_head(buf, response, ex->is_head);
-	head_len = evbuffer_get_length(buf);
-	http_response_write_body(buf, response, ex->is_head);
-	http_pipeline_hold(&ex->slot, buf, head_len);
-	c->server->unsent_bytes += evbuffer_get_length(buf);
-	release_request(&ex->pub.request);
-}
-
-/* Sends the response, or keeps it until those before it were sent. */
-static void respond(struct connection *c, struct exchange *ex,
-		    const struct http_response *response)
-{
-	struct evbuffer *out = bufferevent_get_output(c->bev);
-
-	if (http_pipeline_first(&c->pipeline) != &ex->slot) {
-		hold_response(c, ex, response);
-		return;
-	}
-	http_response_write_head(out, response, ex->is_head);
-	http_response_end_head(out, keeps_alive(c, ex));
-	http_response_write_body(out, response, ex->is_head);
-	end_exchange(c, ex);
-	send_waiting(c);
-}
-
-/* The refusal is the last response; it is sent after those due before it. */
-static void refuse(struct connection *c, enum http_refusal refusal, int status,
-		   const char *detail)
-{
-	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
-	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
-	struct http_refusal_details details = {
-		.refusal = refusal,
-		.not_run = true,
-		.detail = base_str_from(detail),
-	};
-	struct exchange *ex = base_alloc(sizeof(*ex));
-
-	http_refusal_build(&details, &headers, &body);
-	ex->connection = c;
-	ex->replied = true;
-	c->request_started_at = 0;
-	c->last_request_read = true;
-	http_pipeline_add(&c->pipeline, &ex->slot, ex, false);
-	respond(c, ex,
-		&(struct http_response){ .status = status,
-					 .headers = headers,
-					 .body = base_buf_str(&body) });
-}
-
 static void refuse_invalid_message(struct connection *c,
 				   enum http_message_fault fault)
 {
 	struct http_request_fault f = http_request_fault_of(fault);
 
-	refuse(c, f.refusal, f.status, f.detail);
+	http_connection_refuse(c, f.refusal, f.status, f.detail);
 }
 
 static void handle_request(struct connection *c)
 {
 	struct http_server *server = c->server;
-	struct exchange *ex = exchange_create(c);
+	struct exchange *ex = http_exchange_create(c);
 
 	/* The handler may reply, which frees the exchange. */
 	c->in_handler = true;
@@ -433,7 +154,8 @@
 	}
 	problem = m->headers_complete ? http_request_check(m) : NULL;
 	if (problem) {
-		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400, problem);
+		http_connection_refuse(c, HTTP_REFUSAL_BAD_REQUEST, 400,
+				       problem);
 		return false;
 	}
 	return m->headers_complete;
@@ -571,7 +293,7 @@
 			return;
 		}
 		c->input_ended = true;
-		start_lingering_close(c);
+		http_connection_linger(c);
 	}
 }
 
@@ -634,59 +356,16 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-void http_exchange_set_disconnect_cb(struct http_exchange *ex,
-				     http_disconnect_cb cb, void *ctx)
-{
-	struct exchange *private = (struct exchange *)ex;
-
-	private->on_disconnect = cb;
-	private->disconnect_ctx = ctx;
-}
-
-/* A reader would refuse any other response or take it for another one. */
-static bool is_valid_response(int status, const struct http_headers *headers)
-{
-	return http_status_is_final(status) &&
-	       (!headers || http_headers_are_valid(headers));
-}
-
 /*
  * Further requests are handed out from the event loop and not here, because the
  * code that replies may be in the middle of its own work.
  */
-static void resume_input(struct connection *c)
+void http_connection_resume(struct connection *c)
 {
 	if (!c->in_handler && !c->closing && has_input(c))
 		bufferevent_trigger(c->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
-void http_exchange_reply(struct http_exchange *pub, int status,
-			 const struct http_headers *headers,
-			 struct base_str body)
-{
-	struct exchange *ex = (struct exchange *)pub;
-	struct connection *c = ex->connection;
-	struct http_response response = { .status = status, .body = body };
-
-	assert(!ex->replied);
-	ex->replied = true;
-	ex->on_disconnect = NULL;
-	if (!c) {
-		exchange_free(ex);
-		return;
-	}
-	if (headers)
-		response.headers = *headers;
-	if (!is_valid_response(status, headers)) {
-		if (c->server->on_invalid_response)
-			c->server->on_invalid_response(c->server->ctx, status);
-		response = (struct http_response){ .status = 502 };
-	}
-	c->server->open_exchanges--;
-	respond(c, ex, &response);
-	resume_input(c);
-}
-
 /*
  * Frees a connection whose caller has stopped reading. A caller that reads
  * slowly gets its whole response. Returns false when nothing is undelivered.
@@ -730,8 +409,9 @@
 
 	if (c->request_started_at) {
 		if (takes_requests(c) && now - c->request_started_at > limit)
-			refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
-			       "the request was not completed in time");
+			http_connection_refuse(
+				c, HTTP_REFUSAL_BAD_REQUEST, 408,
+				"the request was not completed in time");
 	} else if (!http_pipeline_first(&c->pipeline) && c->idle_since &&
 		   now - c->idle_since > c->server->idle_timeout_us) {
 		connection_free(c);
