Switch features on by conditions that the platform states

Need: learned capacity and graph admission may act only where a deployment calls for them. The users' platform names the conditions in force in its settings; deployments whose servers fail or slow down while their health checks pass have one of them.

Lists of names and of addresses are split by base_str_next_item().

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -71,6 +71,12 @@
 struct base_str base_str_from(const char *cstr);
 bool base_str_equal(struct base_str a, struct base_str b);
 bool base_str_equal_nocase(struct base_str a, struct base_str b);
+/**
+ * Takes the first item of a comma-separated list.
+ * @param rest  the list; the remaining items on return
+ * @return false when the list is empty
+ */
+bool base_str_next_item(struct base_str *rest, struct base_str *item);
 bool base_str_starts_with(struct base_str s, struct base_str prefix);
 /** Orders by bytes, then by length; for qsort and sorted output. */
 int base_str_compare(struct base_str a, struct base_str b);
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -191,3 +191,18 @@
 	*to = *from;
 	*from = BASE_BUF_INIT;
 }
+
+bool base_str_next_item(struct base_str *rest, struct base_str *item)
+{
+	const char *comma;
+
+	if (!rest->len)
+		return false;
+	comma = memchr(rest->ptr, ',', rest->len);
+	*item = *rest;
+	if (comma)
+		item->len = (size_t)(comma - rest->ptr);
+	rest->ptr += item->len + (comma != NULL);
+	rest->len -= item->len + (comma != NULL);
+	return true;
+}
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -38,6 +38,8 @@
 	char *service;
 	/** "native" or "platform". */
 	char *dialect;
+	/** Conditions that the platform states, separated by commas. */
+	char *conditions;
 	char *caller_listen;
 	char *onward_listen;
 	char *admin_listen;
--- a/packages/daemon/dialect.c
+++ b/packages/daemon/dialect.c
@@ -1,5 +1,6 @@
 /* The native dialect and helpers for all dialects. */
 #include "dialect.h"
+#include "daemon.h"
 
 #include <string.h>
 
@@ -71,3 +72,26 @@
 	       (name.len >= prefix &&
 		!strncasecmp(name.ptr, HEADER_PREFIX, prefix));
 }
+
+static bool lists_condition(const struct daemon_settings *settings,
+			    const char *condition)
+{
+	struct base_str rest = base_str_from(settings->conditions);
+	struct base_str name;
+
+	while (base_str_next_item(&rest, &name))
+		if (base_str_equal(name, base_str_from(condition)))
+			return true;
+	return false;
+}
+
+void dialect_apply_conditions(const struct daemon_dialect *dialect,
+			      struct daemon_settings *settings)
+{
+	const char *condition = dialect->unreliable_servers_condition;
+
+	if (!condition || !lists_condition(settings, condition))
+		return;
+	settings->learned_capacity = true;
+	settings->graph_admission = true;
+}
--- a/packages/daemon/dialect.h
+++ b/packages/daemon/dialect.h
@@ -189,6 +189,12 @@
 	bool accept_close_delimited;
 	/** The caller's Host header is forwarded to backend servers. */
 	bool forwards_host;
+	/**
+	 * Condition of a deployment whose backend servers fail or slow down
+	 * while their health checks pass; NULL where none is stated. It
+	 * switches on learned capacity and graph admission.
+	 */
+	const char *unreliable_servers_condition;
 	/**
 	 * Splits the value of an Authorization header into the id of an API key
 	 * and its secret. A derived id is stored in @p id_buf.
@@ -201,6 +207,15 @@
 	const struct registry_codec *registry;
 };
 
+struct daemon_settings;
+
+/**
+ * Switches on what the conditions in @p settings call for. Conditions that the
+ * dialect does not name are ignored.
+ */
+void dialect_apply_conditions(const struct daemon_dialect *dialect,
+			      struct daemon_settings *settings);
+
 /** The native dialect; static. */
 const struct daemon_dialect *dialect_native(void);
 
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -1,5 +1,6 @@
 /* The program bilberryhinged. */
 #include "daemon.h"
+#include "dialect.h"
 #include "platform.h"
 
 #include <stdio.h>
@@ -21,9 +22,12 @@
 	enum daemon_status status =
 		daemon_settings_parse(argc, argv, &settings, &err);
 
-	if (status == DAEMON_OK)
-		status = daemon_create(&settings, find_dialect(&settings),
-				       &daemon, &err);
+	if (status == DAEMON_OK) {
+		const struct daemon_dialect *dialect = find_dialect(&settings);
+
+		dialect_apply_conditions(dialect, &settings);
+		status = daemon_create(&settings, dialect, &daemon, &err);
+	}
 	if (status != DAEMON_OK) {
 		fprintf(stderr, "bilberryhinged: %s: %s\n",
 			daemon_strerror(status), err.message);
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -1,4 +1,5 @@
 /* Settings from flags and environment variables. */
+#include "config.h"
 #include "daemon.h"
 #include "http.h"
 #include "peer.h"
@@ -14,6 +15,8 @@
 	/** A name, or empty. */
 	SETTING_OPTIONAL_NAME,
 	SETTING_DIALECT,
+	/** Names separated by commas, or empty. */
+	SETTING_NAME_LIST,
 	SETTING_ADDRESS,
 	SETTING_ADDRESS_LIST,
 	SETTING_SECRET,
@@ -112,6 +115,10 @@
 	  0, 1, "on|off",
 	  "Learn how much load the own backend server sustains, and select "
 	  "servers by expected completion time" },
+	{ 'N', SETTING_NAME_LIST, "conditions", "BILBERRYHINGE_CONDITIONS",
+	  FIELD(conditions), "", 0, 0, 1, "NAME,...",
+	  "Conditions that the platform states for this deployment; some "
+	  "switch on learned capacity and graph admission" },
 	{ 'G', SETTING_SWITCH, "graph-admission",
 	  "BILBERRYHINGE_GRAPH_ADMISSION", FIELD(graph_admission), "off", 0, 0,
 	  1, "on|off",
@@ -131,19 +138,24 @@
 static bool check_address_list(const char *value)
 {
 	struct base_str rest = base_str_from(value);
+	struct base_str item;
 	struct sockaddr_storage addr;
 	socklen_t len;
 
-	while (rest.len) {
-		const char *comma = memchr(rest.ptr, ',', rest.len);
-		size_t n = comma ? (size_t)(comma - rest.ptr) : rest.len;
+	while (base_str_next_item(&rest, &item))
+		if (http_address_parse(item, &addr, &len, NULL))
+			return false;
+	return true;
+}
 
-		if (http_address_parse((struct base_str){ rest.ptr, n }, &addr,
-				       &len, NULL))
+static bool check_name_list(const char *value)
+{
+	struct base_str rest = base_str_from(value);
+	struct base_str name;
+
+	while (base_str_next_item(&rest, &name))
+		if (!config_name_valid(name))
 			return false;
-		n += comma != NULL;
-		rest = (struct base_str){ rest.ptr + n, rest.len - n };
-	}
 	return true;
 }
 
@@ -253,6 +265,9 @@
 				!http_address_parse(base_str_from(value), &addr,
 						    &len, NULL),
 				err);
+	case SETTING_NAME_LIST:
+		return set_text(s, value, field, "names, separated by commas",
+				check_name_list(value), err);
 	case SETTING_ADDRESS_LIST:
 		return set_text(s, value, field,
 				"IP:PORT, several separated by commas",
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -1,5 +1,6 @@
 /* Tests of the settings. */
 #include "daemon.h"
+#include "dialect.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -118,3 +119,34 @@
 		     DAEMON_ERR_SETTING));
 	daemon_settings_release(&settings);
 }
+
+/*
+ * Guards against new behaviour in deployments whose platform does not state the
+ * condition for it.
+ */
+Test(settings, only_a_named_condition_switches_features_on)
+{
+	struct daemon_dialect dialect = *dialect_native();
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	dialect.unreliable_servers_condition = "health";
+	cr_assert(eq(int, parse("--conditions=base,healthy", NULL, &settings),
+		     DAEMON_OK));
+	dialect_apply_conditions(&dialect, &settings);
+	cr_assert(not(settings.learned_capacity));
+	cr_assert(not(settings.graph_admission));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int,
+		     parse("--conditions=base,health,pool", NULL, &settings),
+		     DAEMON_OK));
+	dialect_apply_conditions(dialect_native(), &settings);
+	cr_assert(not(settings.graph_admission));
+	dialect_apply_conditions(&dialect, &settings);
+	cr_assert(settings.learned_capacity);
+	cr_assert(settings.graph_admission);
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--conditions=a b", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	daemon_settings_release(&settings);
+}
