Keep connections to backend servers that can be used again

Cause: one request in five opened a connection to a server. The client closed a connection at each time-out, although the server's own 504 was on its way, as the server is told the deadline at which the call times out; after 8 responses of status 400 and above; after each response that announces Keep-Alive: timeout=1; and when a call was cancelled before its request was sent.

Each cause of opening and closing is counted. A call that is cancelled while its request runs closes the connection as before. client.c is split by job.

The former client also sent a request on a connection whose end had arrived, and lost it. The share of new connections under the load of a whole deployment is not measured.

--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -117,6 +117,7 @@
 	set_gauge(node, "open_requests",
 		  (int64_t)entry_open_flow_count(node->entry));
 	set_gauge(node, "platform_up", node->platform_up);
+	guard_update_counters(node->guard);
 }
 
 static void on_request(void *ctx, struct http_exchange *ex)
@@ -133,6 +134,7 @@
 		render_status(node, &body);
 		type = BASE_STR("application/json");
 	} else if (base_str_equal(path, BASE_STR("/counters"))) {
+		guard_update_counters(node->guard);
 		base_counters_render(node->counters, &body);
 	} else if (base_str_equal(path, BASE_STR("/metrics"))) {
 		render_gauges(node);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -62,6 +62,10 @@
 	int64_t answer_memory;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
+	/** Idle time of connections to the backend server, in us. */
+	int64_t backend_idle_us;
+	/** New connections a second to a server in trouble; 0 for no limit. */
+	int64_t backend_connect_rate;
 	/** Largest number of concurrent caller connections. */
 	int64_t max_connections;
 	/** Largest request and answer body, in bytes. */
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -4,6 +4,13 @@
 #include "drain.h"
 #include "membership.h"
 
+/*
+ * A backend server that stops the work at the deadline answers some
+ * milliseconds after it. A request that was given up must not run for more than
+ * half a second.
+ */
+#define BACKEND_LINGER_US (100 * BASE_MS_US)
+
 static void schedule_timer(struct guard *g, int64_t now)
 {
 	int64_t at = overload_guard_next_timer_at(g->overload);
@@ -320,6 +327,9 @@
 		.held_ctx = g,
 		.echo_header = base_str_from(node->dialect->headers.request_id),
 		.accept_close_delimited = node->dialect->accept_close_delimited,
+		.idle_us = node->settings->backend_idle_us,
+		.linger_us = BACKEND_LINGER_US,
+		.troubled_connects_per_s = node->settings->backend_connect_rate,
 		.on_stray = on_stray_answer,
 		.stray_ctx = g,
 	};
--- a/packages/daemon/guard.h
+++ b/packages/daemon/guard.h
@@ -103,6 +103,8 @@
 int32_t guard_cutoff(const struct guard *guard);
 /** Regular work; called several times a second. */
 void guard_tick(struct guard *guard, int64_t now);
+/** Sets the counters of the connections to the backend server. */
+void guard_update_counters(const struct guard *guard);
 size_t guard_open_work_count(const struct guard *guard);
 /**
  * Refuses new work from now on; used near the end of a planned stop. Queued
--- a/packages/daemon/guard_bounds.c
+++ b/packages/daemon/guard_bounds.c
@@ -1,6 +1,8 @@
 /* Limits of the local backend server, and the guard's load report. */
 #include "guard_work.h"
 
+#include <stdio.h>
+
 /*
  * Fraction of the slots listed for a VM that the guard uses. Some backend
  * servers slow down when more of them are in use.
@@ -82,3 +84,34 @@
 	if (guard->overload)
 		overload_guard_drain(guard->overload);
 }
+
+static void set_counter(const struct guard *g, const char *name, int64_t value)
+{
+	/* A counter appears with its first event. */
+	if (value)
+		base_counter_set(base_counters_get(g->node->counters, name),
+				 value);
+}
+
+void guard_update_counters(const struct guard *g)
+{
+	const struct http_client_statistics *s =
+		http_client_statistics(g->backend);
+	char name[96];
+	int i;
+
+	for (i = 0; i < HTTP_OPEN_CAUSES; i++) {
+		snprintf(name, sizeof(name),
+			 "backend_connections_opened{cause=\"%s\"}",
+			 http_open_cause_name((enum http_open_cause)i));
+		set_counter(g, name, s->opened[i]);
+	}
+	for (i = 0; i < HTTP_CLOSE_CAUSES; i++) {
+		snprintf(name, sizeof(name),
+			 "backend_connections_closed{cause=\"%s\"}",
+			 http_close_cause_name((enum http_close_cause)i));
+		set_counter(g, name, s->closed[i]);
+	}
+	set_counter(g, "backend_connects_refused", s->opens_refused);
+	set_counter(g, "backend_answers_late", s->late_responses);
+}
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -105,6 +105,16 @@
 	  "BILBERRYHINGE_ANSWER_MEMORY_MB", FIELD(answer_memory), "48", 4,
 	  65536, 1 << 20, "MB",
 	  "Largest memory for answers that are being received or sent" },
+	{ 'I', SETTING_DURATION, "backend-idle-seconds",
+	  "BILBERRYHINGE_BACKEND_IDLE_SECONDS", FIELD(backend_idle_us), "5", 1,
+	  300, BASE_SECOND_US, "SECONDS",
+	  "Time after which an idle connection to the backend server is not "
+	  "used again, where the server announces none" },
+	{ 'C', SETTING_NUMBER, "backend-connect-rate",
+	  "BILBERRYHINGE_BACKEND_CONNECT_RATE", FIELD(backend_connect_rate),
+	  "0", 0, 10000, 1, "COUNT",
+	  "New connections a second to a backend server that refuses or resets "
+	  "them; 0 for no limit" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
--- /dev/null
+++ b/packages/http/client_linger.c
@@ -0,0 +1,74 @@
+/* Calls that have ended for their user while their response is still due. */
+#include "client_linger.h"
+
+/*
+ * A call that is cancelled this shortly before its deadline is not worth a
+ * connection: the server stops the work at the deadline by itself.
+ */
+#define CANCEL_MARGIN_US (20 * BASE_MS_US)
+/*
+ * A server that ignores deadlines, or does not respond at all, would go on with
+ * the work for as long as its connection lingers. So calls linger on credit,
+ * which late responses and time restore.
+ */
+#define CREDIT_MAX 32
+#define CREDIT_START 16
+#define CREDIT_PER_RESPONSE 2
+#define CREDIT_INTERVAL_US BASE_SECOND_US
+
+static void add_credit(struct linger_credit *l, int64_t n)
+{
+	l->credit = n < CREDIT_MAX - l->credit ? l->credit + n : CREDIT_MAX;
+}
+
+static bool has_credit(struct linger_credit *l, int64_t now)
+{
+	int64_t intervals = (now - l->restored_at) / CREDIT_INTERVAL_US;
+
+	if (!l->restored_at) {
+		l->restored_at = now;
+		l->credit = CREDIT_START;
+	} else if (intervals > 0) {
+		add_credit(l, intervals);
+		l->restored_at += intervals * CREDIT_INTERVAL_US;
+	}
+	return l->credit > 0;
+}
+
+bool client_is_lingering(const struct http_call *call)
+{
+	return !call->cb;
+}
+
+bool client_may_linger(const struct http_call *call, int64_t now)
+{
+	struct http_client *client = call->client;
+	const struct connection *c = call->connection;
+
+	return client->linger_us > 0 && !client_is_lingering(call) &&
+	       call->deadline && now >= call->deadline - CANCEL_MARGIN_US &&
+	       has_credit(&client->linger_credit, now) && c->connected &&
+	       !c->message_bytes && !c->unrelated_bytes && !c->stray_seen &&
+	       !evbuffer_get_length(bufferevent_get_input(c->bev)) &&
+	       !evbuffer_get_length(bufferevent_get_output(c->bev));
+}
+
+void client_start_linger(struct http_call *call, int64_t now)
+{
+	int64_t us = call->client->linger_us;
+	struct timeval tv;
+
+	if (call->deadline > now)
+		us += call->deadline - now;
+	tv = (struct timeval){ .tv_sec = us / BASE_SECOND_US,
+			       .tv_usec = us % BASE_SECOND_US };
+	call->cb = NULL;
+	call->client->linger_credit.credit--;
+	evtimer_add(call->timer, &tv);
+}
+
+void client_linger_answered(struct http_client *client)
+{
+	client->statistics.late_responses++;
+	add_credit(&client->linger_credit, CREDIT_PER_RESPONSE);
+}
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -250,6 +250,59 @@
  */
 typedef void (*http_stray_cb)(void *ctx, int status);
 
+/** Why a client opened a connection. */
+enum http_open_cause {
+	/** No connection was idle. */
+	HTTP_OPEN_NONE_IDLE,
+	/** The same request has failed on each idle connection. */
+	HTTP_OPEN_FAILED_ID,
+	/** The request asked for it. */
+	HTTP_OPEN_FRESH,
+	HTTP_OPEN_CAUSES,
+};
+
+/** Why a connection of a client was closed. */
+enum http_close_cause {
+	/** The response said so, or did not allow reuse. */
+	HTTP_CLOSE_ANNOUNCED,
+	/** It was idle for too long to be used again. */
+	HTTP_CLOSE_IDLE_EXPIRED,
+	/** The server closed it while it was idle. */
+	HTTP_CLOSE_IDLE_BY_SERVER,
+	/** A response came that answers no open request, or may not. */
+	HTTP_CLOSE_STRAY,
+	/** It cannot remember the ids of more failed requests. */
+	HTTP_CLOSE_MANY_FAILURES,
+	/** Bytes followed the response, or the request was not sent whole. */
+	HTTP_CLOSE_UNREAD_OR_UNSENT,
+	/** The call was cancelled while the request ran. */
+	HTTP_CLOSE_CANCELLED,
+	/** No response came in time. */
+	HTTP_CLOSE_TIMED_OUT,
+	/** It was refused, or not established in time. */
+	HTTP_CLOSE_CONNECT_FAILED,
+	/** It was lost during a call. */
+	HTTP_CLOSE_LOST,
+	/** The response was not valid or too large. */
+	HTTP_CLOSE_INVALID,
+	HTTP_CLOSE_CLIENT_DESTROYED,
+	HTTP_CLOSE_CAUSES,
+};
+
+/** Counts since the client was created. */
+struct http_client_statistics {
+	int64_t opened[HTTP_OPEN_CAUSES];
+	int64_t closed[HTTP_CLOSE_CAUSES];
+	/** Calls not made, see troubled_connects_per_s. */
+	int64_t opens_refused;
+	/** Responses after the end of their call, see linger_us. */
+	int64_t late_responses;
+};
+
+/** Names for counters, for example "none_idle". */
+const char *http_open_cause_name(enum http_open_cause cause);
+const char *http_close_cause_name(enum http_close_cause cause);
+
 struct http_client_settings {
 	struct base_str address;
 	/** Limit of connections, those in use and idle ones together. */
@@ -266,6 +319,24 @@
 	 * value was answered with a status of 400 or above.
 	 */
 	struct base_str echo_header;
+	/**
+	 * Time after which an idle connection is not used again, where the
+	 * server announces none; 0 for the default of 5 s.
+	 */
+	int64_t idle_us;
+	/**
+	 * Time for which a call that has timed out, or was cancelled shortly
+	 * before that, keeps its connection for the response; the connection
+	 * is used again if it comes. 0 closes the connection at once.
+	 */
+	int64_t linger_us;
+	/**
+	 * Limit of new connections a second while the server refuses them or
+	 * resets them before their first response; 0 for none. Each new one
+	 * that works allows two more. Beyond it, http_client_send() returns
+	 * NULL.
+	 */
+	int64_t troubled_connects_per_s;
 	/**
 	 * Limit of the bytes held for all responses that are being received; 0
 	 * for none. From half of it on, only the oldest such call and those
@@ -308,9 +379,16 @@
 				   const struct http_request *request,
 				   int64_t timeout_us, http_call_cb cb,
 				   void *ctx);
-/** Cancels the call without a callback and closes its connection. */
+/**
+ * Cancels the call without a callback and closes its connection, so that the
+ * server stops the work. The connection is kept when it is not established yet,
+ * and for linger_us when the call is about to time out.
+ */
 void http_call_cancel(struct http_call *call);
 size_t http_client_connection_count(const struct http_client *client);
+/** The client owns the result, which changes with its events. */
+const struct http_client_statistics *
+http_client_statistics(const struct http_client *client);
 /** Memory of the responses that are being received, in bytes. */
 size_t http_client_held_bytes(const struct http_client *client);
 
