--- a/packages/http/client_linger.c
+++ b/packages/http/client_linger.c
@@ -9,16 +9,19 @@
 /*
  * A server that ignores deadlines, or does not respond at all, would go on with
  * the work for as long as its connection lingers. So calls linger on credit,
- * which late responses and time restore.
+ * which late responses restore, and time up to CREDIT_START. The maximum allows
+ * for many calls that time out together.
  */
-#define CREDIT_MAX 32
 #define CREDIT_START 16
+#define CREDIT_MAX 64
 #define CREDIT_PER_RESPONSE 2
 #define CREDIT_INTERVAL_US BASE_SECOND_US
 
-static void add_credit(struct linger_credit *l, int64_t n)
+static void add_credit(struct linger_credit *l, int64_t n, int64_t max)
 {
-	l->credit = n < CREDIT_MAX - l->credit ? l->credit + n : CREDIT_MAX;
+	if (l->credit >= max)
+		return;
+	l->credit = n < max - l->credit ? l->credit + n : max;
 }
 
 static bool has_credit(struct linger_credit *l, int64_t now)
@@ -29,7 +32,7 @@
 		l->restored_at = now;
 		l->credit = CREDIT_START;
 	} else if (intervals > 0) {
-		add_credit(l, intervals);
+		add_credit(l, intervals, CREDIT_START);
 		l->restored_at += intervals * CREDIT_INTERVAL_US;
 	}
 	return l->credit > 0;
@@ -70,5 +73,5 @@
 void client_linger_answered(struct http_client *client)
 {
 	client->statistics.late_responses++;
-	add_credit(&client->linger_credit, CREDIT_PER_RESPONSE);
+	add_credit(&client->linger_credit, CREDIT_PER_RESPONSE, CREDIT_MAX);
 }
