--- a/packages/overload/queue.h
+++ b/packages/overload/queue.h
@@ -7,16 +7,7 @@
 
 #include "overload.h"
 
-/*
- * Classes are numbered by priority: first the levels of non-idempotent work,
- * then the levels of idempotent work. Each level has two classes: the calls of
- * backend servers, then other work.
- */
-#define OVERLOAD_CLASSES_PER_LEVEL 2
-#define OVERLOAD_FIRST_CLASS 0
-#define OVERLOAD_FIRST_IDEMPOTENT_CLASS \
-	(OVERLOAD_CLASSES_PER_LEVEL * OVERLOAD_LEVELS)
-
+@@Q@@
 struct overload_queue;
 
 struct overload_queue *overload_queue_create(void);
@@ -26,9 +17,7 @@
 			 const struct overload_work *work, int64_t now);
 /**
  * Removes the next work to start: non-idempotent before idempotent work, then
- * by level, then calls of backend servers before other work, then by start-time
- * fair queuing between accounts, then in order of arrival.
- * @return false when the queue is empty
+@@P@@ * @return false when the queue is empty
  */
 bool overload_queue_pop(struct overload_queue *queue, int64_t now,
 			struct overload_work *work);
