Keep calls of servers and new requests in one class; leave refusals out

Cause: with calls of backend servers before new requests of their level, requests that need one call of a scarce service waited behind those that need eight. And a request that a server refused unrun lowered the share of its route, although no work was wasted.

Change: the ordering and its field in the context are taken out again.

--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -460,8 +460,6 @@
 			.caller_service =
 				base_str_from(f->node->settings->service),
 			.idempotent = f->route->idempotent,
-			.onward = f->onward &&
-				  f->node->settings->graph_admission,
 		},
 	};
 }
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -106,7 +106,6 @@
 	w->idempotent =
 		c->service.len ? c->idempotent : route && route->idempotent;
 	work.idempotent = w->idempotent;
-	work.onward = c->onward && node->settings->graph_admission;
 	overload_guard_offer(w->guard->overload, &work, now);
 }
 
--- a/packages/overload/graph.c
+++ b/packages/overload/graph.c
@@ -442,6 +442,12 @@
 	struct overload_graph_class *c = find_or_add_class(graph, request, now);
 
 	c->ends[end->outcome]++;
+	/*
+	 * A refused request has run nowhere and wasted no work. The throttle
+	 * decides by the cutoffs whether such requests are begun.
+	 */
+	if (end->outcome == OVERLOAD_GRAPH_REFUSED)
+		return;
 	c->success += SUCCESS_GAIN *
 		      ((end->outcome == OVERLOAD_GRAPH_OK) - c->success);
 	if (end->outcome == OVERLOAD_GRAPH_OK)
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -239,10 +239,9 @@
 	overload_queue_push(guard->queue, work, now);
 	/*
 	 * Work at a level that is shed entirely is a probe, which must not
-	 * wait: it would occupy slots of all services upstream of this one. A
-	 * call of a backend server is no probe, as work was done for it before.
+	 * wait: it would occupy slots of all services upstream of this one.
 	 */
-	if (work->idempotent && !work->onward &&
+	if (work->idempotent &&
 	    work->level >= overload_cutoff_first_shed_level(&guard->cutoff))
 		push_work_id(&guard->probes, work->id);
 }
@@ -412,8 +411,7 @@
 	else if (queued <= limit / SHED_QUEUE_DIVISOR)
 		return false;
 	else if (queued <= overload_cutoff_queue_bound(&guard->cutoff, limit))
-		first += OVERLOAD_CLASSES_PER_LEVEL *
-			 overload_cutoff_first_shed_level(&guard->cutoff);
+		first += overload_cutoff_first_shed_level(&guard->cutoff);
 	if (!overload_queue_shed(guard->queue, first, !full, guard->now, &work))
 		return false;
 	set_drop(guard, work.id, OVERLOAD_REASON_OVERLOADED, action);
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -235,11 +235,6 @@
 	/** Priority level; 0 is the highest. */
 	uint8_t level;
 	bool idempotent;
-	/**
-	 * A call made by a backend server for a request that is running. It
-	 * starts before other work of its level and kind, and is shed after it.
-	 */
-	bool onward;
 	/** Index of the client account and its weight (at least 1). */
 	uint32_t account;
 	uint32_t weight;
--- a/packages/overload/queue.c
+++ b/packages/overload/queue.c
@@ -10,7 +10,7 @@
  * The non-idempotent levels precede the idempotent ones, so that idempotent
  * work never starts before non-idempotent work.
  */
-#define CLASS_COUNT (2 * OVERLOAD_FIRST_IDEMPOTENT_CLASS)
+#define CLASS_COUNT (2 * OVERLOAD_LEVELS)
 
 struct item {
 	struct overload_work work;
@@ -94,12 +94,10 @@
 static struct class *class_for(struct overload_queue *queue,
 			       const struct overload_work *work)
 {
-	size_t class = work->idempotent ? OVERLOAD_FIRST_IDEMPOTENT_CLASS
-					: OVERLOAD_FIRST_CLASS;
+	size_t offset = work->idempotent ? OVERLOAD_LEVELS : 0;
 
 	assert(work->level < OVERLOAD_LEVELS);
-	class += (size_t)work->level * OVERLOAD_CLASSES_PER_LEVEL;
-	return &queue->classes[class + !work->onward];
+	return &queue->classes[offset + work->level];
 }
 
 static struct flow *find_or_add_flow(struct class *class,
--- a/packages/overload/queue.h
+++ b/packages/overload/queue.h
@@ -7,7 +7,13 @@
 
 #include "overload.h"
 
-@@Q@@
+/*
+ * Classes are numbered by priority: first the levels of non-idempotent work,
+ * then the levels of idempotent work.
+ */
+#define OVERLOAD_FIRST_CLASS 0
+#define OVERLOAD_FIRST_IDEMPOTENT_CLASS OVERLOAD_LEVELS
+
 struct overload_queue;
 
 struct overload_queue *overload_queue_create(void);
@@ -17,7 +23,9 @@
 			 const struct overload_work *work, int64_t now);
 /**
  * Removes the next work to start: non-idempotent before idempotent work, then
-@@P@@ * @return false when the queue is empty
+ * by level, then by start-time fair queuing between accounts, then in order of
+ * arrival.
+ * @return false when the queue is empty
  */
 bool overload_queue_pop(struct overload_queue *queue, int64_t now,
 			struct overload_work *work);
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -51,7 +51,6 @@
 	NAME(peer_context, service),
 	NAME(peer_context, caller_service),
 	BOOL(peer_context, idempotent),
-	BOOL(peer_context, onward),
 };
 #define CONTEXT_REQUIRED_FIELDS 9
 static const struct layout context =
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -179,8 +179,6 @@
 	struct base_str caller_service;
 	/** The entry has decided that the request may run more than once. */
 	bool idempotent;
-	/** A call made by a backend server for a request that is running. */
-	bool onward;
 };
 
 /** First message of each connection. */
