--- a/packages/http/tests/test_pipelining.c
+++ b/packages/http/tests/test_pipelining.c
@@ -458,6 +458,26 @@
 	teardown(&f);
 }
 
+/* Guards against a stalled request that has no time limit behind a slow one. */
+Test(pipelining, times_out_a_stalled_request_in_its_place)
+{
+	static const char *const parts[] = { "/a", "408 Request Timeout" };
+	struct http_server_limits limits = {
+		.header_timeout_us = 50 * BASE_MS_US,
+	};
+	struct fixture f;
+
+	setup(&f);
+	http_server_set_limits(f.server, &limits);
+	send_text(&f, GET("/a") "GET /b");
+	settle(&f, 600 * BASE_MS_US);
+	cr_assert(eq(sz, f.len, 0));
+	reply(&f, 0);
+	settle(&f, SETTLE_US);
+	expect_order(&f, parts, 2);
+	teardown(&f);
+}
+
 /* Guards against a body that is cut or mixed up as it is moved. */
 Test(pipelining, passes_large_bodies_whole)
 {
