--- a/packages/http/pipeline.h
+++ b/packages/http/pipeline.h
@@ -33,14 +33,14 @@
 	/** The pipeline that the slot is in, or NULL. */
 	struct http_pipeline *pipeline;
 	void *owner;
-	/** A response was kept; the request is not in work any more. */
-	bool answered;
 	/** The response while it waits for an earlier one, or NULL. */
 	struct evbuffer *response;
 	/** Bytes of the response before the end of its head. */
 	size_t head_len;
 	/** Others may run beside the request. */
 	bool parallel;
+	/** A response was kept; the request is not in work any more. */
+	bool answered;
 };
 
 struct http_pipeline {
