--- a/packages/overload/graph.c
+++ b/packages/overload/graph.c
@@ -5,13 +5,14 @@
 #include <math.h>
 
 /*
- * Log-likelihood ratios of one end between a success share of 0.5 and one of
- * 0.95. The sum drifts upwards when less than 0.78 end well. An entry sees
+ * The sum of these over the ends of a class drifts upwards when less than 0.87
+ * end well: a request of eight calls fails as often when one call in 60 does,
+ * and has done most of its work by then. An entry sees
  * about ten requests of a route per second, too few for a measured share, while
  * four bad ends in a row exceed the threshold.
  */
-#define SCORE_BAD 2.3
-#define SCORE_GOOD (-0.64)
+#define SCORE_BAD 2.0
+#define SCORE_GOOD (-0.3)
 #define SCORE_THRESHOLD 8.0
 /*
  * Weight of a bad end at the server of the previous bad end: a single bad
@@ -78,6 +79,8 @@
 /* Time between two computations of the demands while nothing is refused. */
 #define SHARES_INTERVAL_US (20 * BASE_MS_US)
 #define RETRY_AFTER_US (300 * BASE_MS_US)
+/* The fewer requests are begun, the later a caller is asked to return. */
+#define RETRY_AFTER_SHARE_MIN 0.1
 #define REPORT_INTERVAL_US BASE_SECOND_US
 #define REPORT_MIN_CHANGE 0.2
 
@@ -485,7 +488,8 @@
 static int64_t retry_after_us(struct overload_graph *graph,
 			      const struct overload_graph_class *c)
 {
-	double share = c->share > 0.3 ? c->share : 0.3;
+	double share = c->share > RETRY_AFTER_SHARE_MIN ? c->share
+							: RETRY_AFTER_SHARE_MIN;
 
 	return (int64_t)(RETRY_AFTER_US / share * jitter(graph, 0.5));
 }
