--- a/packages/overload/graph.c
+++ b/packages/overload/graph.c
@@ -7,9 +7,9 @@
 /*
  * The sum of these over the ends of a class drifts upwards when less than 0.87
  * end well: a request of eight calls fails as often when one call in 60 does,
- * and has done most of its work by then. An entry sees
- * about ten requests of a route per second, too few for a measured share, while
- * four bad ends in a row exceed the threshold.
+ * and has done most of its work by then. An entry sees about ten requests of a
+ * route per second, too few for a measured share, while five bad ends in a row
+ * exceed the threshold.
  */
 #define SCORE_BAD 2.0
 #define SCORE_GOOD (-0.3)
