--- a/tests/deadline_server.pl
+++ b/tests/deadline_server.pl
@@ -4,8 +4,11 @@
 #
 #     /late/     504, 5 ms after the deadline of the request
 #     /refused/  503 with X-Not-Executed
+#     /deaf/     none; it runs until its connection is closed
 #
-# Others get 200 at once. Prints a line for each connection that it accepts.
+# Others get 200 at once. Idle connections stay open for 30 s. Prints a line for
+# each connection that it accepts, and how many requests without an answer run at
+# once.
 use strict;
 use warnings;
 use IO::Select;
@@ -16,7 +19,7 @@
 my $server = IO::Socket::INET->new(LocalAddr => $listen, Listen => 512,
 	ReuseAddr => 1) or die "cannot listen on $listen";
 my $read = IO::Select->new($server);
-my (%in, @due);
+my (%in, %deaf, @due);
 $| = 1;
 $SIG{PIPE} = 'IGNORE';
 
@@ -24,7 +27,8 @@
 	my ($s, $status, $headers) = @_;
 	return unless defined $in{$s};
 	syswrite($s, "HTTP/1.1 $status X\r\nX-Server-Seal: $id\r\n"
-		. "X-Instance-Id: $id\r\n${headers}Content-Length: 0\r\n\r\n");
+		. "X-Instance-Id: $id\r\nKeep-Alive: timeout=30\r\n"
+		. "${headers}Content-Length: 0\r\n\r\n");
 }
 sub take {
 	my ($s) = @_;
@@ -37,12 +41,16 @@
 			push @due, [time + ($ms + 5) / 1000, $s, $request];
 		} elsif ($path =~ m{/refused/}) {
 			answer($s, 503, "${request}X-Not-Executed: 1\r\n");
+		} elsif ($path =~ m{/deaf/}) {
+			$deaf{$s} = 1;
+			print 'running ', scalar keys %deaf, "\n";
 		} else {
 			answer($s, 200, $request);
 		}
 	}
 }
 while (1) {
+	my @readable;
 	for my $s ($read->can_read(0.002)) {
 		if ($s == $server) {
 			my $c = $server->accept or next;
@@ -51,16 +59,17 @@
 			$read->add($c);
 			next;
 		}
-		my $n = sysread($s, my $part, 65536);
-		if (!$n) {
-			$read->remove($s);
-			delete $in{$s};
-			close $s;
+		if (sysread($s, my $part, 65536)) {
+			$in{$s} .= $part;
+			push @readable, $s;
 			next;
 		}
-		$in{$s} .= $part;
-		take($s);
+		$read->remove($s);
+		delete $_->{$s} for \%in, \%deaf;
+		close $s;
 	}
+	# Closed connections count no more when the next request is counted.
+	take($_) for @readable;
 	my $now = time;
 	answer($_->[1], 504, $_->[2]) for grep { $_->[0] <= $now } @due;
 	@due = grep { $_->[0] > $now } @due;
