Bound the memory and connections of unfinished requests

Cause: all that callers sent was kept until the request was complete or 30 s had passed; a refused body stayed until its connection was freed; idle connections kept all others out. On the interface for onward calls the same held with up to 8,192 connections.

One budget (--request-memory-mb, 32 MB) now counts input buffers, parsed headers and bodies of all callers and onward calls, and the copies that the guard holds. From half of it on, large requests are read one at a time and stalled ones are refused with 408; above it, the largest of the source that holds most is refused with 503 and Retry-After. A request that was passed on is never dropped. A body of which nothing arrives for 10 s is refused with 408. A new connection takes the place of a refused, stalled or idle one. Sockets are closed before others are accepted: libevent closed them in its next turn, which led to 452 descriptors with 256 connections. The body is moved to the handler and not copied.

--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -117,6 +117,8 @@
 	set_gauge(node, "open_requests",
 		  (int64_t)entry_open_flow_count(node->entry));
 	set_gauge(node, "platform_up", node->platform_up);
+	set_gauge(node, "request_memory_bytes",
+		  (int64_t)http_request_budget_bytes(node->request_budget));
 }
 
 static void on_request(void *ctx, struct http_exchange *ex)
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -10,6 +10,7 @@
 #include "onward.h"
 #include "quarantine.h"
 #include "rate_limiter.h"
+#include "request_memory.h"
 #include "roster.h"
 #include "seeds.h"
 #include "spans.h"
@@ -379,7 +380,8 @@
 		.listen = base_str_from(s->caller_listen),
 		.max_body = (size_t)s->max_body,
 		.max_head_bytes = CALLER_MAX_HEADER_BYTES,
-		.max_connections = (size_t)s->max_connections,
+		.max_connections = request_memory_max_connections(node),
+		.budget = node->request_budget,
 		.idle_timeout_us = CALLER_IDLE_TIMEOUT_US,
 		.handler = on_caller_request,
 		.on_stalled_reader = on_stalled_caller,
@@ -435,6 +437,7 @@
 	node->started_at = now;
 	node->last_loop_run_at = now;
 	node->resume_event = event_new(node->base, -1, 0, on_resume, node);
+	node->request_budget = request_memory_create(node);
 	node->roster = roster_create();
 	node->routing = routing_table_create(node->incarnation, NULL);
 	node->throttle = overload_throttle_create(1, node->incarnation);
@@ -575,6 +578,7 @@
 	admin_destroy(node->admin);
 	onward_destroy(node->onward);
 	http_server_destroy(node->callers);
+	http_request_budget_destroy(node->request_budget);
 	peer_transport_destroy(node->transport);
 	free_event(daemon->inbox_event);
 	free_event(daemon->sigterm);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -60,9 +60,11 @@
 	int64_t drain_us;
 	/** Limit of the bytes held for all answers together. */
 	int64_t answer_memory;
+	/** Limit of the bytes held for all requests together. */
+	int64_t request_memory;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
-	/** Largest number of concurrent caller connections. */
+	/** Largest number of concurrent connections that send requests. */
 	int64_t max_connections;
 	/** Largest request and answer body, in bytes. */
 	int64_t max_body;
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -4,6 +4,9 @@
 #include "drain.h"
 #include "membership.h"
 
+/* Requests up to this size are taken while memory for requests is short. */
+#define SMALL_REQUEST_BYTES (16U << 10)
+
 static void schedule_timer(struct guard *g, int64_t now)
 {
 	int64_t at = overload_guard_next_timer_at(g->overload);
@@ -79,10 +82,23 @@
 
 	if (peer_message_encode(&msg, &w->encoded, NULL) != PEER_OK)
 		return false;
+	w->counted_bytes = w->encoded.cap;
+	http_request_budget_add(w->guard->node->request_budget,
+				w->counted_bytes);
 	return peer_message_decode(base_buf_str(&w->encoded), &w->msg, NULL) ==
 	       PEER_OK;
 }
 
+/*
+ * Small requests are accepted in any case; the guard's queue bounds their
+ * number.
+ */
+static bool lacks_memory(const struct guard_work *w)
+{
+	return w->counted_bytes > SMALL_REQUEST_BYTES &&
+	       !http_request_budget_has_room(w->guard->node->request_budget, 0);
+}
+
 static void queue_work(struct guard_work *w, int64_t now)
 {
 	struct node *node = w->guard->node;
@@ -130,6 +146,13 @@
 		guard_work_fail_not_run(w, HTTP_REFUSAL_BAD_REQUEST, 0, now);
 		return NULL;
 	}
+	/* A local request is held by its caller's connection already. */
+	if (w->cb == guard_work_answer_remote && lacks_memory(w)) {
+		node_counter_add(guard->node, "guard_refused_memory");
+		guard_work_fail_not_run(w, HTTP_REFUSAL_OVERLOADED,
+					BASE_SECOND_US, now);
+		return NULL;
+	}
 	if (http_trace_parse(request->context.traceparent, &parent))
 		http_trace_child(&parent, &w->trace);
 	else
--- a/packages/daemon/guard_answer.c
+++ b/packages/daemon/guard_answer.c
@@ -17,6 +17,7 @@
 		HASH_DELETE(hh_token, g->work_items_by_token, w);
 	if (w->end_cb)
 		w->end_cb(w->end_ctx, w);
+	http_request_budget_subtract(g->node->request_budget, w->counted_bytes);
 	peer_message_release(&w->msg);
 	base_buf_release(&w->encoded);
 	free(w);
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -18,6 +18,8 @@
 	struct guard *guard;
 	/** Copy of the submitted request, in the encoding of the peer links. */
 	struct base_buf encoded;
+	/** Bytes of @p encoded that are counted in the request budget. */
+	size_t counted_bytes;
 	/** Decoded from @p encoded; its views point there. */
 	struct peer_message msg;
 	int64_t deadline;
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -72,6 +72,8 @@
 	struct overload_throttle *throttle;
 	struct retry_budget budget;
 
+	/** Of callers, the onward interface and the guard. */
+	struct http_request_budget *request_budget;
 	struct http_server *callers;
 	struct membership *membership;
 	struct seeds *seeds;
@@ -85,6 +87,9 @@
 	struct spans *spans;
 	struct admin *admin;
 
+	/** When a drop of each cause (enum http_request_drop) was logged. */
+	int64_t drop_logged_at[3];
+
 	/** Last refused configuration and last conflict, for /status. */
 	struct base_buf last_refused;
 	struct base_buf last_conflict;
--- a/packages/daemon/onward.c
+++ b/packages/daemon/onward.c
@@ -1,9 +1,9 @@
 /* HTTP interface for the onward calls of the local backend server. */
 #include "onward.h"
 #include "entry.h"
+#include "request_memory.h"
 
 #define MAX_HEADER_BYTES (64 << 10)
-#define MAX_CONNECTIONS 8192
 #define IDLE_TIMEOUT_US (120 * BASE_SECOND_US)
 
 struct onward {
@@ -57,7 +57,8 @@
 		.listen = base_str_from(node->settings->onward_listen),
 		.max_body = (size_t)node->settings->max_body,
 		.max_head_bytes = MAX_HEADER_BYTES,
-		.max_connections = MAX_CONNECTIONS,
+		.max_connections = request_memory_max_connections(node),
+		.budget = node->request_budget,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.handler = on_request,
 		.on_invalid_response = on_invalid_response,
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -97,7 +97,7 @@
 	{ 'm', SETTING_NUMBER, "max-connections",
 	  "BILBERRYHINGE_MAX_CONNECTIONS", FIELD(max_connections), "4096", 1,
 	  100000, 1, "COUNT",
-	  "Largest number of concurrent caller connections" },
+	  "Largest number of concurrent connections that send requests" },
 	{ 'B', SETTING_NUMBER, "max-body", "BILBERRYHINGE_MAX_BODY",
 	  FIELD(max_body), "1048576", 1024, PEER_BODY_MAX_BYTES, 1, "BYTES",
 	  "Largest request or answer body" },
@@ -105,6 +105,10 @@
 	  "BILBERRYHINGE_ANSWER_MEMORY_MB", FIELD(answer_memory), "48", 4,
 	  65536, 1 << 20, "MB",
 	  "Largest memory for answers that are being received or sent" },
+	{ 'R', SETTING_NUMBER, "request-memory-mb",
+	  "BILBERRYHINGE_REQUEST_MEMORY_MB", FIELD(request_memory), "32", 4,
+	  65536, 1 << 20, "MB",
+	  "Largest memory for requests that are being received or held" },
 };
 
 #define SETTING_COUNT BASE_ARRAY_SIZE(settings_table)
--- a/packages/http/http.h
+++ b/packages/http/http.h
@@ -124,6 +124,50 @@
  */
 typedef void (*http_server_invalid_cb)(void *ctx, int status);
 
+/** Memory for the requests of several servers, until they are answered. */
+struct http_request_budget;
+
+/** Why a request or connection was dropped before it was passed on. */
+enum http_request_drop {
+	/** The request had stalled while memory was short; status 408. */
+	HTTP_REQUEST_DROP_STALLED,
+	/** Memory was short; status 503. */
+	HTTP_REQUEST_DROP_MEMORY,
+	/** The connection was closed to take another one. */
+	HTTP_REQUEST_DROP_CONNECTION,
+};
+
+/** @param bytes  memory that the request held */
+typedef void (*http_request_dropped_cb)(void *ctx, enum http_request_drop cause,
+					size_t bytes);
+
+struct http_request_budget_settings {
+	/**
+	 * Limit of the bytes held for all requests. From half of it on, large
+	 * requests are read one at a time and stalled ones are dropped.
+	 */
+	size_t max_bytes;
+	/** Limit of the connections of all servers; 0 for none. */
+	size_t max_connections;
+	/** May be NULL. */
+	http_request_dropped_cb on_dropped;
+	void *ctx;
+};
+
+struct http_request_budget *
+http_request_budget_create(struct event_base *base,
+			   const struct http_request_budget_settings *settings);
+/** The servers that use the budget must have been destroyed. */
+void http_request_budget_destroy(struct http_request_budget *budget);
+size_t http_request_budget_bytes(const struct http_request_budget *budget);
+/** Whether a request of so many bytes may be taken from elsewhere. */
+bool http_request_budget_has_room(const struct http_request_budget *budget,
+				  size_t bytes);
+/** Counts bytes of requests that are held outside the servers. */
+void http_request_budget_add(struct http_request_budget *budget, size_t bytes);
+void http_request_budget_subtract(struct http_request_budget *budget,
+				  size_t bytes);
+
 struct http_server_settings {
 	struct base_str listen;
 	/** Limit of a body in bytes; larger ones are refused with 413. */
@@ -133,8 +177,13 @@
 	 * are refused with 431 and the connection is closed.
 	 */
 	size_t max_head_bytes;
-	/** Further connections are accepted and closed at once. */
+	/**
+	 * Further connections are accepted and closed at once, or, with a
+	 * budget, take the place of one that is idle or has stalled.
+	 */
 	size_t max_connections;
+	/** May be NULL; must outlive the server. */
+	struct http_request_budget *budget;
 	/**
 	 * Connections without a request, or whose caller reads nothing of a
 	 * response, for this long are closed.
@@ -176,6 +225,8 @@
 	 */
 	int64_t header_timeout_us;
 	int64_t idle_timeout_us;
+	/** Size of a body in bytes; only lowers that of the settings. */
+	size_t max_body;
 };
 
 void http_server_set_limits(struct http_server *server,
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,7 @@
 /* HTTP server over libevent's bufferevents. */
 #include "http.h"
 #include "http_message.h"
+#include "server_memory.h"
 
 #include <assert.h>
 #include <event2/bufferevent.h>
@@ -38,6 +39,7 @@
 	struct evbuffer_cb_entry *output_cb;
 	struct exchange *current;
 	struct http_message message;
+	struct server_memory memory;
 	/* When the current request began to be read, 0 between requests. */
 	int64_t request_started_at;
 	int64_t idle_since;
@@ -74,8 +76,11 @@
 	/* Bytes in the output buffers of all connections. */
 	size_t unsent_bytes;
 	size_t max_body;
+	/* Of the settings, which the limits may lower. */
+	size_t largest_max_body;
 	size_t max_head_bytes;
 	size_t max_connections;
+	struct http_request_budget *budget;
 	int64_t idle_timeout_us;
 	int64_t header_timeout_us;
 	http_server_handler handler;
@@ -98,12 +103,25 @@
 	free(ex);
 }
 
+/*
+ * bufferevent_free() closes it only when the event loop runs again; many
+ * connections may be accepted before.
+ */
+static void close_socket(struct connection *c)
+{
+	evutil_socket_t fd = bufferevent_getfd(c->bev);
+
+	bufferevent_setfd(c->bev, -1);
+	evutil_closesocket(fd);
+}
+
 static void connection_free(struct connection *c)
 {
 	struct exchange *ex = c->current;
 	http_disconnect_cb on_disconnect;
 
 	LIST_REMOVE(c, link);
+	server_memory_close(&c->memory);
 	c->server->connection_count--;
 	evbuffer_remove_cb_entry(bufferevent_get_output(c->bev), c->output_cb);
 	c->server->unsent_bytes -=
@@ -113,6 +131,7 @@
 		ex->connection = NULL;
 		c->current = NULL;
 	}
+	close_socket(c);
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
 	free(c);
@@ -129,6 +148,16 @@
 	return (struct base_str){ base_str_dup(s), s.len };
 }
 
+static struct base_str take_body(struct http_message *m)
+{
+	struct base_str body = base_buf_str(&m->body);
+
+	if (!body.ptr)
+		return copy_str(body);
+	m->body = BASE_BUF_INIT;
+	return body;
+}
+
 static void set_target(struct http_request *r, struct base_str target)
 {
 	const char *mark =
@@ -159,7 +188,7 @@
 	set_target(r, base_buf_str(&m->target));
 	r->headers = m->headers;
 	m->headers = (struct http_headers){ 0 };
-	r->body = copy_str(base_buf_str(&m->body));
+	r->body = take_body(m);
 	http_message_reset(m);
 	c->current = ex;
 	c->request_started_at = 0;
@@ -241,18 +270,21 @@
 {
 	c->closing = true;
 	c->request_started_at = 0;
+	server_memory_refused(&c->memory, base_now_us());
 	bufferevent_setwatermark(c->bev, EV_READ, 0, 0);
 	shut_down_when_written(c);
 }
 
-static void refuse(struct connection *c, enum http_refusal refusal, int status,
-		   const char *detail)
+static void refuse_with_retry_after(struct connection *c,
+				    enum http_refusal refusal, int status,
+				    const char *detail, int64_t retry_after_us)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf body = BASE_BUF_INIT;
 	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
 	struct http_refusal_details details = {
 		.refusal = refusal,
 		.not_run = true,
+		.retry_after_us = retry_after_us,
 		.detail = base_str_from(detail),
 	};
 
@@ -261,6 +293,34 @@
 	start_lingering_close(c);
 }
 
+static void refuse(struct connection *c, enum http_refusal refusal, int status,
+		   const char *detail)
+{
+	refuse_with_retry_after(c, refusal, status, detail, 0);
+}
+
+/* A server_memory_drop_cb. */
+static void drop_request(void *arg, enum server_memory_drop cause)
+{
+	struct connection *c = arg;
+
+	switch (cause) {
+	case SERVER_MEMORY_STALLED:
+		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
+		       "the request was not completed in time");
+		break;
+	case SERVER_MEMORY_SHORT:
+		refuse_with_retry_after(
+			c, HTTP_REFUSAL_OVERLOADED, 503,
+			"the memory for requests is short",
+			http_refusal_retry_after_us(HTTP_REFUSAL_OVERLOADED));
+		break;
+	case SERVER_MEMORY_CROWDED:
+		connection_free(c);
+		break;
+	}
+}
+
 static void refuse_invalid_message(struct connection *c,
 				   enum http_message_fault fault)
 {
@@ -318,7 +378,10 @@
 static void handle_request(struct connection *c)
 {
 	struct http_server *server = c->server;
-	struct exchange *ex = exchange_create(c);
+	struct exchange *ex;
+
+	server_memory_passed_on(&c->memory, base_now_us());
+	ex = exchange_create(c);
 
 	/* The handler may reply, which frees the exchange. */
 	c->in_handler = true;
@@ -371,10 +434,18 @@
 	struct evbuffer *in = bufferevent_get_input(c->bev);
 
 	while (!c->current && !c->closing && evbuffer_get_length(in)) {
+		size_t before = evbuffer_get_length(in);
+		bool complete;
+
 		if (!c->request_started_at)
 			c->request_started_at = base_now_us();
-		if (!read_request(c, in))
+		complete = read_request(c, in);
+		if (c->closing)
+			return;
+		if (!complete) {
+			server_memory_update(&c->memory, before, base_now_us());
 			return;
+		}
 		handle_request(c);
 	}
 }
@@ -447,7 +518,10 @@
 	struct connection *c;
 	int on = 1;
 
-	if (server->connection_count >= server->max_connections) {
+	if (!server_memory_accept(server->budget,
+				  server->connection_count >=
+					  server->max_connections,
+				  base_now_us())) {
 		evutil_closesocket(fd);
 		return;
 	}
@@ -458,6 +532,11 @@
 	c->bev =
 		bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	http_message_init(&c->message, HTTP_REQUEST, server->max_body);
+	c->memory.bev = c->bev;
+	c->memory.message = &c->message;
+	c->memory.drop = drop_request;
+	c->memory.connection = c;
+	server_memory_open(&c->memory, server->budget, addr, c->idle_since);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
 	c->output_cb = evbuffer_add_cb(bufferevent_get_output(c->bev),
@@ -511,6 +590,7 @@
 	write_response(c, ex, status, headers, body, keep_alive);
 	exchange_free(ex);
 	c->idle_since = base_now_us();
+	server_memory_answered(&c->memory, c->idle_since);
 	if (!keep_alive) {
 		start_lingering_close(c);
 		return;
@@ -567,7 +647,9 @@
 
 	if (c->current)
 		return;
-	if (c->request_started_at && now - c->request_started_at > limit)
+	if (c->request_started_at &&
+	    (now - c->request_started_at > limit ||
+	     server_memory_is_overdue(&c->memory, now)))
 		refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
 		       "the request was not completed in time");
 	else if (!c->request_started_at && c->idle_since &&
@@ -592,6 +674,7 @@
 		}
 		c = next;
 	}
+	server_memory_check(server->budget, now);
 }
 
 static enum http_error bind_socket(struct http_server *server,
@@ -610,6 +693,9 @@
 		LISTEN_BACKLOG, (const struct sockaddr *)addr, (int)len);
 	if (!server->listener)
 		return HTTP_ERR_BIND;
+	if (server->budget)
+		server_memory_limit_receive_buffer(
+			evconnlistener_get_fd(server->listener));
 	if (getsockname(evconnlistener_get_fd(server->listener),
 			(struct sockaddr *)&bound, &bound_len))
 		return HTTP_ERR_BIND;
@@ -638,6 +724,8 @@
 	LIST_INIT(&server->connections);
 	server->base = base;
 	server->max_body = settings->max_body;
+	server->largest_max_body = settings->max_body;
+	server->budget = settings->budget;
 	server->max_head_bytes = settings->max_head_bytes;
 	server->max_connections = settings->max_connections;
 	server->idle_timeout_us = settings->idle_timeout_us;
@@ -668,6 +756,10 @@
 {
 	if (limits->max_head_bytes)
 		server->max_head_bytes = limits->max_head_bytes;
+	if (limits->max_body)
+		server->max_body = limits->max_body < server->largest_max_body
+					   ? limits->max_body
+					   : server->largest_max_body;
 	if (limits->header_timeout_us)
 		server->header_timeout_us = limits->header_timeout_us;
 	if (limits->idle_timeout_us)
