Bound the large requests of one account while memory is short

Cause: one account could fill the memory for requests with large bodies that were passed on, which are never dropped, and so keep out all others.

No test covers the share yet. test_http (61), test_daemon (74), test_peer (38), session_answers and session_platform pass (sanitizer build).

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -7,6 +7,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Larger bodies are bounded by account while memory is short. */
+#define SMALL_BODY_BYTES (16U << 10)
+
 /* With retry_after_us 0 the reply carries the default of the refusal. */
 static void refuse_with_retry_after(struct flow *f, enum http_refusal refusal,
 				    int64_t retry_after_us, const char *detail,
@@ -144,6 +147,32 @@
 	       node->settings->answer_memory / 2;
 }
 
+/* Bytes of the bodies of all open requests of the same account. */
+static size_t account_body_bytes(const struct flow *f)
+{
+	const struct flow *other, *next;
+	size_t sum = 0;
+
+	HASH_ITER (hh, f->entry->flows, other, next)
+		if (other->ex && other->account &&
+		    base_str_equal(other->account->name, f->account->name))
+			sum += other->ex->request.body.len;
+	return sum;
+}
+
+/*
+ * While memory for requests is short, an account may have half of it in large
+ * requests. The sum is not built for small requests.
+ */
+static bool has_account_share(const struct flow *f)
+{
+	size_t max = (size_t)f->node->settings->request_memory;
+
+	return !f->account || f->ex->request.body.len <= SMALL_BODY_BYTES ||
+	       http_request_budget_has_room(f->node->request_budget, max / 2) ||
+	       account_body_bytes(f) <= max / 2;
+}
+
 /* All failures give the same reply, so that callers cannot probe for ids. */
 static bool authenticate(struct flow *f)
 {
@@ -213,6 +242,13 @@
 		       "too many answers have not been read", now);
 		return false;
 	}
+	if (!has_account_share(f)) {
+		node_counter_add(f->node, "refused_account_memory");
+		refuse(f, HTTP_REFUSAL_OVERLOADED,
+		       "the client account has too many large requests open",
+		       now);
+		return false;
+	}
 	if (!can_await_answer(f, now)) {
 		refuse_with_retry_after(
 			f, HTTP_REFUSAL_DRAINING, FLOW_RESTART_RETRY_AFTER_US,
