--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -149,6 +149,7 @@
 	struct http_server_limits limits = {
 		.max_head_bytes = (size_t)l->header_bytes,
 		.header_timeout_us = l->header_timeout_us,
+		.max_body = (size_t)l->body_bytes,
 		.idle_timeout_us = l->idle_timeout_us,
 	};
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -406,6 +406,9 @@
 	const char *problem;
 	bool first = !m->headers_complete;
 
+	/* The limit may have changed since the last request. */
+	if (first)
+		m->max_body = c->server->max_body;
 	if (first && !http_message_check_head(
 			     in, m->type, c->server->max_head_bytes, &fault))
 		return false;
--- a/packages/http/tests/test_strict.c
+++ b/packages/http/tests/test_strict.c
@@ -244,6 +244,33 @@
 	teardown(&s);
 }
 
+/* Guards against a body that is received although its head is over the limit.
+ */
+Test(strict, refuses_an_announced_body_over_a_lowered_limit)
+{
+	static const char head[] = "POST / HTTP/1.1\r\nHost: a\r\n"
+				   "Content-Length: 501\r\n\r\n";
+	const struct http_server_limits limits = { .max_body = 500 };
+	struct timeval wait = { .tv_usec = 300000 };
+	struct server_fixture s;
+	char response[256] = "";
+	int fd;
+
+	setup(&s);
+	http_server_set_limits(s.server, &limits);
+	fd = test_connect(http_server_address(s.server));
+	cr_assert(gt(long, (long)write(fd, head, sizeof(head) - 1), 0L));
+	event_base_loopexit(s.base, &wait);
+	event_base_dispatch(s.base);
+	cr_assert(
+		gt(long,
+		   (long)recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT),
+		   12L));
+	cr_assert(eq(int, atoi(response + 9), 413));
+	close(fd);
+	teardown(&s);
+}
+
 /* A backend server that sends the next fixed bytes after each read. */
 struct backend {
 	struct event_base *base;
