--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* Requests up to this size are taken while memory for requests is short. */
+#define SMALL_REQUEST_BYTES (16U << 10)
+
 static void schedule_timer(struct guard *g, int64_t now)
 {
 	int64_t at = overload_guard_next_timer_at(g->overload);
@@ -80,6 +83,30 @@
 	guard_dispatch(g, base_now_us());
 }
 
+static void count_memory(struct guard_work *w)
+{
+	const struct peer_request *r = &w->request;
+	size_t i;
+
+	w->counted_bytes = r->path.len + r->body.len +
+			   r->headers.count * sizeof(struct peer_header);
+	for (i = 0; i < r->headers.count; i++)
+		w->counted_bytes += r->headers.items[i].name.len +
+				    r->headers.items[i].value.len;
+	http_request_budget_add(w->guard->node->request_budget,
+				w->counted_bytes);
+}
+
+/*
+ * Small requests are accepted in any case; the guard's queue bounds their
+ * number.
+ */
+static bool lacks_memory(const struct guard_work *w)
+{
+	return w->counted_bytes > SMALL_REQUEST_BYTES &&
+	       !http_request_budget_has_room(w->guard->node->request_budget, 0);
+}
+
 static void queue_work(struct guard_work *w, int64_t now)
 {
 	struct node *node = w->guard->node;
@@ -138,6 +165,14 @@
 		guard_work_fail_not_run(w, HTTP_REFUSAL_BAD_REQUEST, 0, now);
 		return NULL;
 	}
+	count_memory(w);
+	/* A local request is held by its caller's connection already. */
+	if (w->cb == guard_work_answer_remote && lacks_memory(w)) {
+		node_counter_add(guard->node, "guard_refused_memory");
+		guard_work_fail_not_run(w, HTTP_REFUSAL_OVERLOADED,
+					BASE_SECOND_US, now);
+		return NULL;
+	}
 	start_trace(w);
 	if (!guard->overload || !membership_ready(guard->node->membership)) {
 		guard_work_fail_not_run(w, HTTP_REFUSAL_NOT_READY,
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -19,6 +19,8 @@
 	/** Copy of the submitted request; its views point to @p memory. */
 	struct peer_request request;
 	void *memory;
+	/** Bytes of @p memory that are counted in the request budget. */
+	size_t counted_bytes;
 	int64_t deadline;
 	int64_t submitted_at;
 	guard_answer_cb cb;
--- a/packages/http/exchange.c
+++ b/packages/http/exchange.c
@@ -8,8 +8,23 @@
 #include <event2/bufferevent.h>
 #include <string.h>
 
-static void release_request(struct http_request *r)
+static void count_request(struct exchange *ex,
+			  struct http_request_budget *budget)
 {
+	ex->budget = budget;
+	if (!budget)
+		return;
+	ex->held_bytes = server_memory_request_bytes(&ex->pub.request);
+	http_request_budget_add(budget, ex->held_bytes);
+}
+
+static void release_request(struct exchange *ex)
+{
+	struct http_request *r = &ex->pub.request;
+
+	if (ex->budget)
+		http_request_budget_subtract(ex->budget, ex->held_bytes);
+	ex->budget = NULL;
 	http_headers_release(&r->headers);
 	free((char *)r->method.ptr);
 	free((char *)r->path.ptr);
@@ -21,7 +36,7 @@
 static void exchange_free(struct exchange *ex)
 {
 	http_pipeline_remove(&ex->slot);
-	release_request(&ex->pub.request);
+	release_request(ex);
 	free(ex);
 }
 
@@ -104,6 +119,8 @@
 	c->idle_since = 0;
 	c->last_request_read = !ex->keep_alive;
 	c->server->open_exchanges++;
+	count_request(ex, c->server->budget);
+	server_memory_passed_on(&c->memory, ex->pub.received_at);
 	return ex;
 }
 
@@ -122,8 +139,10 @@
 	bool keep_alive = keeps_alive(c, ex);
 
 	exchange_free(ex);
-	if (!http_pipeline_first(&c->pipeline))
+	if (!http_pipeline_first(&c->pipeline)) {
 		c->idle_since = base_now_us();
+		server_memory_answered(&c->memory, c->idle_since);
+	}
 	if (!keep_alive)
 		http_connection_linger(c);
 }
@@ -160,7 +179,7 @@
 	http_response_write_body(buf, response, ex->is_head);
 	http_pipeline_hold(&ex->slot, buf, head_len);
 	c->server->unsent_bytes += evbuffer_get_length(buf);
-	release_request(&ex->pub.request);
+	release_request(ex);
 }
 
 /* Sends the response, or keeps it until those before it were sent. */
@@ -191,6 +210,9 @@
 	struct http_refusal_details details = {
 		.refusal = refusal,
 		.not_run = true,
+		.retry_after_us = refusal == HTTP_REFUSAL_OVERLOADED
+					  ? http_refusal_retry_after_us(refusal)
+					  : 0,
 		.detail = base_str_from(detail),
 	};
 	struct exchange *ex = base_alloc(sizeof(*ex));
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -29,6 +29,18 @@
 #define LISTEN_BACKLOG 1024
 #define TIMEOUT_CHECK_INTERVAL_US (250 * BASE_MS_US)
 
+/*
+ * bufferevent_free() closes it only when the event loop runs again; many
+ * connections may be accepted before.
+ */
+static void close_socket(struct connection *c)
+{
+	evutil_socket_t fd = bufferevent_getfd(c->bev);
+
+	bufferevent_setfd(c->bev, -1);
+	evutil_closesocket(fd);
+}
+
 static void connection_free(struct connection *c)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -36,6 +48,7 @@
 	struct http_pipeline pipeline;
 
 	LIST_REMOVE(c, link);
+	server_memory_close(&c->memory);
 	c->server->connection_count--;
 	evbuffer_remove_cb_entry(out, c->output_cb);
 	evbuffer_remove_cb_entry(bufferevent_get_input(c->bev), c->input_cb);
@@ -46,6 +59,7 @@
 	TAILQ_FOREACH (slot, &pipeline.slots, link)
 		((struct exchange *)slot->owner)->connection = NULL;
 	event_free(c->closed_event);
+	close_socket(c);
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
 	free(c);
@@ -79,7 +93,8 @@
 static void update_reading(struct connection *c)
 {
 	size_t len = evbuffer_get_length(bufferevent_get_input(c->bev));
-	bool pause = !c->closing && len >= c->max_input;
+	bool pause =
+		!c->closing && (len >= c->max_input || c->memory.holder.paused);
 
 	if (pause == c->reading_paused)
 		return;
@@ -98,11 +113,38 @@
 {
 	c->closing = true;
 	c->request_started_at = 0;
+	server_memory_refused(&c->memory, base_now_us());
 	bufferevent_setwatermark(c->bev, EV_READ, 0, 0);
 	update_reading(c);
 	shut_down_when_written(c);
 }
 
+/* A server_memory_drop_cb. */
+static void drop_request(void *arg, enum server_memory_drop cause)
+{
+	struct connection *c = arg;
+
+	switch (cause) {
+	case SERVER_MEMORY_STALLED:
+		http_connection_refuse(c, HTTP_REFUSAL_BAD_REQUEST, 408,
+				       "the request was not completed in time");
+		break;
+	case SERVER_MEMORY_SHORT:
+		http_connection_refuse(c, HTTP_REFUSAL_OVERLOADED, 503,
+				       "the memory for requests is short");
+		break;
+	case SERVER_MEMORY_CROWDED:
+		connection_free(c);
+		break;
+	}
+}
+
+/* A server_memory_paused_cb. */
+static void on_memory_paused(void *arg)
+{
+	update_reading(arg);
+}
+
 static void refuse_invalid_message(struct connection *c,
 				   enum http_message_fault fault)
 {
@@ -137,6 +179,8 @@
 	enum http_message_fault fault = HTTP_MESSAGE_OK;
 	const char *problem;
 
+	/* The limit may have changed since the last request. */
+	m->max_body = c->server->max_body;
 	if (!http_message_check_head(in, m->type, c->server->max_head_bytes,
 				     &fault)) {
 		/* Empty lines between requests are the start of none. */
@@ -237,7 +281,12 @@
 /* Hands out the received requests that may run now. */
 static void process_input(struct connection *c)
 {
+	size_t received = c->received_bytes;
+
+	c->received_bytes = 0;
 	start_requests(c);
+	if (!c->closing && has_input(c))
+		server_memory_update(&c->memory, received, base_now_us());
 	update_reading(c);
 }
 
@@ -320,6 +369,7 @@
 {
 	struct connection *c = arg;
 
+	c->received_bytes += info->n_added;
 	if (info->n_added)
 		c->last_input_at = base_now_us();
 }
@@ -331,7 +381,10 @@
 	struct connection *c;
 	int on = 1;
 
-	if (server->connection_count >= server->max_connections) {
+	if (!server_memory_accept(server->budget,
+				  server->connection_count >=
+					  server->max_connections,
+				  base_now_us())) {
 		evutil_closesocket(fd);
 		return;
 	}
@@ -343,6 +396,12 @@
 		bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	http_message_init(&c->message, HTTP_REQUEST, server->max_body);
 	http_pipeline_init(&c->pipeline);
+	c->memory.bev = c->bev;
+	c->memory.message = &c->message;
+	c->memory.drop = drop_request;
+	c->memory.on_paused = on_memory_paused;
+	c->memory.connection = c;
+	server_memory_open(&c->memory, server->budget, addr, c->idle_since);
 	c->closed_event = event_new(server->base, fd, EV_CLOSED, on_closed, c);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
@@ -408,7 +467,9 @@
 				: c->server->header_timeout_us;
 
 	if (c->request_started_at) {
-		if (takes_requests(c) && now - c->request_started_at > limit)
+		if (takes_requests(c) &&
+		    (now - c->request_started_at > limit ||
+		     server_memory_is_overdue(&c->memory, now)))
 			http_connection_refuse(
 				c, HTTP_REFUSAL_BAD_REQUEST, 408,
 				"the request was not completed in time");
@@ -435,6 +496,7 @@
 		}
 		c = next;
 	}
+	server_memory_check(server->budget, now);
 }
 
 static enum http_error bind_socket(struct http_server *server,
@@ -453,6 +515,9 @@
 		LISTEN_BACKLOG, (const struct sockaddr *)addr, (int)len);
 	if (!server->listener)
 		return HTTP_ERR_BIND;
+	if (server->budget)
+		server_memory_limit_receive_buffer(
+			evconnlistener_get_fd(server->listener));
 	if (getsockname(evconnlistener_get_fd(server->listener),
 			(struct sockaddr *)&bound, &bound_len))
 		return HTTP_ERR_BIND;
@@ -481,6 +546,8 @@
 	LIST_INIT(&server->connections);
 	server->base = base;
 	server->max_body = settings->max_body;
+	server->largest_max_body = settings->max_body;
+	server->budget = settings->budget;
 	server->max_head_bytes = settings->max_head_bytes;
 	server->max_connections = settings->max_connections;
 	server->idle_timeout_us = settings->idle_timeout_us;
@@ -511,6 +578,10 @@
 {
 	if (limits->max_head_bytes)
 		server->max_head_bytes = limits->max_head_bytes;
+	if (limits->max_body)
+		server->max_body = limits->max_body < server->largest_max_body
+					   ? limits->max_body
+					   : server->largest_max_body;
 	if (limits->header_timeout_us)
 		server->header_timeout_us = limits->header_timeout_us;
 	if (limits->idle_timeout_us)
--- a/packages/http/server_internal.h
+++ b/packages/http/server_internal.h
@@ -4,6 +4,7 @@
 
 #include "http_message.h"
 #include "pipeline.h"
+#include "server_memory.h"
 
 #include <sys/queue.h>
 
@@ -24,6 +25,7 @@
 	struct http_pipeline pipeline;
 	/* The request that is being read, or that waits to be handed out. */
 	struct http_message message;
+	struct server_memory memory;
 	/*
 	 * When that request began to be read. 0 between requests, and while it
 	 * waits for earlier ones, as its caller is not late then.
@@ -38,6 +40,8 @@
 	/* Limit of the input buffer in bytes. */
 	size_t max_input;
 	size_t discarded_bytes;
+	/* Received since the input was last processed. */
+	size_t received_bytes;
 	/* Undelivered bytes when they last became fewer, and that time. */
 	size_t undelivered_bytes;
 	int64_t progress_at;
@@ -59,6 +63,9 @@
 	struct http_exchange pub;
 	struct http_pipeline_slot slot;
 	struct connection *connection;
+	/* Counts the request until it is released; NULL for none. */
+	struct http_request_budget *budget;
+	size_t held_bytes;
 	http_disconnect_cb on_disconnect;
 	void *disconnect_ctx;
 	bool replied;
@@ -79,8 +86,12 @@
 	 */
 	size_t unsent_bytes;
 	size_t max_body;
+	/* Of the settings, which the limits may lower. */
+	size_t largest_max_body;
 	size_t max_head_bytes;
 	size_t max_connections;
+	/* NULL for none. */
+	struct http_request_budget *budget;
 	int64_t idle_timeout_us;
 	int64_t header_timeout_us;
 	http_server_handler handler;
