Add the command review: check a set before it is published

Need: an operator who is about to publish a set saw its errors by check and its changes by diff, but not the entries that have no effect, such as an account without an active key or a route whose servers are all leaving or out, nor limits of which one can never be reached, such as fewer connections than slots.

Change: config_set_advise() lists these; the command review prints problems, or else the advice, and with --in-force the changes. Printing of changes moves from the command diff to print.c.

--- a/packages/cli/args.c
+++ b/packages/cli/args.c
@@ -53,6 +53,9 @@
 	case ARGS_ADMIN:
 		args->admin = arg;
 		return 0;
+	case ARGS_IN_FORCE:
+		args->in_force = arg;
+		return 0;
 	case ARGP_KEY_ARG:
 		add_operand(ctx, arg, state);
 		return 0;
--- a/packages/cli/args.h
+++ b/packages/cli/args.h
@@ -15,6 +15,7 @@
 	ARGS_ACCOUNT = 'a',
 	ARGS_NAME = 'm',
 	ARGS_ADMIN = 'd',
+	ARGS_IN_FORCE = 'f',
 };
 
 #define ARGS_JSON_OPTION                                             \
@@ -32,6 +33,8 @@
 	const char *account;
 	const char *name;
 	const char *admin;
+	/** Set that is in force; NULL when not given. */
+	const char *in_force;
 	/**
 	 * Arguments that are not options, as pointers into argv. The array is
 	 * freed by args_release().
--- a/packages/cli/command_diff.c
+++ b/packages/cli/command_diff.c
@@ -23,56 +23,6 @@
 	.max_operands = 2,
 };
 
-static const char *const change_type_names[] = {
-	[CONFIG_CHANGE_ADDED] = "added",
-	[CONFIG_CHANGE_REMOVED] = "removed",
-	[CONFIG_CHANGE_FIELD] = "changed",
-};
-
-static void print_change(const struct config_change *change)
-{
-	static const char symbols[] = {
-		[CONFIG_CHANGE_ADDED] = '+',
-		[CONFIG_CHANGE_REMOVED] = '-',
-		[CONFIG_CHANGE_FIELD] = '~',
-	};
-	BASE_CLEANUP(base_buf_release) struct base_buf line = BASE_BUF_INIT;
-
-	base_buf_addf(&line, "%c %s %s", symbols[change->type], change->kind,
-		      change->name);
-	if (change->type == CONFIG_CHANGE_FIELD)
-		base_buf_addf(&line, " %s: %s -> %s", change->field,
-			      *change->before ? change->before : "(absent)",
-			      *change->after ? change->after : "(absent)");
-	print_line(stdout, base_buf_str(&line));
-}
-
-static json_t *parse_json_value(const char *text)
-{
-	json_t *value = json_loads(text, JSON_DECODE_ANY, NULL);
-
-	return value ? value : json_null();
-}
-
-static json_t *diff_json(const struct config_diff *diff)
-{
-	json_t *list = json_array();
-	size_t i;
-
-	for (i = 0; i < diff->count; i++) {
-		const struct config_change *c = &diff->changes[i];
-
-		json_array_append_new(
-			list,
-			json_pack("{s:s, s:s, s:s, s:s, s:o, s:o}", "change",
-				  change_type_names[c->type], "kind", c->kind,
-				  "name", c->name, "field", c->field, "before",
-				  parse_json_value(c->before), "after",
-				  parse_json_value(c->after)));
-	}
-	return json_pack("{s:o}", "changes", list);
-}
-
 /* Warns because objects that cannot be read are missing in the comparison. */
 static void warn_about_problems(const struct config_set *set, const char *path,
 				const char *program)
@@ -95,7 +45,6 @@
 	BASE_CLEANUP(config_set_cleanup) struct config_set *after = NULL;
 	struct config_diff diff = CONFIG_DIFF_INIT;
 	bool differs;
-	size_t i;
 
 	args_parse(&spec, argc, argv, &args);
 	before = load_set(&args.operands[0], 1, argv[0]);
@@ -107,9 +56,10 @@
 	config_set_diff(before, after, &diff);
 	differs = diff.count > 0;
 	if (args.json)
-		print_json(diff_json(&diff));
-	for (i = 0; !args.json && i < diff.count; i++)
-		print_change(&diff.changes[i]);
+		print_json(json_pack("{s:o}", "changes",
+				     print_changes_json(&diff)));
+	else
+		print_changes(stdout, &diff);
 	config_diff_release(&diff);
 	return differs ? CLI_EXIT_NEGATIVE : CLI_EXIT_OK;
 }
--- a/packages/cli/commands.c
+++ b/packages/cli/commands.c
@@ -10,6 +10,7 @@
 	  command_render },
 	{ "diff", "list the changes between two configuration sets",
 	  command_diff },
+	{ "review", "check a set before it is published", command_review },
 	{ "explain", "show how an account's request on a route is handled",
 	  command_explain },
 	{ "key", "create a key for an account", command_key },
--- a/packages/cli/commands.h
+++ b/packages/cli/commands.h
@@ -7,6 +7,7 @@
 int command_check(int argc, char **argv);
 int command_render(int argc, char **argv);
 int command_diff(int argc, char **argv);
+int command_review(int argc, char **argv);
 int command_explain(int argc, char **argv);
 int command_key(int argc, char **argv);
 int command_status(int argc, char **argv);
--- a/packages/cli/print.c
+++ b/packages/cli/print.c
@@ -68,3 +68,61 @@
 	putchar('\n');
 	json_decref(json);
 }
+
+static const char *const change_type_names[] = {
+	[CONFIG_CHANGE_ADDED] = "added",
+	[CONFIG_CHANGE_REMOVED] = "removed",
+	[CONFIG_CHANGE_FIELD] = "changed",
+};
+
+static void print_change(FILE *file, const struct config_change *change)
+{
+	static const char symbols[] = {
+		[CONFIG_CHANGE_ADDED] = '+',
+		[CONFIG_CHANGE_REMOVED] = '-',
+		[CONFIG_CHANGE_FIELD] = '~',
+	};
+	BASE_CLEANUP(base_buf_release) struct base_buf line = BASE_BUF_INIT;
+
+	base_buf_addf(&line, "%c %s %s", symbols[change->type], change->kind,
+		      change->name);
+	if (change->type == CONFIG_CHANGE_FIELD)
+		base_buf_addf(&line, " %s: %s -> %s", change->field,
+			      *change->before ? change->before : "(absent)",
+			      *change->after ? change->after : "(absent)");
+	print_line(file, base_buf_str(&line));
+}
+
+void print_changes(FILE *file, const struct config_diff *diff)
+{
+	size_t i;
+
+	for (i = 0; i < diff->count; i++)
+		print_change(file, &diff->changes[i]);
+}
+
+static json_t *parse_json_value(const char *text)
+{
+	json_t *value = json_loads(text, JSON_DECODE_ANY, NULL);
+
+	return value ? value : json_null();
+}
+
+json_t *print_changes_json(const struct config_diff *diff)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < diff->count; i++) {
+		const struct config_change *c = &diff->changes[i];
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:s, s:s, s:s, s:o, s:o}", "change",
+				  change_type_names[c->type], "kind", c->kind,
+				  "name", c->name, "field", c->field, "before",
+				  parse_json_value(c->before), "after",
+				  parse_json_value(c->after)));
+	}
+	return list;
+}
--- a/packages/config/config.h
+++ b/packages/config/config.h
@@ -106,6 +106,14 @@
 enum config_status config_set_check(const struct config_set *set,
 				    struct config_report *report);
 
+/**
+ * Appends advice on a valid set: entries without effect, such as an account
+ * without an active key, and limits that contradict each other. None of it
+ * keeps the set from being published.
+ */
+void config_set_advise(const struct config_set *set,
+		       struct config_report *report);
+
 enum config_change_type {
 	CONFIG_CHANGE_ADDED,
 	CONFIG_CHANGE_REMOVED,
--- a/tests/session_config_cli.sh
+++ b/tests/session_config_cli.sh
@@ -47,7 +47,7 @@
 
 expect 0 check examples/lakeshore
 expect 0 check examples/zawadzki
-for command in check render diff explain key status; do
+for command in check render diff review explain key status; do
 	expect 0 --help
 	expect_text out "  $command "
 	expect 0 "$command" --help
@@ -109,6 +109,19 @@
 expect 1 diff --json examples/lakeshore "$work/changed"
 expect_text out '"after": 61'
 
+# A set that is valid but has an account that nobody can use, and a set in force
+# from which it differs, are reported before it is published.
+expect 0 review examples/lakeshore
+expect 0 review --in-force examples/lakeshore "$work/changed"
+expect_text out '~ account hill-branch rate: 60 -> 61'
+echo '{"schema": 2, "objects": [{"kind": "account", "name": "x", "rate": 5,
+  "burst": 5, "weight": 1}]}' >"$work/unused.json"
+expect 1 review examples/lakeshore "$work/unused.json"
+expect_text out 'account "x" name "x": no request matches: no active key'
+expect 1 review --json "$work/a.json" "$work/b.json"
+expect_text out '"problems": ['
+expect 2 review --in-force "$work/absent.json" examples/lakeshore
+
 expect 0 explain --route POST:/reservations --account hill-branch \
 	examples/lakeshore
 expect_text out 'route      reserve (POST /reservations)'
