--- a/packages/daemon/flow_graph.c
+++ b/packages/daemon/flow_graph.c
@@ -114,6 +114,16 @@
 	       now);
 }
 
+/* A deadline that passed while this process was paused tells of no load. */
+static void record_deadline(struct flow *f, int64_t now)
+{
+	node_detect_pause(f->node, now);
+	if (node_is_resuming(f->node))
+		f->graph_begun_at = 0;
+	else
+		record(f, OVERLOAD_GRAPH_DEADLINE, now);
+}
+
 void flow_graph_on_refusal(struct flow *f, enum http_refusal refusal,
 			   int64_t now)
 {
@@ -122,7 +132,7 @@
 	if (refusal == HTTP_REFUSAL_OVERLOADED)
 		record(f, OVERLOAD_GRAPH_REFUSED, now);
 	else if (refusal == HTTP_REFUSAL_DEADLINE)
-		record(f, OVERLOAD_GRAPH_DEADLINE, now);
+		record_deadline(f, now);
 }
 
 void flow_graph_on_caller_gone(struct flow *f, int64_t now)
--- a/packages/daemon/flow_retry.c
+++ b/packages/daemon/flow_retry.c
@@ -34,13 +34,14 @@
 /*
  * With admission control for call graphs, most of these go to onward calls, for
  * which work was done before. The repeats at the last of four hops stay the
- * same: 1.02 * 1.046^3 = 1.167, as 1.04^4 = 1.170. The caps over all daemons of
- * a service stay below those of one budget, as only the daemons of its callers
- * use the second one.
+ * same: 1.02 * 1.046^3 = 1.167, as 1.04^4 = 1.170. With up to 38 daemons of
+ * callers among 84, the caps over all daemons stay below those of one budget,
+ * as only the daemons of a service's callers use the second one.
  */
 #define FIRST_HOP_RETRY_SHARE 0.02
 #define FIRST_HOP_RETRY_CAP 1.2
 #define ONWARD_RETRY_SHARE 0.046
+#define ONWARD_RETRY_CAP 1.75
 
 /*
  * A try whose VM has become silent has seldom reached its backend server, and
@@ -65,7 +66,7 @@
 		retry_budget_init(&b->retries, FIRST_HOP_RETRY_SHARE,
 				  FIRST_HOP_RETRY_CAP);
 		retry_budget_init(&b->onward_retries, ONWARD_RETRY_SHARE,
-				  SERVICE_RETRY_CAP);
+				  ONWARD_RETRY_CAP);
 	} else {
 		retry_budget_init(&b->retries, SERVICE_RETRY_SHARE,
 				  SERVICE_RETRY_CAP);
--- a/packages/http/client_pool.c
+++ b/packages/http/client_pool.c
@@ -90,7 +90,7 @@
 	/* Compared in seconds, as the product may not fit. */
 	if (us > IDLE_REUSE_MAX_US / BASE_SECOND_US)
 		return IDLE_REUSE_MAX_US;
-	us *= BASE_SECOND_US;
+	us = us > 0 ? us * BASE_SECOND_US : 0;
 	if (margin > us / 2)
 		margin = us / 2;
 	return us - margin;
--- a/packages/http/request_budget.c
+++ b/packages/http/request_budget.c
@@ -195,9 +195,12 @@
 /* Those of a lower class are closed first; 3 and above are not closed. */
 static int closing_class(const struct request_holder *h, int64_t now)
 {
+	if (h->delivering)
+		return 3;
 	switch (h->phase) {
 	case REQUEST_CLOSING:
-		return 0;
+		/* A served caller may not have read its response yet. */
+		return h->proven ? 3 : 0;
 	case REQUEST_IDLE:
 		if (h->proven)
 			return 2;
--- a/packages/http/request_budget.h
+++ b/packages/http/request_budget.h
@@ -28,7 +28,6 @@
 /** One connection. All zero but for @p source before request_budget_add(). */
 struct request_holder {
 	TAILQ_ENTRY(request_holder) link;
-	enum request_phase phase;
 	/** Memory held for its request, in bytes. */
 	size_t bytes;
 	/** Hash of the address that the connection comes from. */
@@ -41,8 +40,11 @@
 	int64_t progress_at;
 	/** Bytes received since progress_at. */
 	size_t received_bytes;
+	enum request_phase phase;
 	/** Nothing is read from it, as memory is short. */
 	bool paused;
+	/** Part of a response waits for the caller to read. */
+	bool delivering;
 	/** A complete request has arrived on the connection. */
 	bool proven;
 };
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -9,6 +9,7 @@
 #include <netdb.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -58,7 +59,6 @@
 	c->server->open_exchanges -= pipeline.open_count;
 	TAILQ_FOREACH (slot, &pipeline.slots, link)
 		((struct exchange *)slot->owner)->connection = NULL;
-	event_free(c->closed_event);
 	close_socket(c);
 	bufferevent_free(c->bev);
 	http_message_release(&c->message);
@@ -99,13 +99,10 @@
 	if (pause == c->reading_paused)
 		return;
 	c->reading_paused = pause;
-	if (pause) {
+	if (pause)
 		bufferevent_disable(c->bev, EV_READ);
-		event_add(c->closed_event, NULL);
-	} else {
+	else
 		bufferevent_enable(c->bev, EV_READ);
-		event_del(c->closed_event);
-	}
 }
 
 /* Lets the caller read the last response before the connection is reset. */
@@ -264,6 +261,8 @@
 
 static void start_requests(struct connection *c)
 {
+	bool was_parked = c->parked;
+
 	c->parked = false;
 	while (takes_requests(c) && has_input(c)) {
 		c->parked = !may_start_next(c);
@@ -271,6 +270,9 @@
 			c->request_started_at = 0;
 			return;
 		}
+		if (was_parked)
+			server_memory_resumed(&c->memory, base_now_us());
+		was_parked = false;
 		if (c->message.complete)
 			handle_request(c);
 		else if (!read_part(c))
@@ -287,6 +289,8 @@
 	start_requests(c);
 	if (!c->closing && has_input(c))
 		server_memory_update(&c->memory, received, base_now_us());
+	else if (!c->closing)
+		server_memory_idle(&c->memory, base_now_us());
 	update_reading(c);
 }
 
@@ -346,22 +350,33 @@
 	}
 }
 
-/* Reading finds the end again if the caller still awaits a response. */
-static void on_closed(evutil_socket_t fd, short events, void *arg)
+/*
+ * Finds the end of the caller while reading is paused. An event for it would
+ * not do: libevent does not report a reset by EV_CLOSED, and is woken by it in
+ * each turn. Reading finds the end again if the caller still awaits a response.
+ * Returns true when the connection was freed.
+ */
+static bool check_paused(struct connection *c)
 {
-	struct connection *c = arg;
+	struct pollfd p = { .fd = bufferevent_getfd(c->bev),
+			    .events = POLLRDHUP };
 
-	if (!awaits_response(c))
-		connection_free(c);
+	if (!c->reading_paused || poll(&p, 1, 0) <= 0)
+		return false;
+	if (!(p.revents & (POLLERR | POLLHUP)) && awaits_response(c))
+		return false;
+	connection_free(c);
+	return true;
 }
 
 static void on_output_changed(struct evbuffer *out,
 			      const struct evbuffer_cb_info *info, void *arg)
 {
-	struct http_server *server = arg;
+	struct connection *c = arg;
 
-	server->unsent_bytes += info->n_added;
-	server->unsent_bytes -= info->n_deleted;
+	c->server->unsent_bytes += info->n_added;
+	c->server->unsent_bytes -= info->n_deleted;
+	c->memory.holder.delivering = evbuffer_get_length(out) > 0;
 }
 
 static void on_input_changed(struct evbuffer *in,
@@ -402,11 +417,10 @@
 	c->memory.on_paused = on_memory_paused;
 	c->memory.connection = c;
 	server_memory_open(&c->memory, server->budget, addr, c->idle_since);
-	c->closed_event = event_new(server->base, fd, EV_CLOSED, on_closed, c);
 	LIST_INSERT_HEAD(&server->connections, c, link);
 	server->connection_count++;
 	c->output_cb = evbuffer_add_cb(bufferevent_get_output(c->bev),
-				       on_output_changed, server);
+				       on_output_changed, c);
 	c->input_cb = evbuffer_add_cb(bufferevent_get_input(c->bev),
 				      on_input_changed, c);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
@@ -488,7 +502,7 @@
 	while (c) {
 		struct connection *next = LIST_NEXT(c, link);
 
-		if (!check_reader(c, now)) {
+		if (!check_paused(c) && !check_reader(c, now)) {
 			if (c->closing)
 				check_closing(c, now);
 			else
--- a/packages/http/server_internal.h
+++ b/packages/http/server_internal.h
@@ -19,8 +19,6 @@
 	struct bufferevent *bev;
 	struct evbuffer_cb_entry *output_cb;
 	struct evbuffer_cb_entry *input_cb;
-	/* Reports the end of the caller while reading is paused. */
-	struct event *closed_event;
 	/* The requests that were handed out, in their order. */
 	struct http_pipeline pipeline;
 	/* The request that is being read, or that waits to be handed out. */
--- a/packages/http/server_memory.c
+++ b/packages/http/server_memory.c
@@ -227,6 +227,21 @@
 	       allocated(r->body.len) + header_bytes(&r->headers);
 }
 
+void server_memory_idle(struct server_memory *m, int64_t now)
+{
+	if (!m->budget)
+		return;
+	if (m->holder.phase == REQUEST_READING)
+		request_budget_set_phase(&m->holder, REQUEST_IDLE, now);
+	measure(m);
+}
+
+void server_memory_resumed(struct server_memory *m, int64_t now)
+{
+	m->holder.progress_at = now;
+	m->holder.received_at = now;
+}
+
 void server_memory_answered(struct server_memory *m, int64_t now)
 {
 	if (!m->budget || m->holder.phase != REQUEST_PASSED_ON)
--- a/packages/http/server_memory.h
+++ b/packages/http/server_memory.h
@@ -65,6 +65,10 @@
 void server_memory_passed_on(struct server_memory *m, int64_t now);
 /** Memory of a complete request, in bytes. */
 size_t server_memory_request_bytes(const struct http_request *r);
+/** The input holds no part of a request, only empty lines that were read. */
+void server_memory_idle(struct server_memory *m, int64_t now);
+/** Input that waited for earlier requests is read on. */
+void server_memory_resumed(struct server_memory *m, int64_t now);
 /** The last open request of the connection was answered. */
 void server_memory_answered(struct server_memory *m, int64_t now);
 /** The last response was written; frees what was received. */
--- a/packages/http/tests/test_pipelining.c
+++ b/packages/http/tests/test_pipelining.c
@@ -335,6 +335,28 @@
 	send_text(&f, bytes);
 	cr_assert(eq(int, f.started, HTTP_PIPELINE_MAX_OPEN));
 	leave(&f);
+	/* Work for a caller who has left may go on for half a second. */
+	settle(&f, BASE_SECOND_US / 2);
+	cr_assert(eq(int, f.disconnected, HTTP_PIPELINE_MAX_OPEN));
+	cr_assert(eq(sz, http_server_connection_count(f.server), 0));
+	teardown(&f);
+}
+
+/* Guards against a reset that is not seen as reading is paused. */
+Test(pipelining, cancels_requests_of_a_caller_who_resets_while_paused)
+{
+	static char bytes[100000];
+	struct linger reset = { .l_onoff = 1 };
+	struct fixture f;
+	size_t i;
+
+	for (i = 0; i < sizeof(bytes) - 1; i++)
+		bytes[i] = GET("/a")[i % (sizeof(GET("/a")) - 1)];
+	setup(&f);
+	send_text(&f, bytes);
+	setsockopt(f.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	leave(&f);
+	settle(&f, BASE_SECOND_US / 2);
 	cr_assert(eq(int, f.disconnected, HTTP_PIPELINE_MAX_OPEN));
 	cr_assert(eq(sz, http_server_connection_count(f.server), 0));
 	teardown(&f);
--- a/packages/overload/capacity.c
+++ b/packages/overload/capacity.c
@@ -275,6 +275,16 @@
 	return age >= want && capacity_ended(&c->judge) >= samples;
 }
 
+/* Too few requests ended to judge the lower limit. */
+static void abort_trial(struct overload_capacity *c, int64_t now)
+{
+	if (c->trial.state == TRIAL_NONE)
+		return;
+	c->trial.state = TRIAL_NONE;
+	c->limit = c->trial.limit_before;
+	c->next_trial_at = now + c->hold_off_us;
+}
+
 static void capacity_sample(struct overload_limiter *limiter,
 			    const struct overload_sample *sample, int64_t now)
 {
@@ -286,8 +296,10 @@
 		capacity_restart(c, now);
 		return;
 	}
-	if (now - c->judge.started_at > STALE_US)
+	if (now - c->judge.started_at > STALE_US) {
+		abort_trial(c, now);
 		capacity_start_window(c, &c->judge, now);
+	}
 	if (now - c->step.started_at > STALE_US)
 		capacity_start_window(c, &c->step, now);
 	if (c->trial.state == TRIAL_SETTLING && now >= c->trial.settled_at) {
--- a/packages/overload/capacity_measure.c
+++ b/packages/overload/capacity_measure.c
@@ -187,7 +187,8 @@
 			(present->onward_us - last->onward_us);
 	double expected = c->present_us > 0 ? own_us / c->present_us : 0;
 
-	if (now - present->started_at < (int64_t)c->latency_us ||
+	if (!c->in_flight ||
+	    now - present->started_at < (int64_t)c->latency_us ||
 	    expected < EXPOSURE_ENDS_MIN ||
 	    ends + 1 > EXPOSURE_SLOW_RATIO * expected)
 		return 0;
--- a/packages/overload/graph.c
+++ b/packages/overload/graph.c
@@ -245,8 +245,10 @@
 static void raise_share(struct overload_graph *graph,
 			struct overload_graph_class *c, int64_t now)
 {
-	if (c->share >= 1 || now < c->next_raise_at ||
-	    now < c->last_bad_at + RAISE_PAUSE_US || now < c->held_until)
+	if (c->share >= 1 || now < c->next_raise_at || now < c->held_until)
+		return;
+	/* With the score at 0, the rest of the requests end well. */
+	if (c->score > 0 && now < c->last_bad_at + RAISE_PAUSE_US)
 		return;
 	if (c->raise_step <= 0 || has_to_yield(graph, c, now))
 		c->raise_step = RAISE_STEP_MIN + RAISE_STEP_PART * c->share;
@@ -314,14 +316,16 @@
 	double first = c->first_success;
 	double expected;
 
-	if (first < 0 || c->share > HOLD_BELOW)
+	if (first < 0 || c->share > HOLD_BELOW * c->first_share)
 		return false;
-	expected = first < c->share ? first / c->share : 1;
+	expected = fmin(1, first * c->first_share / c->share);
 	return success < first + HOLD_IMPROVEMENT_PART * (expected - first);
 }
 
 static void hold(struct overload_graph_class *c, int64_t now)
 {
+	if (now - c->held_until > HOLD_MAX_US)
+		c->hold_us = HOLD_US;
 	c->held_until = now + c->hold_us;
 	c->hold_us *= 2;
 	if (c->hold_us > HOLD_MAX_US)
@@ -395,9 +399,12 @@
 		hold(c, now);
 		return;
 	}
-	c->held_until = 0;
-	if (c->first_success < 0)
+	if (c->held_until > now)
+		c->held_until = now;
+	if (c->first_success < 0) {
 		c->first_success = success;
+		c->first_share = c->share;
+	}
 	lower_by(graph, c, factor, now);
 }
 
--- a/packages/overload/graph.h
+++ b/packages/overload/graph.h
@@ -32,9 +32,13 @@
 	int64_t lowered_at;
 	int64_t next_raise_at;
 	double raise_step;
-	/* Success when lowering began; negative while nothing is lowered. */
+	/*
+	 * Success and share when lowering began; the success is negative while
+	 * nothing is lowered.
+	 */
 	double first_success;
-	/* Until then, the share is not lowered. */
+	double first_share;
+	/* Until then, the share is not lowered; the end of the last hold. */
 	int64_t held_until;
 	/* Length of the next hold. */
 	int64_t hold_us;
--- a/packages/routing/completion.c
+++ b/packages/routing/completion.c
@@ -43,11 +43,19 @@
 	return share * share;
 }
 
+/* A limit above the slots is a fault of the sender. */
+static double sustained_limit(const struct routing_state *s)
+{
+	uint32_t limit = routing_limit(s);
+
+	return s->conf.slots && limit > s->conf.slots ? s->conf.slots : limit;
+}
+
 double routing_completion_us(const struct routing_state *s, int64_t now)
 {
 	double load = fmax((double)routing_outstanding(s, now), 0);
 
-	return (load + 1) * (double)s->report.service_us / routing_limit(s) /
+	return (load + 1) * (double)s->report.service_us / sustained_limit(s) /
 	       success_factor(s);
 }
 
@@ -56,7 +64,7 @@
 {
 	if (!routing_figures_known(s, now))
 		return 0;
-	return routing_limit(s) * success_factor(s) /
+	return sustained_limit(s) * success_factor(s) /
 	       (double)s->report.service_us;
 }
 
