Describe a flow to the decisions at the entry in one place

Cause: the throttle and the admission of call graphs each filled the same request from a flow. A comment of the request budget named a function that does not exist.

Change: flow_overload_request(), used by both; graph admission still bounds the level, which the throttle does not. No behaviour changes.

--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -311,14 +311,7 @@
 
 static void admit_by_throttle(struct flow *f, int64_t now)
 {
-	struct overload_request request = {
-		.route = (uint32_t)f->route->index,
-		.level = (uint8_t)f->priority->level,
-		.idempotent = f->route->idempotent,
-		.account =
-			f->account ? (uint32_t)f->account->index : UINT32_MAX,
-		.weight = f->account ? (uint32_t)f->account->weight : 1,
-	};
+	struct overload_request request = flow_overload_request(f);
 	struct flow_refusal refusal = {
 		.refusal = HTTP_REFUSAL_OVERLOADED,
 		.not_run = true,
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -563,6 +563,18 @@
 	return roster_service_id(f->node->roster, f->service->name);
 }
 
+struct overload_request flow_overload_request(const struct flow *f)
+{
+	return (struct overload_request){
+		.route = (uint32_t)f->route->index,
+		.level = (uint8_t)f->priority->level,
+		.idempotent = f->route->idempotent,
+		.account =
+			f->account ? (uint32_t)f->account->index : UINT32_MAX,
+		.weight = f->account ? (uint32_t)f->account->weight : 1,
+	};
+}
+
 int64_t flow_expected_latency_us(const struct flow *f)
 {
 	return routing_fastest_latency_us(f->node->routing, flow_service_id(f),
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -178,6 +178,8 @@
 void flow_route(struct flow *f, int64_t now);
 /** Id of the flow's service in the roster and the routing table. */
 uint32_t flow_service_id(const struct flow *f);
+/** The flow as the decisions at the entry see it. */
+struct overload_request flow_overload_request(const struct flow *f);
 /** Average latency of the route at its fastest server; 0 when unknown. */
 int64_t flow_expected_latency_us(const struct flow *f);
 /**
--- a/packages/daemon/flow_graph.c
+++ b/packages/daemon/flow_graph.c
@@ -18,18 +18,11 @@
 
 static struct overload_request request_of(const struct flow *f)
 {
-	int64_t level = f->priority->level;
+	struct overload_request request = flow_overload_request(f);
 
-	return (struct overload_request){
-		.route = (uint32_t)f->route->index,
-		.level = (uint8_t)(level < OVERLOAD_LEVELS
-					   ? level
-					   : OVERLOAD_LEVELS - 1),
-		.idempotent = f->route->idempotent,
-		.account =
-			f->account ? (uint32_t)f->account->index : UINT32_MAX,
-		.weight = f->account ? (uint32_t)f->account->weight : 1,
-	};
+	if (f->priority->level >= OVERLOAD_LEVELS)
+		request.level = OVERLOAD_LEVELS - 1;
+	return request;
 }
 
 static void log_changes(struct node *node, int64_t now)
--- a/packages/http/request_budget.h
+++ b/packages/http/request_budget.h
@@ -57,7 +57,7 @@
 	/** Limit of connections; 0 for none. */
 	size_t max_connections;
 	size_t connections;
-	/** Memory of all holders and of request_budget_add_bytes(). */
+	/** Memory of all holders and of requests that are held elsewhere. */
 	size_t bytes;
 };
 
