--- a/review/8/servers.pl
+++ b/review/8/servers.pl
@@ -4,10 +4,11 @@
 # the store every 1.5 s, answers health checks, rejects requests that name
 # another instance with 421 and answers all others with its seal.
 #
-# With --trouble=1 a request whose path contains "/crash/" crashes the server
-# that begins to run it: its sockets are closed. The server is back after 2 s
-# as a new instance, cold for 3 s; the entry of its former instance is removed
-# after three heartbeat intervals.
+# A request whose path contains "/heavy/" is worked on for 400 ms, also when its
+# connection closes meanwhile (most servers drop such a request, these do not).
+# With --trouble=1 it crashes the server then: its sockets are closed. The server
+# is back after 2 s as a new instance, cold for 3 s; the entry of its former
+# instance is removed after three heartbeat intervals.
 #
 # usage: servers.pl --trouble=0|1 STORE RECORD VM=IP:PORT,SERVICE...
 use strict;
@@ -24,7 +25,7 @@
 my $start = time;
 my $next_id = 1;
 my $select = IO::Select->new;
-my (%server_of, %input_of, @servers, @removals);
+my (%server_of, %input_of, @servers, @removals, @jobs);
 
 open my $out, '>>', $record or die "cannot open $record: $!\n";
 $out->autoflush(1);
@@ -115,8 +116,10 @@
 			"X-Instance-Id: $s->{id}\r\n", '');
 	} else {
 		record("$s->{id} runs request $request_id $path");
-		if ($trouble && $path =~ m{/crash/}) {
-			crash($s, $request_id, $now);
+		if ($path =~ m{/heavy/}) {
+			push @jobs, { server => $s, id => $s->{id},
+				sock => $sock, request => $request_id,
+				path => $path, at => $now + 0.4 };
 			return;
 		}
 		answer($sock, '200 OK', "${echo}X-Server-Seal: $s->{id}\r\n",
@@ -124,6 +127,20 @@
 	}
 }
 
+# Ends a run of 400 ms, unless its server has crashed meanwhile.
+sub end_job {
+	my ($job, $now) = @_;
+	my ($s, $sock) = @$job{qw(server sock)};
+	return unless $s->{socket} && $s->{id} eq $job->{id};
+	if ($trouble) {
+		crash($s, $job->{request}, $now);
+	} elsif ($server_of{$sock}) {
+		answer($sock, '200 OK', "X-Request-Id: $job->{request}\r\n" .
+			"X-Server-Seal: $s->{id}\r\n",
+			"$s->{service} $job->{path}");
+	}
+}
+
 # Only requests without a body are sent in this case.
 sub read_connection {
 	my ($sock, $now) = @_;
@@ -161,6 +178,7 @@
 		start_server($s, $now, 3)
 			if !$s->{socket} && $now >= $s->{back_at};
 	}
+	end_job(shift @jobs, $now) while @jobs && $now >= $jobs[0]{at};
 	while (@removals && $now >= $removals[0]{at}) {
 		store_call('DELETE', "servers/" . (shift @removals)->{id});
 	}
