Do not end the count of another request when a send fails

Cause: routing_failed() takes one request off the in-flight count of the server, also for ROUTING_SEND_FAILED. Such a request was never counted, since routing_sent() is called only after a successful send. Each failed send therefore ended the count of a request that was still in flight, and the server looked idler than it was; requests were then sent beyond its limit.

The new test failed before: two requests sent and one failed send gave a count of 1 in place of 2.

Change: only failures of requests that were sent end a count.

--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -177,7 +177,9 @@
 
 	if (!s)
 		return;
-	end_request(s);
+	/* A request that could not be sent was not counted as in flight. */
+	if (failure != ROUTING_SEND_FAILED)
+		end_request(s);
 	if (failure == ROUTING_NOT_RUN) {
 		s->last_received_at = now;
 		routing_health_fail(s, ROUTING_OUT_BACKEND, &table->rnd, now);
