Check the backend server again when its VM is listed again

What callers saw: a server gave no service for good, and its guard refused all requests as overloaded at a load of 0, after its entry had been replaced, removed and restored within a second. With a single server that is a 503 for everybody.

Cause: a guard that holds its work repeats the health check by a timer. While its VM is in no entry, that timer's check returned without a call and without setting the timer again. When the VM was listed again with the instance that the guard already knew, nothing started a check.

Change: guard_configure() sends a check when the VM is listed and the server still counts as unavailable, whatever led there.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -332,6 +332,10 @@
 	else if (self->cold_remaining_us)
 		overload_guard_server_ready(guard->overload,
 					    self->cold_remaining_us, now);
+	/* Health checks end while the VM is not listed. */
+	if (node->dialect->headers.instance &&
+	    overload_guard_is_unavailable(guard->overload))
+		backend_health_check(guard->health, now);
 	guard_dispatch(guard, now);
 }
 
--- a/packages/overload/guard.c
+++ b/packages/overload/guard.c
@@ -546,6 +546,11 @@
 	       overload_ramp_needs_check(&guard->ramp, now);
 }
 
+bool overload_guard_is_unavailable(const struct overload_guard *guard)
+{
+	return guard->ramp.unavailable;
+}
+
 bool overload_guard_is_held(const struct overload_guard *guard)
 {
 	return guard->ramp.cold_starts.rate_per_s > 0 &&
--- a/packages/overload/overload.h
+++ b/packages/overload/overload.h
@@ -348,6 +348,11 @@
  */
 bool overload_guard_needs_check(const struct overload_guard *guard,
 				int64_t now);
+/**
+ * Returns whether the server was lost or its state is unknown, and nothing has
+ * shown since that it can work.
+ */
+bool overload_guard_is_unavailable(const struct overload_guard *guard);
 /** Returns whether starts are suspended, see overload_guard_hold(). */
 bool overload_guard_is_held(const struct overload_guard *guard);
 /**
