Keep the link to a VM that is out of use while requests are in flight there

Cause: membership_configure() closed the link to a VM as soon as the VM was not in the list. The answers had no way back, and nothing told the requests on the link.

Change: a request belongs to the link on which it was sent. The transport can detach a link from its table by address; the membership retires links to VMs that were removed or have another address, until nothing is in flight on them, and takes them back when the VM is listed again. Weighed: ending the requests at the removal (their servers may run them), keeping links for a set time, and keeping them in the table by address (a reused address would get the old connection).

Why it works: the link lives exactly as long as a request that was sent on it, and every end of a request (answer, cancellation, loss, silence, deadline) goes by the link and not by the list.

--- a/fakes/app.c
+++ b/fakes/app.c
@@ -8,6 +8,7 @@
  * Segments of the path select the behaviour:
  *
  *   /slow/        responds after 600 ms, or slow_ms
+ *   /large/       responds with a body of large bytes
  *   /late/        sends a second response with the same request id
  *   /reset/       runs the request and closes without a response; together
  *                 with /slow/ after 600 ms
@@ -15,7 +16,7 @@
  * GET /test?id=ID&service=S&cold_ms=MS sets the instance id, the service and
  * the cold-start time, as after a restart; limit=PER_S and leaving=1 are stated
  * in all responses until they are set to empty values. slow_ms=MS sets the time
- * that a slow request takes.
+ * that a slow request takes, large=BYTES the length of a large body.
  */
 #include "fake.h"
 
@@ -36,6 +37,7 @@
 	char limit[16];
 	char leaving[16];
 	char slow_ms[16];
+	char large[16];
 };
 
 struct job {
@@ -82,6 +84,9 @@
 			header_or_dash(req, "X-Request-Id"));
 	fake_add_header(req, "X-Server-Seal", app->id);
 	base_buf_addf(&body, "%s %s", app->service, req->uri->path->full);
+	while (strstr(req->uri->path->full, "/large/") &&
+	       (long)body.len < strtol(app->large, NULL, 10))
+		base_buf_add(&body, "................", 16);
 	fake_reply(req, EVHTP_RES_OK, base_buf_str(&body));
 	base_buf_release(&body);
 }
@@ -196,6 +201,7 @@
 	set_parameter(req, "limit", app->limit, sizeof(app->limit));
 	set_parameter(req, "leaving", app->leaving, sizeof(app->leaving));
 	set_parameter(req, "slow_ms", app->slow_ms, sizeof(app->slow_ms));
+	set_parameter(req, "large", app->large, sizeof(app->large));
 	fake_reply(req, EVHTP_RES_OK, BASE_STR(""));
 }
 
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -169,6 +169,7 @@
 	node->self = config_snapshot_find_vm(node->snapshot,
 					     base_str_from(node->settings->vm));
 	roster_update(node->roster, node->snapshot);
+	membership_retire_links(node->membership, now);
 	roster_configure_routing(node->roster, node->routing);
 	if (!has_same_routes(previous, node->snapshot)) {
 		overload_throttle_set_routes(
@@ -243,20 +244,16 @@
 	base_mailbox_drain(node->inbox, on_data_message, node);
 }
 
-static const struct config_vm *vm_of_link(struct node *node,
-					  const struct peer_link *link)
-{
-	return roster_find_vm_by_address(node->roster, peer_link_address(link));
-}
-
 static void on_link_message(void *ctx, struct peer_link *link,
 			    const struct peer_message *msg,
 			    const struct peer_receive_info *receive_info)
 {
 	struct node *node = ctx;
-	const struct config_vm *vm;
+	const struct config_vm *vm = membership_link_vm(node->membership, link);
 
 	node_detect_pause(node, receive_info->received_at);
+	membership_record_received(node->membership, link,
+				   receive_info->received_at);
 	switch (msg->type) {
 	case PEER_ANSWER:
 		entry_on_answer(node->entry, msg);
@@ -265,14 +262,12 @@
 		claims_on_answer(node->claims, msg, receive_info->received_at);
 		break;
 	case PEER_RATE_GRANT:
-		vm = vm_of_link(node, link);
 		if (vm)
 			rate_limiter_on_grant(node->rate_limiter, vm->name, msg,
 					      receive_info->received_at);
 		break;
 	case PEER_SUSPECT:
 	case PEER_SUSPECT_ANSWER:
-		vm = vm_of_link(node, link);
 		if (vm)
 			quarantine_on_link_message(node->quarantine, vm, msg,
 						   receive_info->received_at);
@@ -324,7 +319,7 @@
 static void on_link_up(void *ctx, struct peer_link *link)
 {
 	struct node *node = ctx;
-	const struct config_vm *vm = vm_of_link(node, link);
+	const struct config_vm *vm = membership_link_vm(node->membership, link);
 
 	membership_on_link_up(node->membership, link);
 	if (!vm)
@@ -337,13 +332,13 @@
 static void on_link_down(void *ctx, struct peer_link *link)
 {
 	struct node *node = ctx;
-	const struct config_vm *vm = vm_of_link(node, link);
+	const struct config_vm *vm = membership_link_vm(node->membership, link);
 	int64_t now = base_now_us();
 
 	membership_on_link_down(node->membership, link);
+	entry_on_link_down(node->entry, link);
 	if (!vm)
 		return;
-	entry_on_link_down(node->entry, roster_vm_id(node->roster, vm->name));
 	claims_on_link_down(node->claims, vm, now);
 	quarantine_on_link_down(node->quarantine, vm, now);
 	rate_limiter_on_link_down(node->rate_limiter, vm, now);
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -486,13 +486,13 @@
 	flow_on_answer(f, &msg->answer, base_now_us());
 }
 
-void entry_on_link_down(struct entry *entry, uint32_t vm)
+void entry_on_link_down(struct entry *entry, const struct peer_link *link)
 {
 	struct flow *f, *next;
 	int64_t now = base_now_us();
 
 	HASH_ITER (hh_message_id, entry->flows_by_message_id, f, next)
-		if (f->server == vm)
+		if (f->link == link)
 			flow_on_try_lost(f, now);
 }
 
@@ -512,7 +512,8 @@
 	struct flow *f, *next;
 
 	HASH_ITER (hh_message_id, entry->flows_by_message_id, f, next)
-		if (routing_is_silent(entry->node->routing, f->server, now))
+		if (membership_is_link_silent(entry->node->membership, f->link,
+					      now))
 			flow_on_vm_silent(f, now);
 }
 
--- a/packages/daemon/entry.h
+++ b/packages/daemon/entry.h
@@ -32,10 +32,10 @@
 /** Handles the answer of a remote guard; late answers are only counted. */
 void entry_on_answer(struct entry *entry, const struct peer_message *msg);
 /**
- * The link to a VM was lost. Requests in flight there may or may not have run;
- * each is retried or ends with connection_lost.
+ * A link was lost. Requests in flight on it may or may not have run; each is
+ * retried or ends with connection_lost.
  */
-void entry_on_link_down(struct entry *entry, uint32_t vm);
+void entry_on_link_down(struct entry *entry, const struct peer_link *link);
 /** Sends the requests that waited for the link to a VM. */
 void entry_on_link_up(struct entry *entry, uint32_t vm);
 /**
--- a/packages/daemon/flow.c
+++ b/packages/daemon/flow.c
@@ -40,8 +40,6 @@
 static void record_span(struct flow *f, int status, const char *decision,
 			int64_t now)
 {
-	const struct config_vm *vm =
-		f->try_count ? roster_vm(f->node->roster, f->server) : NULL;
 	struct span span = {
 		.trace = f->trace,
 		.kind = f->onward ? "onward" : "entry",
@@ -59,9 +57,9 @@
 			       f->account->name);
 	spans_set_text(span.decision, sizeof(span.decision),
 		       base_str_from(decision));
-	if (vm)
+	if (f->try_count)
 		spans_set_text(span.served_by, sizeof(span.served_by),
-			       vm->name);
+			       roster_vm_name(f->node->roster, f->server));
 	spans_add(f->node->spans, &span);
 }
 
@@ -118,25 +116,35 @@
 		return;
 	HASH_DELETE(hh_message_id, f->entry->flows_by_message_id, f);
 	f->message_id = 0;
+	membership_request_ended(f->node->membership, f->link);
+	f->link = NULL;
 }
 
-/* Cancels the current try at its guard. */
+/* The routing table may have another server by now for the VM of the try. */
+static bool is_on_retired_link(const struct flow *f)
+{
+	return f->link &&
+	       membership_is_link_retired(f->node->membership, f->link);
+}
+
+/*
+ * Cancels the current try at its guard. The VM may have been removed meanwhile,
+ * or have another link: the guard knows the request by the link on which it
+ * came.
+ */
 static void cancel_try(struct flow *f, int64_t now)
 {
-	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
 	struct peer_message msg = { .type = PEER_CANCEL, .id = f->message_id };
-	struct peer_link *link;
 
 	if (f->state != FLOW_SENT)
 		return;
-	routing_abandoned(f->node->routing, f->server);
+	if (!is_on_retired_link(f))
+		routing_abandoned(f->node->routing, f->server);
 	if (f->local_work) {
 		guard_cancel(f->node->guard, f->local_work, now);
 		f->local_work = NULL;
-	} else if (f->message_id && vm) {
-		link = node_get_link(f->node, vm);
-		if (link)
-			peer_transport_send(f->node->transport, link, &msg);
+	} else if (f->message_id) {
+		peer_transport_send(f->node->transport, f->link, &msg);
 	}
 	flow_clear_message_id(f);
 }
@@ -221,7 +229,7 @@
 void flow_answer(struct flow *f, const struct peer_answer *answer, int64_t now)
 {
 	BASE_CLEANUP(http_headers_release) struct http_headers headers = { 0 };
-	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
+	struct base_str vm = roster_vm_name(f->node->roster, f->server);
 	size_t i;
 
 	if (f->ex && !has_room(f, answer)) {
@@ -240,11 +248,10 @@
 	for (i = 0; i < answer->headers.count; i++)
 		http_headers_add_view(&headers, answer->headers.items[i].name,
 				      answer->headers.items[i].value);
-	if (vm && f->try_count && f->node->dialect->headers.served_by)
+	if (f->try_count && f->node->dialect->headers.served_by)
 		http_headers_add(
 			&headers,
-			base_str_from(f->node->dialect->headers.served_by),
-			vm->name);
+			base_str_from(f->node->dialect->headers.served_by), vm);
 	node_counter_add(f->node, "answers");
 	if (f->ex)
 		http_exchange_reply(f->ex, (int)answer->status, &headers,
@@ -357,11 +364,14 @@
 {
 	bool ok = answer->outcome == PEER_OUTCOME_RAN && answer->status < 500;
 	bool ran = answer->outcome == PEER_OUTCOME_RAN;
+	bool in_use = !is_on_retired_link(f);
 
 	flow_clear_message_id(f);
 	f->local_work = NULL;
-	record_server_report(f, answer, now);
-	record_try_latency(f, answer, ok, now);
+	if (in_use) {
+		record_server_report(f, answer, now);
+		record_try_latency(f, answer, ok, now);
+	}
 	record_cutoffs(f, answer, now);
 	f->retried = f->retried || answer->retried;
 	if (ok)
@@ -464,8 +474,8 @@
 	};
 }
 
-/* The request could not be sent, so it has not run there. */
-static void on_send_failed(struct flow *f, int64_t now)
+/* Routes or refuses a request that was not sent to the VM that was picked. */
+static void route_unsent(struct flow *f, int64_t now)
 {
 	struct peer_answer answer = {
 		.status = 503,
@@ -473,14 +483,18 @@
 		.reason = BASE_STR("no_server"),
 	};
 
-	routing_failed(f->node->routing, f->server, ROUTING_SEND_FAILED, now);
-	f->retried = f->retried || answer.retried;
 	if (flow_decide_retry(f, &answer, now))
 		flow_route(f, now);
 	else
 		refuse_with_answer(f, &answer, now);
 }
 
+static void on_send_failed(struct flow *f, int64_t now)
+{
+	routing_failed(f->node->routing, f->server, ROUTING_SEND_FAILED, now);
+	route_unsent(f, now);
+}
+
 static void send_remote(struct flow *f, const struct config_vm *vm,
 			const struct peer_request *request, int64_t now)
 {
@@ -496,7 +510,8 @@
 		on_send_failed(f, now);
 		return;
 	}
-	membership_record_link_use(f->node->membership, link, now);
+	membership_request_sent(f->node->membership, link, now);
+	f->link = link;
 	f->message_id = msg.id;
 	HASH_ADD(hh_message_id, f->entry->flows_by_message_id, message_id,
 		 sizeof(f->message_id), f);
@@ -532,6 +547,13 @@
 		f->local_work = work;
 }
 
+/* The VM may have been taken out of use while its link was opened. */
+static bool may_send(const struct flow *f, int64_t now)
+{
+	return routing_may_send(f->node->routing, f->server, flow_service_id(f),
+				now);
+}
+
 void flow_on_link(struct flow *f, bool up, int64_t now)
 {
 	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
@@ -546,7 +568,9 @@
 			    now);
 		return;
 	}
-	if (up && vm)
+	if (!vm || !may_send(f, now))
+		route_unsent(f, now);
+	else if (up)
 		send_to(f, vm, now);
 	else
 		on_send_failed(f, now);
@@ -628,7 +652,7 @@
 
 	if (f->state == FLOW_RATE_WAITING)
 		rate_limiter_cancel(f->node->rate_limiter, f->account, f->id);
-	if (!not_run)
+	if (!not_run && !is_on_retired_link(f))
 		record_latency(f, now - f->sent_at, now);
 	cancel_try(f, now);
 	refuse_with(f, HTTP_REFUSAL_DEADLINE, not_run, 0,
--- a/packages/daemon/flow.h
+++ b/packages/daemon/flow.h
@@ -103,6 +103,8 @@
 	uint32_t server;
 	/** Peer message of the current try; 0 when none is in flight. */
 	uint64_t message_id;
+	/** Link on which it was sent; NULL when none is in flight. */
+	struct peer_link *link;
 	/** Current try at the local guard; NULL when there is none. */
 	struct guard_work *local_work;
 	/** Start of the current try. */
--- a/packages/daemon/flow_log.c
+++ b/packages/daemon/flow_log.c
@@ -17,10 +17,12 @@
 		base_log_str(&line, "service", f->service->name);
 	if (f->account)
 		base_log_str(&line, "account", f->account->name);
-	if (vm) {
-		base_log_str(&line, "vm", vm->name);
+	if (f->try_count)
+		base_log_str(&line, "vm",
+			     roster_vm_name(f->node->roster, f->server));
+	/* The instance of a VM that was removed is not known any more. */
+	if (vm)
 		base_log_str(&line, "instance", vm->instance);
-	}
 	base_log_int(&line, "tries", f->try_count);
 	base_log_int(&line, "arrivals", f->arrivals);
 	base_log_int(&line, "took_ms", (now - f->started_at) / BASE_MS_US);
@@ -36,10 +38,8 @@
 {
 	struct base_log_line line = request_log_begin(
 		f->node, "request_try_failed", f->request_id, false);
-	const struct config_vm *vm = roster_vm(f->node->roster, f->server);
 
-	if (vm)
-		base_log_str(&line, "vm", vm->name);
+	base_log_str(&line, "vm", roster_vm_name(f->node->roster, f->server));
 	base_log_int(&line, "status", answer->status);
 	base_log_str(&line, "reason", answer->reason);
 	base_log_cstr(&line, "ran",
@@ -56,12 +56,11 @@
 {
 	struct base_log_line line = request_log_begin(f->node, "answer_invalid",
 						      f->request_id, false);
-	const struct config_vm *vm =
-		f->try_count ? roster_vm(f->node->roster, f->server) : NULL;
 
 	node_counter_add(f->node, "answers_invalid");
-	if (vm)
-		base_log_str(&line, "vm", vm->name);
+	if (f->try_count)
+		base_log_str(&line, "vm",
+			     roster_vm_name(f->node->roster, f->server));
 	base_log_int(&line, "status", status);
 	base_log_end(&line);
 }
--- a/packages/daemon/links.c
+++ b/packages/daemon/links.c
@@ -3,6 +3,8 @@
 #include "guard.h"
 #include "roster.h"
 
+#include <assert.h>
+
 /* Size of a heartbeat and its reply on the wire, with encryption. */
 #define HEARTBEAT_BYTES 300
 /* Rate that the regular heartbeats on all links may take together. */
@@ -83,6 +85,14 @@
 	return out_link;
 }
 
+static void add_outgoing(struct membership *m, struct outgoing_link *out_link,
+			 int64_t now)
+{
+	out_link->opened_at = now;
+	out_link->used_at = now;
+	HASH_ADD(hh, m->outgoing, vm, sizeof(out_link->vm), out_link);
+}
+
 struct outgoing_link *links_open(struct membership *m,
 				 const struct config_vm *vm, int64_t now)
 {
@@ -92,16 +102,18 @@
 
 	if (out_link)
 		return out_link;
-	link = peer_transport_open_link(m->node->transport, vm->address);
-	if (!link)
-		return NULL;
-	out_link = base_alloc(sizeof(*out_link));
-	out_link->vm = id;
-	out_link->link = link;
-	out_link->opened_at = now;
-	out_link->used_at = now;
-	peer_link_set_data(link, out_link);
-	HASH_ADD(hh, m->outgoing, vm, sizeof(out_link->vm), out_link);
+	out_link = retired_links_take_back(m, id, vm->address, now);
+	if (!out_link) {
+		link = peer_transport_open_link(m->node->transport,
+						vm->address);
+		if (!link)
+			return NULL;
+		out_link = base_alloc(sizeof(*out_link));
+		out_link->vm = id;
+		out_link->link = link;
+		peer_link_set_data(link, out_link);
+	}
+	add_outgoing(m, out_link, now);
 	return out_link;
 }
 
@@ -112,6 +124,12 @@
 	free(out_link);
 }
 
+bool links_is_idle(const struct outgoing_link *out_link, int64_t now)
+{
+	return !out_link->in_flight && !out_link->relay &&
+	       now - out_link->used_at >= LINK_IDLE_TIMEOUT_US;
+}
+
 struct peer_link *node_get_link(struct node *node, const struct config_vm *vm)
 {
 	struct outgoing_link *out_link =
@@ -120,6 +138,16 @@
 	return out_link ? out_link->link : NULL;
 }
 
+const struct config_vm *membership_link_vm(const struct membership *m,
+					   const struct peer_link *link)
+{
+	const struct outgoing_link *out_link = peer_link_data(link);
+
+	return out_link && !out_link->retired
+		       ? roster_vm(m->node->roster, out_link->vm)
+		       : NULL;
+}
+
 void membership_record_link_use(struct membership *m, struct peer_link *link,
 				int64_t now)
 {
@@ -129,3 +157,21 @@
 	if (out_link)
 		out_link->used_at = now;
 }
+
+void membership_request_sent(struct membership *m, struct peer_link *link,
+			     int64_t now)
+{
+	struct outgoing_link *out_link = peer_link_data(link);
+
+	membership_record_link_use(m, link, now);
+	out_link->in_flight++;
+}
+
+void membership_request_ended(struct membership *m, struct peer_link *link)
+{
+	struct outgoing_link *out_link = peer_link_data(link);
+
+	(void)m;
+	assert(out_link->in_flight);
+	out_link->in_flight--;
+}
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -16,12 +16,6 @@
 #define RELAY_CHECK_INTERVAL_US (500 * BASE_MS_US)
 /* Longest time for which requests wait for a link that was just opened. */
 #define LINK_SETUP_US (300 * BASE_MS_US)
-/*
- * An outgoing link without requests for this time is closed, unless it leads to
- * a possible relay. The record of an incoming link without messages for this
- * time is removed.
- */
-#define LINK_IDLE_TIMEOUT_US (30 * BASE_SECOND_US)
 /* Number of peers that are queried for their version after start or pause. */
 #define QUERIED_PEERS 8
 #define PROBES_PER_TICK 4
@@ -144,7 +138,6 @@
 		.success_permille = beat->success_permille,
 	};
 
-	out_link->received_at = now;
 	out_link->version = beat->version;
 	out_link->query_pending = false;
 	routing_heartbeat(m->node->routing, out_link->vm, &report,
@@ -221,6 +214,18 @@
 		on_config_value(m, &msg->config_value);
 }
 
+void membership_record_received(struct membership *m, struct peer_link *link,
+				int64_t now)
+{
+	struct outgoing_link *out_link = peer_link_data(link);
+
+	(void)m;
+	if (!out_link)
+		return;
+	out_link->received_at = now;
+	out_link->liveness.last_received_at = now;
+}
+
 void membership_on_link_message(struct membership *m, struct peer_link *link,
 				const struct peer_message *msg, int64_t now)
 {
@@ -230,10 +235,14 @@
 		handle_seed_message(m, link, msg);
 		return;
 	}
+	if (msg->type == PEER_CONFIG_VALUE)
+		on_config_value(m, &msg->config_value);
+	/* The rest says nothing about the VM that may be listed in its place.
+	 */
+	if (out_link->retired)
+		return;
 	if (msg->type == PEER_HEARTBEAT) {
 		on_heartbeat(m, out_link, &msg->heartbeat, now);
-	} else if (msg->type == PEER_CONFIG_VALUE) {
-		on_config_value(m, &msg->config_value);
 	} else if (msg->type == PEER_CONFIG_ANNOUNCE) {
 		out_link->version = msg->config_announce.version;
 		relays_on_announcement(m, &msg->config_announce);
@@ -379,9 +388,7 @@
 	struct outgoing_link *out_link, *next;
 
 	HASH_ITER (hh, m->outgoing, out_link, next) {
-		bool active = now - out_link->used_at < LINK_IDLE_TIMEOUT_US;
-
-		if (!active && !out_link->relay) {
+		if (links_is_idle(out_link, now)) {
 			links_close(m, out_link);
 			continue;
 		}
@@ -509,6 +516,7 @@
 	    now - m->relays_checked_at >= RELAY_CHECK_INTERVAL_US)
 		relays_update(m, now);
 	tick_outgoing(m, now);
+	retired_links_tick(m, now);
 	tick_incoming(m, now);
 	if (m->node->snapshot && !m->node->dialect->registry)
 		relays_report_own_domain(m, now);
@@ -521,7 +529,7 @@
 	entry_tick(m->node->entry, now);
 }
 
-void membership_configure(struct membership *m, int64_t now)
+void membership_retire_links(struct membership *m, int64_t now)
 {
 	struct outgoing_link *out_link, *next;
 
@@ -533,8 +541,12 @@
 		/* The VM was removed or has another address. */
 		if (!vm || !base_str_equal(vm->address,
 					   peer_link_address(out_link->link)))
-			links_close(m, out_link);
+			retired_links_add(m, out_link, now);
 	}
+}
+
+void membership_configure(struct membership *m, int64_t now)
+{
 	relays_update(m, now);
 	if (m->querying)
 		start_query(m, now);
@@ -555,6 +567,7 @@
 
 void membership_on_resume(struct membership *m, int64_t now)
 {
+	retired_links_on_resume(m, now);
 	if (!m->node->dialect->registry)
 		start_query(m, now);
 }
@@ -585,6 +598,7 @@
 		return;
 	HASH_ITER (hh, m->outgoing, out_link, next)
 		links_close(m, out_link);
+	retired_links_close_all(m);
 	HASH_ITER (hh, m->incoming, in_link, next_in) {
 		HASH_DEL(m->incoming, in_link);
 		free(in_link);
--- a/packages/daemon/membership.h
+++ b/packages/daemon/membership.h
@@ -10,14 +10,43 @@
 
 struct membership *membership_create(struct node *node);
 void membership_destroy(struct membership *m);
-/** Applies a snapshot that became active. */
+/**
+ * Takes the links to VMs out of use that the snapshot no longer has, or has at
+ * another address. Call it before anything else opens links by the snapshot: a
+ * VM that was added may have the address of one that was removed.
+ */
+void membership_retire_links(struct membership *m, int64_t now);
+/** Applies a snapshot that became active, after membership_retire_links(). */
 void membership_configure(struct membership *m, int64_t now);
 /**
- * Entries call it for each request sent. Links that are unused for 30 s are
- * closed, except those to possible relays.
+ * Records that a message was sent. Links that are unused for 30 s are closed,
+ * except those to possible relays and those with requests in flight.
  */
 void membership_record_link_use(struct membership *m, struct peer_link *link,
 				int64_t now);
+/**
+ * A request was sent on the link, which stays open until
+ * membership_request_ended(), also when its VM is removed, or until its
+ * connection ends; entry_on_link_down() then reports it.
+ */
+void membership_request_sent(struct membership *m, struct peer_link *link,
+			     int64_t now);
+/** The request was answered, given up or lost. */
+void membership_request_ended(struct membership *m, struct peer_link *link);
+/**
+ * Returns the VM to which the link leads; NULL when the link is retired: its VM
+ * was removed, or has another address.
+ */
+const struct config_vm *membership_link_vm(const struct membership *m,
+					   const struct peer_link *link);
+bool membership_is_link_retired(const struct membership *m,
+				const struct peer_link *link);
+/** Whether the peer of a link with requests in flight has become silent. */
+bool membership_is_link_silent(const struct membership *m,
+			       const struct peer_link *link, int64_t now);
+/** Records the receipt of a message of any type. */
+void membership_record_received(struct membership *m, struct peer_link *link,
+				int64_t now);
 
 /** The link was opened less than 300 ms ago and is not up yet. */
 bool membership_is_connecting(const struct membership *m,
--- a/packages/daemon/membership_internal.h
+++ b/packages/daemon/membership_internal.h
@@ -1,4 +1,7 @@
-/* State of the membership, shared by membership.c, links.c and relays.c. */
+/*
+ * State of the membership, shared by membership.c, links.c, retired_links.c and
+ * relays.c.
+ */
 #ifndef MEMBERSHIP_INTERNAL_H
 #define MEMBERSHIP_INTERNAL_H
 
@@ -8,6 +11,12 @@
 
 /* A relay whose link is not up after this time is skipped. */
 #define RELAY_CONNECT_TIMEOUT_US (2 * BASE_SECOND_US)
+/*
+ * An outgoing link without requests for this time is closed, unless it leads to
+ * a possible relay. The record of an incoming link without messages for this
+ * time is removed.
+ */
+#define LINK_IDLE_TIMEOUT_US (30 * BASE_SECOND_US)
 
 /* A link that this daemon opened; the key is the VM's id in the roster. */
 struct outgoing_link {
@@ -17,12 +26,21 @@
 	int64_t used_at;
 	int64_t received_at;
 	int64_t sent_at;
+	/* Requests that were sent on it and have not ended. */
+	uint32_t in_flight;
 	/* Configuration version that the peer reported last. */
 	uint64_t version;
 	/* The VM may be a relay of its domain, so the link stays open. */
 	bool relay;
 	/* The peer has not answered the query for its version yet. */
 	bool query_pending;
+	/* It is in the list of retired links and not in the table. */
+	bool retired;
+	/* While retired: since when no request is in flight on it. */
+	int64_t idle_since;
+	/* While retired. */
+	struct routing_liveness liveness;
+	struct outgoing_link *prev, *next;
 	UT_hash_handle hh;
 };
 
@@ -48,6 +66,9 @@
 	struct node *node;
 	struct event *tick;
 	struct outgoing_link *outgoing;
+	/* Links to VMs that are out of use, the oldest first. */
+	struct outgoing_link *retired;
+	size_t retired_count;
 	struct incoming_link *incoming;
 	struct domain_version *domains;
 	uint64_t highest_reported_version;
@@ -74,6 +95,28 @@
 struct outgoing_link *links_open(struct membership *m,
 				 const struct config_vm *vm, int64_t now);
 void links_close(struct membership *m, struct outgoing_link *out_link);
+/** Nothing is in flight on the link, and it has not been used for long. */
+bool links_is_idle(const struct outgoing_link *out_link, int64_t now);
+
+/**
+ * Takes a link out of use whose VM was removed or has another address. It gets
+ * no new requests, and is closed when those in flight have ended. A link that
+ * is not up is closed at once.
+ */
+void retired_links_add(struct membership *m, struct outgoing_link *out_link,
+		       int64_t now);
+/**
+ * Takes the retired link to a VM that is listed again, with the same address,
+ * out of the list of retired links. The transport then reports it as up again.
+ * @return NULL without such a link, or when it may be dead
+ */
+struct outgoing_link *retired_links_take_back(struct membership *m, uint32_t vm,
+					      struct base_str address,
+					      int64_t now);
+/** Checks that the peers are alive, and closes links that are not needed. */
+void retired_links_tick(struct membership *m, int64_t now);
+void retired_links_on_resume(struct membership *m, int64_t now);
+void retired_links_close_all(struct membership *m);
 
 /**
  * Opens links to the relays of the own failure domain, on a relay to those of
--- a/packages/daemon/roster.c
+++ b/packages/daemon/roster.c
@@ -21,7 +21,9 @@
 
 struct roster {
 	struct name_id *ids[NAME_KINDS];
+	/* By id, of all VMs that were ever in a snapshot. */
 	const struct config_vm **by_id;
+	const char **vm_names;
 	size_t by_id_count;
 	const struct config_snapshot *snapshot;
 };
@@ -46,6 +48,7 @@
 		}
 	}
 	free(roster->by_id);
+	free(roster->vm_names);
 	free(roster);
 }
 
@@ -84,6 +87,17 @@
 	return get_id(roster, NAME_REGION, name);
 }
 
+static void list_vm_names(struct roster *roster)
+{
+	struct name_id *entry, *next;
+
+	free(roster->vm_names);
+	roster->vm_names = base_alloc_array(roster->by_id_count,
+					    sizeof(*roster->vm_names));
+	HASH_ITER (hh, roster->ids[NAME_VM], entry, next)
+		roster->vm_names[entry->id] = entry->name;
+}
+
 void roster_update(struct roster *roster,
 		   const struct config_snapshot *snapshot)
 {
@@ -99,24 +113,18 @@
 	for (i = 0; i < snapshot->vm_count; i++)
 		roster->by_id[roster_vm_id(roster, snapshot->vms[i].name)] =
 			&snapshot->vms[i];
+	list_vm_names(roster);
 }
 
-const struct config_vm *roster_vm(const struct roster *roster, uint32_t id)
+struct base_str roster_vm_name(const struct roster *roster, uint32_t id)
 {
-	return id < roster->by_id_count ? roster->by_id[id] : NULL;
+	return id < roster->by_id_count ? base_str_from(roster->vm_names[id])
+					: BASE_STR_NONE;
 }
 
-const struct config_vm *roster_find_vm_by_address(const struct roster *roster,
-						  struct base_str address)
+const struct config_vm *roster_vm(const struct roster *roster, uint32_t id)
 {
-	size_t i;
-
-	if (!roster->snapshot)
-		return NULL;
-	for (i = 0; i < roster->snapshot->vm_count; i++)
-		if (base_str_equal(roster->snapshot->vms[i].address, address))
-			return &roster->snapshot->vms[i];
-	return NULL;
+	return id < roster->by_id_count ? roster->by_id[id] : NULL;
 }
 
 void roster_configure_routing(struct roster *roster,
--- a/packages/daemon/roster.h
+++ b/packages/daemon/roster.h
@@ -25,9 +25,8 @@
 uint32_t roster_region_id(struct roster *roster, struct base_str name);
 /** @return NULL when the VM is not in the current snapshot */
 const struct config_vm *roster_vm(const struct roster *roster, uint32_t id);
-/** @return NULL when no VM of the current snapshot has the peer address */
-const struct config_vm *roster_find_vm_by_address(const struct roster *roster,
-						  struct base_str address);
+/** Name of a VM that is or was in a snapshot; empty for other numbers. */
+struct base_str roster_vm_name(const struct roster *roster, uint32_t id);
 /** Configures the routing table with all VMs of the current snapshot. */
 void roster_configure_routing(struct roster *roster,
 			      struct routing_table *routing);
--- a/packages/peer/link.c
+++ b/packages/peer/link.c
@@ -101,21 +101,39 @@
 		t->callbacks.link_down(t->ctx, link);
 }
 
-static void link_mark_up(struct peer_link *link)
+static void report_up(struct peer_link *link)
 {
 	struct peer_transport *t = link->transport;
 
+	send_hello(link);
+	if (t->callbacks.link_up)
+		t->callbacks.link_up(t->ctx, link);
+}
+
+static void link_mark_up(struct peer_link *link)
+{
 	if (link->up)
 		link_mark_down(link);
 	if (!link->dealer.socket)
 		return;
 	link->up = true;
 	peer_link_clock_reset(&link->clock);
-	base_counter_add(t->counters.links_up, 1);
+	base_counter_add(link->transport->counters.links_up, 1);
 	log_link_event(link, "peer_link_up");
-	send_hello(link);
-	if (t->callbacks.link_up)
-		t->callbacks.link_up(t->ctx, link);
+	report_up(link);
+}
+
+void link_report_attached(struct peer_transport *t)
+{
+	struct peer_link *link, *next;
+
+	HASH_ITER (hh, t->links, link, next) {
+		if (!link->attached)
+			continue;
+		link->attached = false;
+		if (link->up)
+			report_up(link);
+	}
 }
 
 static void schedule_reconnect(struct peer_link *link)
@@ -142,7 +160,8 @@
 		return;
 	}
 	link_mark_down(link);
-	if (link->dealer.socket)
+	/* The callback may have closed the link. */
+	if (link->dealer.socket && !link->detached)
 		schedule_reconnect(link);
 }
 
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -181,7 +181,7 @@
 	bool idempotent;
 };
 
-/** First message of each connection. */
+/** First message of a connection, and again when its link is attached. */
 struct peer_hello {
 	struct base_str vm;
 	/** Increases with each start of the daemon. */
@@ -645,12 +645,30 @@
 /** Returns the open link to an address, or NULL. */
 struct peer_link *peer_transport_find_link(struct peer_transport *transport,
 					   struct base_str address);
+/**
+ * Removes a link that is up from the table, without closing its connection. It
+ * sends and delivers messages until it is closed, but does not reconnect when
+ * its connection ends; after the callback for that, the owner has to close it.
+ * The next peer_transport_open_link() for its address opens another link.
+ */
+void peer_transport_detach_link(struct peer_transport *transport,
+				struct peer_link *link);
+/**
+ * Puts a detached link back into the table. The event loop then sends a hello
+ * on it and reports it as up, as after it had connected.
+ * @return false when its connection has ended or its address has another link;
+ *         it then stays detached
+ */
+bool peer_transport_attach_link(struct peer_transport *transport,
+				struct peer_link *link);
 /**
  * Closes a link without a callback; the pointer is invalid afterwards. Messages
- * sent without an answer may or may not have arrived.
+ * sent without an answer may or may not have arrived. Detached links are closed
+ * in the same way.
  */
 void peer_transport_close_link(struct peer_transport *transport,
 			       struct peer_link *link);
+/** Number of links in the table by address. */
 size_t peer_transport_link_count(const struct peer_transport *transport);
 
 /**
--- a/packages/peer/transport.c
+++ b/packages/peer/transport.c
@@ -172,6 +172,7 @@
 		set, "peer_refused_total{reason=\"handshake\"}");
 	c->links = base_counters_get(set, "peer_links");
 	c->links_up = base_counters_get(set, "peer_links_up");
+	c->links_detached = base_counters_get(set, "peer_links_detached");
 }
 
 static void on_free_timer(evutil_socket_t fd, short what, void *arg)
@@ -181,6 +182,13 @@
 	link_free_closed(arg);
 }
 
+static void on_attach_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	link_report_attached(arg);
+}
+
 /*
  * Outgoing connections are made from the IP of the listening address, so that
  * remotes and the network between them can distinguish daemons by address.
@@ -212,8 +220,10 @@
 	zmq_ctx_set(t->zmq, ZMQ_MAX_SOCKETS, TRANSPORT_MAX_SOCKETS);
 	zmq_ctx_set(t->zmq, ZMQ_BLOCKY, 0);
 	t->free_timer = evtimer_new(t->loop, on_free_timer, t);
-	if (!t->free_timer || zap_open(&t->zap, t->loop, t->zmq, &t->keys,
-				       t->counters.refused_key) != PEER_OK) {
+	t->attach_timer = evtimer_new(t->loop, on_attach_timer, t);
+	if (!t->free_timer || !t->attach_timer ||
+	    zap_open(&t->zap, t->loop, t->zmq, &t->keys,
+		     t->counters.refused_key) != PEER_OK) {
 		base_error_set(err, "ZAP handler: %s",
 			       zmq_strerror(zmq_errno()));
 		return PEER_ERR_SYSTEM;
@@ -260,6 +270,8 @@
 	zap_close(&t->zap);
 	if (t->free_timer)
 		event_free(t->free_timer);
+	if (t->attach_timer)
+		event_free(t->attach_timer);
 	if (t->zmq)
 		zmq_ctx_term(t->zmq);
 	fleet_keys_wipe(&t->keys);
--- a/packages/peer/transport.h
+++ b/packages/peer/transport.h
@@ -44,6 +44,7 @@
 	struct base_counter *refused_protocol;
 	struct base_counter *links;
 	struct base_counter *links_up;
+	struct base_counter *links_detached;
 };
 
 struct peer_link {
@@ -57,6 +58,11 @@
 	struct peer_link_clock clock;
 	void *data;
 	bool up;
+	/** It is in the list of detached links and not in the table. */
+	bool detached;
+	/** It was attached again, which is reported by the event loop. */
+	bool attached;
+	struct peer_link *prev, *next;
 	struct peer_link *next_closed;
 	UT_hash_handle hh;
 };
@@ -82,6 +88,8 @@
 	 * link.
 	 */
 	struct event *free_timer;
+	/** Reports attached links as up. */
+	struct event *attach_timer;
 	char *address;
 	/** Source of outgoing connections; empty if chosen by the system. */
 	char source_ip[64];
@@ -99,7 +107,9 @@
 	 * subtracts what it has taken.
 	 */
 	atomic_size_t queued_bytes;
+	/** Table by address. */
 	struct peer_link *links;
+	struct peer_link *detached_links;
 	struct peer_link *closed_links;
 	struct remote_connection *remotes;
 };
@@ -138,6 +148,9 @@
 /** Closes the sockets; the memory stays while callbacks may be running. */
 void link_close(struct peer_link *link);
 void link_destroy(struct peer_link *link);
+/** Reports the links that were attached as up, as if they had just connected.
+ */
+void link_report_attached(struct peer_transport *t);
 /** Frees the links that were closed. */
 void link_free_closed(struct peer_transport *t);
 void link_close_all(struct peer_transport *t);
--- a/packages/routing/health.c
+++ b/packages/routing/health.c
@@ -62,26 +62,17 @@
 bool routing_health_check_due(const struct routing_state *state, int64_t now)
 {
 	return state->in_flight &&
-	       now - state->last_received_at >= ROUTING_CHECK_AFTER_US &&
-	       now - state->last_check_at >= ROUTING_CHECK_AFTER_US;
-}
-
-void routing_health_check_sent(struct routing_state *state, int64_t now)
-{
-	if (state->check_started_at <= state->last_received_at)
-		state->check_started_at = now;
-	state->last_check_at = now;
+	       routing_liveness_check_due(&state->liveness, now);
 }
 
 static bool is_silent(const struct routing_state *state, int64_t now)
 {
-	if (state->check_started_at > state->last_received_at &&
-	    now - state->check_started_at >= ROUTING_CHECK_TIMEOUT_US)
+	if (routing_liveness_timed_out(&state->liveness, now))
 		return true;
 	if (!state->link_used ||
 	    now - state->last_sent_at > ROUTING_LINK_IDLE_US)
 		return false;
-	return now - state->last_received_at >
+	return now - state->liveness.last_received_at >
 	       ROUTING_MISSED_HEARTBEATS * state->heartbeat_interval_us;
 }
 
--- a/packages/routing/internal.h
+++ b/packages/routing/internal.h
@@ -54,11 +54,8 @@
 	/* A request was sent; heartbeats are due while the link is in use. */
 	bool link_used;
 	int64_t last_sent_at;
-	int64_t last_received_at;
+	struct routing_liveness liveness;
 	int64_t heartbeat_interval_us;
-	/* First and last check since the server sent something. */
-	int64_t check_started_at;
-	int64_t last_check_at;
 
 	/* Hash table by route. */
 	struct routing_latency *latencies;
@@ -137,7 +134,6 @@
 				  struct base_rand *rnd, int64_t now);
 /* Whether to check a server that has requests in flight but sends nothing. */
 bool routing_health_check_due(const struct routing_state *state, int64_t now);
-void routing_health_check_sent(struct routing_state *state, int64_t now);
 bool routing_health_trial_due(const struct routing_state *state, int64_t now);
 bool routing_health_has_fresh_report(const struct routing_state *state,
 				     int64_t now);
--- a/packages/routing/routing.h
+++ b/packages/routing/routing.h
@@ -108,6 +108,24 @@
 	ROUTING_PLATFORM_LEAVING,
 };
 
+/**
+ * Checks whether a peer with requests in flight is alive. The table has one for
+ * each server; the daemon has one for each link to a server that the table no
+ * longer has. Times are those of the caller.
+ */
+struct routing_liveness {
+	int64_t last_received_at;
+	/** First and last check since the peer sent something. */
+	int64_t check_started_at;
+	int64_t last_check_at;
+};
+
+/** The peer has sent nothing for ROUTING_CHECK_AFTER_US, nor was checked. */
+bool routing_liveness_check_due(const struct routing_liveness *l, int64_t now);
+void routing_liveness_check_sent(struct routing_liveness *l, int64_t now);
+/** Nothing has arrived for ROUTING_CHECK_TIMEOUT_US since the first check. */
+bool routing_liveness_timed_out(const struct routing_liveness *l, int64_t now);
+
 /** Result of routing_pick(): picked, or the reason why no server was. */
 enum routing_reason {
 	ROUTING_PICKED = 0,
@@ -302,6 +320,14 @@
 int64_t routing_fastest_latency_us(const struct routing_table *table,
 				   uint32_t service, uint64_t route);
 
+/**
+ * Whether a request of the service that was meant for the server, and waited
+ * for its link, may still be sent: the server is in the configuration, serves
+ * the service, and nobody has said that it leaves or takes no new requests.
+ */
+bool routing_may_send(const struct routing_table *table, uint32_t server,
+		      uint32_t service, int64_t now);
+
 /** Whether a server of the service other than @p server is in rotation. */
 bool routing_has_other_usable(const struct routing_table *table,
 			      uint32_t service, uint32_t server, int64_t now);
--- a/packages/routing/table.c
+++ b/packages/routing/table.c
@@ -132,7 +132,7 @@
 	s->in_flight++;
 	/* The peer sends no heartbeats on an idle link; that is no silence. */
 	if (!s->link_used || now - s->last_sent_at > ROUTING_LINK_IDLE_US)
-		s->last_received_at = now;
+		s->liveness.last_received_at = now;
 	s->link_used = true;
 	s->last_sent_at = now;
 }
@@ -140,8 +140,8 @@
 static void end_request(struct routing_state *s)
 {
 	/*
-	 * 0 when the server was removed from the configuration and added again
-	 * while the request was in flight.
+	 * 0 when the own VM was removed from the configuration and added again
+	 * while the request was in flight at its guard.
 	 */
 	if (s->in_flight)
 		s->in_flight--;
@@ -162,7 +162,7 @@
 	if (!s)
 		return;
 	end_request(s);
-	s->last_received_at = now;
+	s->liveness.last_received_at = now;
 	s->failure = ROUTING_OUT_NONE;
 	s->failures = 0;
 	s->in_trial = false;
@@ -181,7 +181,7 @@
 	if (failure != ROUTING_SEND_FAILED)
 		end_request(s);
 	if (failure == ROUTING_NOT_RUN) {
-		s->last_received_at = now;
+		s->liveness.last_received_at = now;
 		routing_health_fail(s, ROUTING_OUT_BACKEND, &table->rnd, now);
 		return;
 	}
@@ -214,7 +214,7 @@
 	assert(report);
 	if (!s)
 		return;
-	s->last_received_at = now;
+	s->liveness.last_received_at = now;
 	s->heartbeat_interval_us = heartbeat_interval_us > 0
 					   ? heartbeat_interval_us
 					   : ROUTING_HEARTBEAT_INTERVAL_US;
@@ -248,7 +248,7 @@
 	struct routing_state *s, *next;
 
 	HASH_ITER (hh, table->states, s, next)
-		s->last_received_at = now;
+		s->liveness.last_received_at = now;
 }
 
 enum routing_reason routing_pick(struct routing_table *table,
@@ -269,7 +269,7 @@
 		if (n == max || s->failure != ROUTING_OUT_NONE ||
 		    !routing_health_check_due(s, now))
 			continue;
-		routing_health_check_sent(s, now);
+		routing_liveness_check_sent(&s->liveness, now);
 		ids[n++] = s->conf.id;
 	}
 	return n;
@@ -283,6 +283,24 @@
 	return s && routing_health_out_reason(s, now) == ROUTING_OUT_SILENT;
 }
 
+bool routing_may_send(const struct routing_table *table, uint32_t server,
+		      uint32_t service, int64_t now)
+{
+	const struct routing_state *s = find(table, server);
+
+	if (!s || s->conf.service != service)
+		return false;
+	switch (routing_health_out_reason(s, now)) {
+	case ROUTING_OUT_LEAVING:
+	case ROUTING_OUT_DOMAIN:
+	case ROUTING_OUT_PLATFORM:
+	case ROUTING_OUT_DRAINING:
+		return false;
+	default:
+		return true;
+	}
+}
+
 bool routing_has_other_usable(const struct routing_table *table,
 			      uint32_t service, uint32_t server, int64_t now)
 {
--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -19,10 +19,11 @@
 		>/dev/null || fail "the fake store rejected the item $1"
 }
 
+# The failure domain is that of the VM number unless ZONE is set.
 put_server() { # VM_NUMBER ID SERVICE STATE
 	put_item "servers/$2" "{\"address\":\"$(ip_of "$1"):$APP_PORT\",
 		\"born\":1700000000000,\"info\":{\"service\":\"$3\",
-		\"version\":\"v1\",\"zone\":\"z$(($1 % 2))\",\"slots\":20},
+		\"version\":\"v1\",\"zone\":\"${ZONE:-z$(($1 % 2))}\",\"slots\":20},
 		\"status\":{\"state\":\"$4\",\"sequence\":${SEQUENCE:-1},
 		\"cold_left\":\"0ms\"}}"
 }
