--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -473,70 +473,6 @@
 		claim_idempotency_key(f, now);
 }
 
-void entry_on_answer(struct entry *entry, const struct peer_message *msg)
-{
-	struct flow *f;
-
-	HASH_FIND(hh_message_id, entry->flows_by_message_id, &msg->id,
-		  sizeof(msg->id), f);
-	if (!f) {
-		node_counter_add(entry->node, "answers_late");
-		return;
-	}
-	flow_on_answer(f, &msg->answer, base_now_us());
-}
-
-void entry_on_link_down(struct entry *entry, const struct peer_link *link)
-{
-	struct flow *f, *next;
-	int64_t now = base_now_us();
-
-	HASH_ITER (hh_message_id, entry->flows_by_message_id, f, next)
-		if (f->link == link)
-			flow_on_try_lost(f, now);
-}
-
-void entry_on_link_up(struct entry *entry, uint32_t vm)
-{
-	struct flow *f, *next;
-	int64_t now = base_now_us();
-
-	HASH_ITER (hh, entry->flows, f, next)
-		if (f->state == FLOW_LINK_WAITING && f->server == vm)
-			flow_on_link(f, true, now);
-}
-
-/* Resends requests in flight at VMs that have become silent. */
-static void resend_from_silent_vms(struct entry *entry, int64_t now)
-{
-	struct flow *f, *next;
-
-	HASH_ITER (hh_message_id, entry->flows_by_message_id, f, next)
-		if (membership_is_link_silent(entry->node->membership, f->link,
-					      now))
-			flow_on_vm_silent(f, now);
-}
-
-void entry_tick(struct entry *entry, int64_t now)
-{
-	struct flow *f, *next;
-
-	resend_from_silent_vms(entry, now);
-
-	HASH_ITER (hh, entry->flows, f, next) {
-		const struct config_vm *vm;
-		struct peer_link *link;
-
-		if (f->state != FLOW_LINK_WAITING)
-			continue;
-		vm = roster_vm(entry->node->roster, f->server);
-		link = vm ? node_get_link(entry->node, vm) : NULL;
-		if (!link || !membership_is_connecting(entry->node->membership,
-						       link, now))
-			flow_on_link(f, link && peer_link_is_up(link), now);
-	}
-}
-
 static struct flow *find_flow(struct entry *entry, uint64_t id,
 			      enum flow_state state)
 {
@@ -641,11 +577,6 @@
 	}
 }
 
-size_t entry_open_flow_count(const struct entry *entry)
-{
-	return HASH_COUNT(entry->flows);
-}
-
 struct entry *entry_create(struct node *node)
 {
 	struct entry *entry = base_alloc(sizeof(*entry));
@@ -654,14 +585,6 @@
 	return entry;
 }
 
-void entry_abort(struct entry *entry, int64_t now)
-{
-	struct flow *f, *next;
-
-	HASH_ITER (hh, entry->flows, f, next)
-		flow_abort(f, now);
-}
-
 void entry_destroy(struct entry *entry)
 {
 	struct entry_retry_budgets *b, *next;
--- a/tests/session_leaving_stops.sh
+++ b/tests/session_leaving_stops.sh
@@ -84,3 +84,30 @@
 expect_answers "both stop"
 expect_stopped "both stop" 13
 expect_stopped "both stop" $LEAVING_VM
+
+# The entry of the VM itself: one request runs at its own server, others fill it,
+# and one waits, when the VM is removed and its daemon stops.
+start_vm_daemon $LEAVING_VM front
+restore_entry
+expect_used "both stop" 1
+delete_item servers/i-$OTHER_VM
+sleep 0.3
+set_server_ms 7000
+METHOD=GET DEADLINE_MS=20000 begin_round $LEAVING_VM /l/slow/first
+fill=()
+for n in $(seq $((SLOTS - 1))); do
+	METHOD=GET DEADLINE_MS=20000 send 1 "f$ROUND-$n" /l/slow/fill &
+	fill+=($!)
+done
+is_full() { [ "$(ran_at $LEAVING_VM f$ROUND)" = $((SLOTS - 1)) ]; }
+wait_for 3 is_full || fail "the server of VM $LEAVING_VM is not full"
+METHOD=GET DEADLINE_MS=20000 send $LEAVING_VM "w$ROUND-1" /l/slow/waits &
+waits=$!
+sleep 0.3
+remove_entry
+stop $LEAVING_VM
+wait $waits
+expect "a request that waited at a removed VM ends as not run" \
+	"$(awk -v id="w$ROUND-1" '$1 == id { print $2 }' "$WORK/round.log")" 503
+expect_stopped "own entry" $LEAVING_VM
+wait "${SENDS[@]}" "${fill[@]}"
