Refuse at once what waits at a VM that was taken out of use

What callers saw: a request that waited for a slot at a server whose VM was removed, evacuated or given to another service waited on until a slot was free or its deadline had come, although the guard would not run it; in a planned stop, until the end of the drain.

Cause: the guard looked at whether it still accepts a request only when it started it.

Change: a new configuration makes the guard refuse all that waits and is not accepted any more, as not run, so that entries send it to another server.

--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -314,6 +314,8 @@
 	struct overload_guard_config config;
 	bool domain_returned;
 
+	if (guard->overload)
+		guard_refuse_unaccepted(guard, now);
 	if (!self)
 		return;
 	config = guard_overload_config(node);
--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -276,6 +276,29 @@
 	       !self->leaving && !self->domain->out;
 }
 
+void guard_refuse_unaccepted(struct guard *g, int64_t now)
+{
+	uint64_t *ids =
+		base_alloc_array(HASH_COUNT(g->work_items), sizeof(*ids));
+	struct guard_work *w;
+	size_t count = 0;
+	size_t i;
+
+	for (w = g->work_items; w; w = w->hh.next)
+		if (!w->sent && !guard_accepts_work(g, &w->request.context))
+			ids[count++] = w->id;
+	/* A refusal may end other work items. */
+	for (i = 0; i < count; i++) {
+		w = guard_find_work(g, ids[i]);
+		if (w &&
+		    (w->held || overload_guard_cancel(g->overload, w->id, now)))
+			guard_work_fail_not_run(w, HTTP_REFUSAL_NO_SERVER,
+						BACKEND_REJECTED_RETRY_AFTER_US,
+						now);
+	}
+	free(ids);
+}
+
 void guard_start_work(struct guard_work *w, int64_t now)
 {
 	struct guard *g = w->guard;
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -144,6 +144,12 @@
  * same may also have changed while the work was queued.
  */
 bool guard_accepts_work(const struct guard *g, const struct peer_context *c);
+/**
+ * Refuses, as not run, all work that waits and that guard_accepts_work() no
+ * longer accepts. The entries can send it elsewhere at once; here it would wait
+ * for a slot.
+ */
+void guard_refuse_unaccepted(struct guard *g, int64_t now);
 /** Sends the work to the backend server, or refuses it as not run. */
 void guard_start_work(struct guard_work *w, int64_t now);
 /** Limits of the local backend server; node->self must not be NULL. */
