Soak: make its last checks count, and watch orders beside planned faults

The checks at the end of the soak are the last commands of pipelines, so a failure printed FAILED and ended only a subshell: the test passed by its exit status. "shopt -s lastpipe" runs them in the shell of the test.

New: half of the orders take 600 ms, and an order that a server runs must get its answer unless a daemon or server was killed or suspended around it. The other faults are planned: stops, removed entries, evacuations, configurations.

session_leaving_in_flight: a call of the server of the removed VM is served.

--- a/tests/session_leaving_in_flight.sh
+++ b/tests/session_leaving_in_flight.sh
@@ -16,6 +16,9 @@
 remove_entry
 sleep 0.3
 expect_unused removed $ENTRY
+send $LEAVING_VM "own-$ROUND" /c/x
+expect "removed: a call of its server" \
+	"$(awk -v id="own-$ROUND" '$1 == id { print $2 }' "$WORK/round.log")" 200
 expect_answers removed
 wait_for 3 has_no_retired_links $ENTRY ||
 	fail "the link to the removed VM stays open without requests"
--- a/tests/session_soak.sh
+++ b/tests/session_soak.sh
@@ -14,6 +14,9 @@
 BUILD=$1
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/platform_lib.sh"
+# The checks at the end are the last commands of pipelines; without this, they
+# would end a subshell only, and the test would pass.
+shopt -s lastpipe
 SEED=${SEED:-1}
 SOAK_SECONDS=${SOAK_SECONDS:-30}
 SOAK_VMS=${SOAK_VMS:-6}
@@ -104,6 +107,10 @@
 
 # Times of events on the clock of the stand-ins, in milliseconds.
 now_ms() { awk '{ print int($1 * 1000) }' /proc/uptime; }
+# The same on the clock of the shell, for calls and for faults that may cost the
+# answer to a request at work: "begin" and "end" lines.
+wall_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+note_harm() { echo "$1 $2 $(wall_ms)" >>"$WORK/harm"; } # begin|end VM_NUMBER
 kill_daemon() { # VM_NUMBER
 	echo "$(ip_of "$1"):$CALLER_PORT $(now_ms)" >>"$WORK/kills"
 	kill -KILL "${PID_OF[daemon-m$1]}"
@@ -137,10 +144,14 @@
 # call CALLER NUMBER: sends a request and logs one line with the request and the
 # response.
 call() {
-	local id=c$1-$2 path method=GET vm out=$WORK/soak-$1
+	local id=c$1-$2 path method=GET vm out=$WORK/soak-$1 sent
 	vm=$((($1 + $2) % ${#VM_NUMBERS[@]} + 1))
+	sent=$(wall_ms)
 	case $(($2 % 4)) in
-	0) path=/o/$id method=POST ;;
+	0)
+		path=/o/$id method=POST
+		[ $(($2 % 8)) -ne 0 ] || path=/o/slow/$id
+		;;
 	1) path=/b/slow/$id ;;
 	2) path=/i/$id ;;
 	*) path=/b/$id ;;
@@ -151,7 +162,8 @@
 		"http://$(ip_of $vm):$CALLER_PORT$path" >"$out.code"
 	echo "$id $method $path $(cat "$out.code")" \
 		"back=$(grep -ci '^retry-after: [0-9]' "$out.head")" \
-		"body=$(tr ' \n' '_.' <"$out.body" | cut -c1-120)" >>"$out.log"
+		"body=$(tr ' \n' '_.' <"$out.body" | cut -c1-120)" \
+		"from=$sent to=$(wall_ms)" >>"$out.log"
 }
 
 # caller CALLER: sends requests until WORK/stop exists.
@@ -196,16 +208,18 @@
 	REPAIR_AT[$m]=$(($(elapsed_ms) + ms))
 	case $kind in
 	0)
+		note_harm begin "$m"
 		kill_daemon "$m"
-		REPAIR[$m]="start_daemon $m"
+		REPAIR[$m]="end_harm $m start_daemon $m"
 		;;
 	1)
 		kill -TERM "${PID_OF[daemon-m$m]}"
 		REPAIR[$m]="restart_after_stop $m"
 		;;
 	2)
+		note_harm begin "$m"
 		kill -STOP "${PID_OF[daemon-m$m]}"
-		REPAIR[$m]="kill -CONT ${PID_OF[daemon-m$m]}"
+		REPAIR[$m]="end_harm $m kill -CONT ${PID_OF[daemon-m$m]}"
 		;;
 	3)
 		for n in 1 2 3; do kill -HUP "${PID_OF[daemon-m$m]}"; done
@@ -219,10 +233,11 @@
 		REPAIR[$m]="store_mode up"
 		;;
 	6)
+		note_harm begin "$m"
 		kill -KILL "${PID_OF[app-$m]}"
 		end_statements "$m"
 		unregister_server "$m"
-		REPAIR[$m]="restart_app $m"
+		REPAIR[$m]="end_harm $m restart_app $m"
 		;;
 	7)
 		unregister_server "$m"
@@ -258,6 +273,13 @@
 	esac
 }
 
+end_harm() { # VM_NUMBER COMMAND...
+	local m=$1
+	shift
+	"$@"
+	note_harm end "$m"
+}
+
 restart_after_stop() { # VM_NUMBER
 	wait_for 10 has_ended "daemon-m$1" ||
 		fail "the daemon of VM $1 does not stop within 10 s (seed $SEED)"
@@ -340,6 +362,7 @@
 done
 sleep 4 # longer than the cold start of 3 s
 echo "seed $SEED, $SOAK_SECONDS s"
+: >"$WORK/harm"
 : >"$WORK/kills"
 : >"$WORK/limits"
 : >"$WORK/leavings"
@@ -400,6 +423,7 @@
 done
 echo "$(call_log | grep -c ' 200 0 ') of $(call_log | wc -l) calls served"
 
+run_log | sed 's/^run id=\([^ ]*\) .*/\1/' | sort -u >"$WORK/ran"
 run_log | grep 'method=POST' | sed 's/^run id=\([^ ]*\) .*/\1/' | sort | uniq -d |
 	expect_empty "non-idempotent request that ran twice"
 call_log | awk '$2 == "POST" && ($4 == 429 || $4 == 503) { print $1 }' | sort |
@@ -407,6 +431,32 @@
 	expect_empty "request that ran but was refused as not run"
 call_log | awk '($4 == 429 || $4 == 503) && !/back=1/' |
 	expect_empty "refusal without Retry-After"
+# Planned faults, as stops, removed entries and evacuations, cost no answer to an
+# order that a server runs. Orders of the callers that overlap another fault, or
+# come within HARM_SLACK_MS of one, are left out.
+HARM_SLACK_MS=2500
+cat "$WORK"/soak-*.log | awk -v slack=$HARM_SLACK_MS -v harm="$WORK/harm" \
+	-v ran="$WORK/ran" '
+	BEGIN {
+		while ((getline line <harm) > 0) {
+			split(line, h, " ")
+			if (h[1] == "begin") {
+				from[++n] = h[3] + 0
+				to[n] = 1e15
+				last[h[2]] = n
+			} else {
+				to[last[h[2]]] = h[3] + 0
+			}
+		}
+		while ((getline line <ran) > 0) run[line] = 1
+	}
+	$2 == "POST" && $4 != 200 && $4 != 429 && $4 != 503 && run[$1] {
+		sent = substr($(NF - 1), 6) + 0
+		ended = substr($NF, 4) + 0
+		for (i = 1; i <= n; i++)
+			if (from[i] <= ended && to[i] + slack >= sent) next
+		print
+	}' | expect_empty "order that a planned fault left without its answer"
 call_log | awk '$4 == 200 && $5 == 0 && !index($0, "body=" "front_" $3 "") &&
 	!index($0, "body=" "back_" $3 "")' |
 	expect_empty "response of another request"
@@ -421,7 +471,6 @@
 # A client loses a request when its connection ends without a response although
 # the daemon must have read it, and no kill of the daemon explains that. Clients
 # themselves give up after 5 s.
-run_log | sed 's/^run id=\([^ ]*\) .*/\1/' | sort -u >"$WORK/ran"
 client_log | awk -v slack=$LOSS_SLACK_MS -v kills="$WORK/kills" \
 	-v ran="$WORK/ran" '
 	BEGIN {
