--- a/packages/daemon/entry_flows.c
+++ b/packages/daemon/entry_flows.c
@@ -1,4 +1,4 @@
-/* What concerns the open flows of the entry together: links, time, the end. */
+/* Operations on all open flows: links, periodic work, the end of a drain. */
 #include "flow.h"
 
 void entry_on_answer(struct entry *entry, const struct peer_message *msg)
