--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the project's stand-ins and those of this review for the scripts of
+# review/11 to review/15, all under build/review-3.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build/review-3 -DCMAKE_BUILD_TYPE=RelWithDebInfo -DBH_TESTS=ON \
+	>/dev/null
+cmake --build build/review-3 -j"$(nproc)" --target fake_store fake_app \
+	fake_link fake_clients
