--- a/review/standins-3/orders.c
+++ b/review/standins-3/orders.c
@@ -30,15 +30,15 @@
 #define DEADLINE_MS 3000
 
 struct connection {
-	int fd;
 	const char *target;
-	struct sockaddr_in address;
-	char id[48];
 	int64_t sent_at;
 	int64_t next_at;
+	size_t len;
+	int fd;
 	int open;
+	struct sockaddr_in address;
+	char id[48];
 	char buf[16384];
-	size_t len;
 };
 
 static struct connection connections[CONNECTIONS_MAX];
