--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -110,7 +110,7 @@
 		--domain="$3" --region=great-lakes --service="$2" \
 		--caller-listen="$ip:$CALLER_PORT" \
 		--ready-listen="$ip:$READY_PORT" \
-		--peer-listen="$ip:$PEER_PORT" \
+		--peer-listen="${PEER_IP:-$ip}:$PEER_PORT" \
 		--admin-listen="$ip:$ADMIN_PORT" \
 		--onward-listen=127.0.0.1:0 --backend="$ip:$APP_PORT" \
 		--platform="127.0.32.$1:$PLATFORM_PORT" --drain-seconds=6s --leave-seconds=2000ms \
