Accept a new server without the platform only while its address cannot have changed hands

Cause: a health check tells a server's id and not its service, which only the platform's list does. While the platform was out of reach the guard took any id for that of its own server, and then named it in each request. The log of the machine shows it: backend_ready instance=i-9 while the list names i-1. A request that names i-1 is answered 421, so neither a missing name nor an entry past the daemon is the cause.

Nobody else can have the address by then, so a server that restarts stays usable. An idle server is asked each 0.5 s in an outage. Work for a server that may be foreign is refused at once as not run, and the daemon reports itself as draining, so that entries use other servers. A daemon that starts in the outage knows of no time and accepts only the listed id.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -66,6 +66,11 @@
 	int64_t request_memory;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
+	/**
+	 * Shortest time from the end of a backend server until its address may
+	 * belong to a server of another service.
+	 */
+	int64_t reuse_after_us;
 	/** Idle time of connections to the backend server, in us. */
 	int64_t backend_idle_us;
 	/** New connections a second to a server in trouble; 0 for no limit. */
--- a/packages/daemon/guard.c
+++ b/packages/daemon/guard.c
@@ -405,6 +405,7 @@
 	backend_health_destroy(guard->health);
 	http_client_destroy(guard->backend);
 	base_buf_release(&guard->instance);
+	base_buf_release(&guard->foreign_instance);
 	death_detector_destroy(guard->death_detector);
 	overload_guard_destroy(guard->overload);
 	event_free(guard->timer);
--- a/packages/daemon/guard_backend.c
+++ b/packages/daemon/guard_backend.c
@@ -32,40 +32,99 @@
 	backend_health_check(g->health, now);
 }
 
+bool guard_backend_is_foreign(const struct guard *g)
+{
+	return g->foreign_instance.len > 0;
+}
+
+void guard_record_instance_seen(struct guard *g, int64_t sent_at)
+{
+	if (sent_at > g->instance_seen_at)
+		g->instance_seen_at = sent_at;
+}
+
 /*
- * Without the platform any instance is accepted. With it, one that differs from
- * the list is checked again later, as the list may lag behind a restart.
+ * An address may go to a backend server of another service, and a server states
+ * its id but not its service, which only the platform's list tells. One that
+ * the list does not name yet is checked again later. Without the platform, the
+ * instance that was in use stays so. A new one is a restart of it when that one
+ * ran so lately that its address cannot belong to another service yet.
  */
 static bool is_expected_instance(const struct guard *g,
-				 struct base_str instance)
+				 struct base_str instance, int64_t now)
 {
 	const struct node *node = g->node;
+	struct base_str used = base_buf_str(&g->instance);
+
+	if (base_str_equal(node->self->instance, instance))
+		return true;
+	if (node->platform_up || !used.len)
+		return false;
+	return base_str_equal(used, instance) ||
+	       now - g->instance_seen_at < node->settings->reuse_after_us;
+}
+
+/*
+ * Refuses work at once while the platform is out of reach, as the outage may
+ * last for longer than its callers wait. The entries have other servers.
+ */
+static void on_unexpected_instance(struct guard *g, struct base_str instance,
+				   int64_t now)
+{
+	struct base_log_line line;
+
+	if (g->node->platform_up || !instance.len ||
+	    base_str_equal(base_buf_str(&g->foreign_instance), instance))
+		return;
+	base_buf_reset(&g->foreign_instance);
+	base_buf_add_str(&g->foreign_instance, instance);
+	node_counter_add(g->node, "backend_foreign_instances");
+	line = base_log_begin(g->node->log, BASE_LOG_WARN, "backend_foreign");
+	base_log_str(&line, "instance", instance);
+	base_log_str(&line, "listed", g->node->self->instance);
+	base_log_str(&line, "used", base_buf_str(&g->instance));
+	base_log_int(&line, "used_seen_ms_ago",
+		     (now - g->instance_seen_at) / BASE_MS_US);
+	base_log_end(&line);
+	guard_refuse_unaccepted(g, now);
+}
+
+static void log_ready(const struct guard *g,
+		      const struct backend_health_report *report)
+{
+	struct base_log_line line =
+		base_log_begin(g->node->log, BASE_LOG_INFO, "backend_ready");
 
-	return !node->platform_up ||
-	       base_str_equal(node->self->instance, instance);
+	base_log_str(&line, "instance", report->instance);
+	base_log_int(&line, "cold_ms", report->cold_us / BASE_MS_US);
+	base_log_end(&line);
 }
 
 bool guard_on_health_report(void *ctx,
 			    const struct backend_health_report *report)
 {
 	struct guard *g = ctx;
-	struct node *node = g->node;
 	int64_t now = base_now_us();
-	struct base_log_line line;
+	bool changed =
+		!base_str_equal(base_buf_str(&g->instance), report->instance);
 
-	if (!g->overload || !node->self ||
-	    !is_expected_instance(g, report->instance))
+	if (!g->overload || !g->node->self)
 		return false;
-	if (!base_str_equal(base_buf_str(&g->instance), report->instance))
+	if (!is_expected_instance(g, report->instance, now)) {
+		on_unexpected_instance(g, report->instance, now);
+		return false;
+	}
+	if (changed)
 		guard_clear_notices(g);
+	if (changed || report->cold_us ||
+	    overload_guard_is_unavailable(g->overload))
+		log_ready(g, report);
+	base_buf_reset(&g->foreign_instance);
 	base_buf_reset(&g->instance);
 	base_buf_add_str(&g->instance, report->instance);
+	guard_record_instance_seen(g, report->sent_at);
 	guard_read_notices(g, report->headers, report->sent_at, now);
 	overload_guard_server_ready(g->overload, report->cold_us, now);
-	line = base_log_begin(node->log, BASE_LOG_INFO, "backend_ready");
-	base_log_str(&line, "instance", report->instance);
-	base_log_int(&line, "cold_ms", report->cold_us / BASE_MS_US);
-	base_log_end(&line);
 	guard_dispatch(g, now);
 	return true;
 }
@@ -160,8 +219,10 @@
 	}
 	w->call = NULL;
 	if (result == HTTP_RESULT_RESPONSE &&
-	    http->status != STATUS_MISDIRECTED)
+	    http->status != STATUS_MISDIRECTED) {
+		guard_record_instance_seen(g, w->sent_at);
 		guard_read_notices(g, &http->headers, w->sent_at, now);
+	}
 	if (result == HTTP_RESULT_RESPONSE && proves_not_run(g, http)) {
 		finish_not_run(w, http, now);
 		return;
@@ -267,7 +328,7 @@
 	const struct config_vm *self = g->node->self;
 	struct base_str own = base_str_from(g->node->settings->service);
 
-	if (g->notices.leaving)
+	if (g->notices.leaving || guard_backend_is_foreign(g))
 		return false;
 	if (!c->service.len)
 		return true;
--- a/packages/daemon/guard_bounds.c
+++ b/packages/daemon/guard_bounds.c
@@ -57,7 +57,8 @@
 	struct routing_load_report report = { 0 };
 	const struct overload_guard *o = guard->overload;
 
-	report.draining = guard->closed || guard->notices.leaving;
+	report.draining = guard->closed || guard->notices.leaving ||
+			  guard_backend_is_foreign(guard);
 	report.stopping = guard->node->draining && !guard->closed;
 	if (!o)
 		return report;
--- a/packages/daemon/guard_notices.c
+++ b/packages/daemon/guard_notices.c
@@ -7,6 +7,13 @@
  */
 #define NOTICE_CHECK_INTERVAL_US BASE_SECOND_US
 
+/*
+ * Without the platform, an idle server is asked this often whether it still
+ * runs: only while that is known to be recent can a restart of it be told from
+ * a server of another service.
+ */
+#define INSTANCE_CHECK_INTERVAL_US (500 * BASE_MS_US)
+
 static void log_rate_limit(struct guard *g, const char *event, double per_s)
 {
 	struct base_log_line line =
@@ -115,12 +122,20 @@
 	read_leaving(g, headers, sent_at, now);
 }
 
+static bool is_instance_check_due(const struct guard *g, int64_t now)
+{
+	return !g->node->platform_up && g->instance.len && g->node->self &&
+	       !overload_guard_is_unavailable(g->overload) &&
+	       now - g->instance_seen_at >= INSTANCE_CHECK_INTERVAL_US;
+}
+
 void guard_tick(struct guard *g, int64_t now)
 {
 	const struct guard_notices *n = &g->notices;
 
-	if ((n->has_rate_limit || n->leaving) &&
-	    now - n->answered_at >= NOTICE_CHECK_INTERVAL_US)
+	if (((n->has_rate_limit || n->leaving) &&
+	     now - n->answered_at >= NOTICE_CHECK_INTERVAL_US) ||
+	    is_instance_check_due(g, now))
 		backend_health_check(g->health, now);
 	guard_capacity_tick(g, now);
 }
--- a/packages/daemon/guard_work.h
+++ b/packages/daemon/guard_work.h
@@ -92,6 +92,16 @@
 	struct backend_health *health;
 	/** Instance id of the backend server that work is sent to. */
 	struct base_buf instance;
+	/**
+	 * Latest time at which that instance is known to have run: when a
+	 * request or a check was sent that it has answered. 0 before any.
+	 */
+	int64_t instance_seen_at;
+	/**
+	 * While the platform is out of reach, another instance answers that may
+	 * belong to another service; its id. Empty when there is none.
+	 */
+	struct base_buf foreign_instance;
 	struct guard_notices notices;
 	/** The local failure domain was out in the last snapshot. */
 	bool domain_out;
@@ -138,10 +148,11 @@
 			    bool died);
 /**
  * Whether the local backend server may run the work. The server may have said
- * that it leaves before the platform lists it so. An entry may have sent the
- * work with an older configuration, in which the backend server is not leaving,
- * its failure domain is not out, or the address serves another service. The
- * same may also have changed while the work was queued.
+ * that it leaves before the platform lists it so, or another server may have
+ * got its address while the platform is out of reach. An entry may have sent
+ * the work with an older configuration, in which the backend server is not
+ * leaving, its failure domain is not out, or the address serves another
+ * service. The same may also have changed while the work was queued.
  */
 bool guard_accepts_work(const struct guard *g, const struct peer_context *c);
 /**
@@ -181,6 +192,10 @@
  */
 void guard_work_add_headers(struct guard_work *w, struct http_headers *headers,
 			    int64_t now);
+/** The backend server at the address may belong to another service. */
+bool guard_backend_is_foreign(const struct guard *g);
+/** Records that the instance has answered what was sent at @p sent_at. */
+void guard_record_instance_seen(struct guard *g, int64_t sent_at);
 /** Removes the work item from the guard and frees it, without an answer. */
 void guard_work_free(struct guard_work *w);
 /**
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -99,6 +99,11 @@
 	  FIELD(leave_us), "2", 0, 3600, BASE_SECOND_US, "SECONDS",
 	  "Time for which a leaving backend server still takes requests after "
 	  "its entry is removed from the platform" },
+	{ 'U', SETTING_DURATION, "reuse-after-seconds",
+	  "BILBERRYHINGE_REUSE_AFTER_SECONDS", FIELD(reuse_after_us), "2", 0,
+	  3600, BASE_SECOND_US, "SECONDS",
+	  "Shortest time from the end of a backend server until its address may "
+	  "belong to a server of another service" },
 	{ 'm', SETTING_NUMBER, "max-connections",
 	  "BILBERRYHINGE_MAX_CONNECTIONS", FIELD(max_connections), "4096", 1,
 	  100000, 1, "COUNT",
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -101,6 +101,24 @@
 	daemon_settings_release(&settings);
 }
 
+/*
+ * Guards against a deployment whose addresses change hands sooner than the
+ * daemon takes for granted, and against one that cannot say "at any time".
+ */
+Test(settings, reuse_time_is_that_of_the_deployment)
+{
+	struct daemon_settings settings;
+
+	cr_assert(eq(int, parse("--reuse-after-seconds=500ms", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(i64, settings.reuse_after_us, 500 * BASE_MS_US));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--reuse-after-seconds=0", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(i64, settings.reuse_after_us, 0));
+	daemon_settings_release(&settings);
+}
+
 /* Guards against a misspelt switch that is taken for "off" without a word. */
 Test(settings, learned_capacity_is_off_unless_it_is_switched_on)
 {
