Close an idle connection when a call needs a new one at the limit

The calls that probe the store on new connections ended for good, without a word, once four connections of the reader were idle: they may not use those, and the limit of the client is four. With one probe in 3 s the same came after 9 s on connections that the store keeps open.

--- a/packages/http/client_pool.c
+++ b/packages/http/client_pool.c
@@ -293,6 +293,11 @@
 		c = take_idle(client, id, now);
 	if (c)
 		return c;
+	/* Idle connections that may not be used must not keep out a new one. */
+	if (client->connection_count >= client->max_connections &&
+	    !TAILQ_EMPTY(&client->idle))
+		client_close_idle(TAILQ_FIRST(&client->idle),
+				  HTTP_CLOSE_IDLE_EXPIRED);
 	if (client->connection_count >= client->max_connections)
 		return NULL;
 	if (!connect_limit_take(&client->connect_limit, now)) {
--- a/packages/http/tests/test_connections.c
+++ b/packages/http/tests/test_connections.c
@@ -45,6 +45,8 @@
 	bool mute;
 	/* Resets each connection that it accepts. */
 	bool resets;
+	/* The client sends each request on a new connection. */
+	bool fresh;
 	int ends;
 	enum http_result result;
 	int last_status;
@@ -116,10 +118,11 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-static void setup(struct fixture *f, int64_t troubled_connects_per_s)
+static void setup_with_limit(struct fixture *f, int64_t troubled_connects_per_s,
+			     uint32_t max_connections)
 {
 	struct http_client_settings settings = {
-		.max_connections = MAX_CONNECTIONS,
+		.max_connections = max_connections,
 		.max_response_bytes = 65536,
 		.echo_header = BASE_STR("X-Id"),
 		.troubled_connects_per_s = troubled_connects_per_s,
@@ -134,6 +137,11 @@
 		     HTTP_ERR_NONE));
 }
 
+static void setup(struct fixture *f, int64_t troubled_connects_per_s)
+{
+	setup_with_limit(f, troubled_connects_per_s, MAX_CONNECTIONS);
+}
+
 static void release(struct fixture *f)
 {
 	int i;
@@ -173,6 +181,7 @@
 {
 	struct http_request request = { .method = BASE_STR("GET"),
 					.path = BASE_STR("/"),
+					.fresh_connection = f->fresh,
 					.linger_us = LINGER_US };
 	struct http_call *call;
 
@@ -195,6 +204,28 @@
 	return http_client_statistics(f->client)->closed[cause];
 }
 
+/*
+ * Guards against calls on new connections that end for good once idle ones,
+ * which they may not use, have filled the limit.
+ */
+Test(connections, idle_ones_make_room_for_a_new_one)
+{
+	struct fixture f;
+	char id[8];
+	int i;
+
+	setup_with_limit(&f, 0, 4);
+	f.fresh = true;
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "id-%d", i);
+		cr_assert(eq(int, call_with_id(&f, id), HTTP_RESULT_RESPONSE));
+	}
+	cr_assert(eq(int, f.accepted, 10));
+	run_for(&f, 10 * BASE_MS_US);
+	cr_assert(eq(int, f.closed, 6));
+	release(&f);
+}
+
 /*
  * Guards against a connection lost to each request that the server answers at
  * its deadline, which is also the client's.
