Infer an outage of the platform from evidence, not from one failed call

Cause: one failed call counted as an outage of the platform, in which entries of servers that run expire, and relays passed that on (since_outage_us). All daemons logged registry_item_lapsed within milliseconds of the removal and registry_item_removed 2.2 s after the first two had reached the store again, so the removal was neither late nor dropped with requests on their way.

An outage is a time of two write intervals (--beat-seconds) or more without any answer to anybody: an entry takes three intervals to expire. Announcements carry the age of the relay's evidence and for how long the platform has answered it without an outage; what a relay states may refute or shorten an outage, and entries kept for it go then. Relays state their own calls only and probe the store each 0.7 s. since_outage_us stays in the message, negative, for daemons of an earlier version.

--- a/packages/daemon/control.c
+++ b/packages/daemon/control.c
@@ -379,8 +379,7 @@
 	case CONTROL_ROLE:
 		c->relay = m->relay;
 		if (c->registry)
-			registry_task_set_role(c->registry, m->relay,
-					       m->relay_count, now);
+			registry_task_set_role(c->registry, m->relay, now);
 		else
 			update_watches(c, now);
 		break;
@@ -444,6 +443,7 @@
 	struct registry_task_settings registry = {
 		.platform = settings->platform,
 		.leave_us = settings->leave_us,
+		.beat_us = settings->beat_us,
 		.peer_listen = settings->peer_listen,
 		.region = settings->region,
 		.codec = dialect->registry,
--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -230,8 +230,10 @@
 		break;
 	case DATA_PLATFORM_STATE:
 		node->platform_up = msg->up;
-		if (msg->after_outage)
-			node->platform_regained_at = base_now_us();
+		break;
+	case DATA_PLATFORM_EVIDENCE:
+		node->platform_current_at = msg->current_at;
+		node->platform_steady_since = msg->steady_since;
 		break;
 	}
 	data_message_free(msg);
@@ -274,7 +276,7 @@
 		break;
 	default:
 		membership_on_link_message(node->membership, link, msg,
-					   receive_info->received_at);
+					   receive_info);
 	}
 }
 
@@ -312,7 +314,7 @@
 		/* Fall through. */
 	default:
 		membership_on_remote_message(node->membership, remote, msg,
-					     receive_info->received_at);
+					     receive_info);
 	}
 }
 
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -66,6 +66,8 @@
 	int64_t request_memory;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
+	/** Interval in which a backend server writes its entry. */
+	int64_t beat_us;
 	/**
 	 * Shortest time from the end of a backend server until its address may
 	 * belong to a server of another service.
--- a/packages/daemon/membership.c
+++ b/packages/daemon/membership.c
@@ -227,9 +227,11 @@
 }
 
 void membership_on_link_message(struct membership *m, struct peer_link *link,
-				const struct peer_message *msg, int64_t now)
+				const struct peer_message *msg,
+				const struct peer_receive_info *receive_info)
 {
 	struct outgoing_link *out_link = peer_link_data(link);
+	int64_t now = receive_info->received_at;
 
 	if (!out_link) {
 		handle_seed_message(m, link, msg);
@@ -245,7 +247,8 @@
 		on_heartbeat(m, out_link, &msg->heartbeat, now);
 	} else if (msg->type == PEER_CONFIG_ANNOUNCE) {
 		out_link->version = msg->config_announce.version;
-		relays_on_announcement(m, &msg->config_announce);
+		relays_on_announcement(m, &msg->config_announce,
+				       now - receive_info->age_us);
 	} else if (msg->type == PEER_CONFIG_GET) {
 		send_config_value(m, link, msg);
 	}
@@ -299,9 +302,11 @@
 
 void membership_on_remote_message(struct membership *m,
 				  const struct peer_remote *remote,
-				  const struct peer_message *msg, int64_t now)
+				  const struct peer_message *msg,
+				  const struct peer_receive_info *receive_info)
 {
 	struct incoming_link *in_link = get_incoming(m, remote);
+	int64_t now = receive_info->received_at;
 
 	in_link->received_at = now;
 	if (msg->type == PEER_HELLO) {
@@ -322,7 +327,8 @@
 		on_config_value(m, &msg->config_value);
 	} else if (msg->type == PEER_CONFIG_ANNOUNCE) {
 		record_remote_version(m, in_link, msg->config_announce.version);
-		relays_on_announcement(m, &msg->config_announce);
+		relays_on_announcement(m, &msg->config_announce,
+				       now - receive_info->age_us);
 	}
 }
 
--- a/packages/daemon/membership.h
+++ b/packages/daemon/membership.h
@@ -55,10 +55,12 @@
 void membership_on_link_up(struct membership *m, struct peer_link *link);
 void membership_on_link_down(struct membership *m, struct peer_link *link);
 void membership_on_link_message(struct membership *m, struct peer_link *link,
-				const struct peer_message *msg, int64_t now);
+				const struct peer_message *msg,
+				const struct peer_receive_info *receive_info);
 void membership_on_remote_message(struct membership *m,
 				  const struct peer_remote *remote,
-				  const struct peer_message *msg, int64_t now);
+				  const struct peer_message *msg,
+				  const struct peer_receive_info *receive_info);
 /**
  * Requests a configuration value for the control task from the peer that
  * reported the highest version: over a link of this daemon, else over one to a
--- a/packages/daemon/membership_internal.h
+++ b/packages/daemon/membership_internal.h
@@ -135,9 +135,13 @@
  * REGISTRY_ANNOUNCE_INTERVAL_US.
  */
 void relays_announce(struct membership *m, bool changed, int64_t now);
-/** Passes the announcement of a relay on to the control task. */
+/**
+ * Passes the announcement of a relay on to the control task.
+ * @param sent_at  on the clock of this daemon
+ */
 void relays_on_announcement(struct membership *m,
-			    const struct peer_config_announce *announcement);
+			    const struct peer_config_announce *announcement,
+			    int64_t sent_at);
 void relays_merge_domain_versions(struct membership *m,
 				  const struct peer_heartbeat *beat,
 				  int64_t now);
--- a/packages/daemon/messages.h
+++ b/packages/daemon/messages.h
@@ -76,13 +76,13 @@
 	struct base_buf value;
 	bool found;
 	bool relay;
-	/** With CONTROL_ROLE: relays of all failure domains together. */
-	size_t relay_count;
 	/**
-	 * With CONTROL_PEER_ANNOUNCED: time since the platform answered the
-	 * relay again after an outage, in us; negative without an outage.
+	 * With CONTROL_PEER_ANNOUNCED, on the clock of base_now_us(): when the
+	 * relay's mirror last had all changes of the platform, and since when
+	 * that has answered it without an outage.
 	 */
-	int64_t since_outage_us;
+	int64_t current_at;
+	int64_t steady_since;
 };
 
 void control_message_free(struct control_message *msg);
@@ -107,6 +107,8 @@
 	DATA_CANDIDATE,
 	/** The platform started or stopped answering. */
 	DATA_PLATFORM_STATE,
+	/** The platform has answered a relay; see registry_evidence.h. */
+	DATA_PLATFORM_EVIDENCE,
 };
 
 struct data_message {
@@ -118,8 +120,12 @@
 	struct base_digest digest;
 	struct base_buf text;
 	bool up;
-	/** With DATA_PLATFORM_STATE and up: calls had failed before. */
-	bool after_outage;
+	/**
+	 * With DATA_PLATFORM_EVIDENCE: when the mirror last had all changes,
+	 * and since when the platform has answered without an outage.
+	 */
+	int64_t current_at;
+	int64_t steady_since;
 };
 
 void data_message_free(struct data_message *msg);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -96,8 +96,13 @@
 	struct base_buf last_refused;
 	struct base_buf last_conflict;
 	bool platform_up;
-	/** When the platform answered again after an outage; 0 before any. */
-	int64_t platform_regained_at;
+	/**
+	 * On a relay: when its configuration last had all changes of the
+	 * platform, by its own calls, and since when the platform has answered
+	 * it without an outage; 0 before any answer.
+	 */
+	int64_t platform_current_at;
+	int64_t platform_steady_since;
 	bool draining;
 	/**
 	 * During a planned stop, the time at which open requests are refused;
--- a/packages/daemon/registry.c
+++ b/packages/daemon/registry.c
@@ -19,6 +19,8 @@
 	int64_t created;
 	/* Time until which a removed entry is kept; 0 when not removed. */
 	int64_t expires_at;
+	/* The same without regard to an outage of the platform. */
+	int64_t expires_without_outage_at;
 	/* Revision of the removal. */
 	int64_t removed_revision;
 	/* The item was applied since the current reload began. */
@@ -156,18 +158,17 @@
 
 /*
  * Returns the time until which a removed entry is kept, because the platform
- * may have lost the entry of a server that still runs.
+ * may have lost the entry of a server that still runs. An outage of the
+ * platform may keep it for longer, see outage_hold().
  */
 static int64_t hold_until(struct registry *r, const struct registry_item *item,
 			  int64_t now)
 {
-	int64_t until = r->reconnected_at + REGISTRY_REREGISTER_TIMEOUT_US;
+	int64_t until = r->restored_at + REGISTRY_REREGISTER_TIMEOUT_US;
 
 	/* Its writer may write it again, as it was lost in a restore. */
 	if (!r->codec->is_server(item->key))
 		return r->restored_at + REGISTRY_RESTORE_SETTLE_US;
-	if (until < r->restored_at + REGISTRY_REREGISTER_TIMEOUT_US)
-		until = r->restored_at + REGISTRY_REREGISTER_TIMEOUT_US;
 	if (now - r->removal_group_start > REGISTRY_REMOVAL_GROUP_US) {
 		r->removal_group_start = now;
 		r->removal_group_count = 0;
@@ -182,6 +183,19 @@
 	return until;
 }
 
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Time until which an outage of the platform keeps the removed entry. */
+static int64_t outage_hold(const struct registry *r, struct base_str key)
+{
+	if (!r->codec->is_server(key))
+		return 0;
+	return r->reconnected_at + REGISTRY_REREGISTER_TIMEOUT_US;
+}
+
 static struct registry_item last_write(const struct mirror_item *m)
 {
 	return (struct registry_item){
@@ -217,7 +231,8 @@
 	if (!m || m->expires_at)
 		return;
 	m->removed_revision = item->revision;
-	until = hold_until(r, item, now);
+	m->expires_without_outage_at = later(hold_until(r, item, now), now);
+	until = later(m->expires_without_outage_at, outage_hold(r, item->key));
 	if (until <= now) {
 		delete_item(r, m, "registry_item_removed", now);
 		return;
@@ -356,8 +371,18 @@
 
 void registry_platform_reconnected(struct registry *r, int64_t at)
 {
-	if (at > r->reconnected_at)
-		r->reconnected_at = at;
+	struct mirror_item *m, *next;
+
+	if (!at)
+		at = -REGISTRY_REREGISTER_TIMEOUT_US;
+	if (at == r->reconnected_at)
+		return;
+	r->reconnected_at = at;
+	HASH_ITER (hh, r->items, m, next)
+		if (m->expires_at)
+			m->expires_at =
+				later(m->expires_without_outage_at,
+				      outage_hold(r, base_str_from(m->key)));
 }
 
 void registry_tick(struct registry *r, int64_t now)
--- a/packages/daemon/registry.h
+++ b/packages/daemon/registry.h
@@ -70,10 +70,11 @@
 void registry_begin_reload(struct registry *r, int64_t revision, int64_t now);
 void registry_end_reload(struct registry *r, int64_t now);
 /**
- * The platform answered again after an outage, here or at the peer whose
- * changes are applied. Server entries that are removed within
- * REGISTRY_REREGISTER_TIMEOUT_US from @p at are kept at least until that time
- * is over.
+ * The last outage of the platform ended at @p at. Server entries that are
+ * removed within REGISTRY_REREGISTER_TIMEOUT_US from then are kept at least
+ * until that time is over. An earlier time than before, or 0 for no outage,
+ * corrects what was believed of it: entries that were kept for the outage alone
+ * are then due earlier.
  */
 void registry_platform_reconnected(struct registry *r, int64_t at);
 /**
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -27,10 +27,12 @@
 #define WATCH_RESTART_INTERVAL_US (500 * BASE_MS_US)
 /*
  * A connection may go silent for good, and a watch on it looks like one without
- * changes until its timeout. All readers together check this often on other
- * connections whether there are changes that their watches do not deliver; the
- * first one that finds some tells its peers.
+ * changes until its timeout. So a reader checks on other connections whether
+ * there are changes that its watch does not deliver. A relay does so this
+ * often, as its failure domain goes by its evidence of the platform's answers,
+ * and all other readers together do.
  */
+#define RELAY_PROBE_INTERVAL_US (700 * BASE_MS_US)
 #define FLEET_PROBE_INTERVAL_US (500 * BASE_MS_US)
 #define PROBE_WAIT_MS 1
 #define MAX_ANSWER_BYTES (4 << 20)
@@ -52,17 +54,20 @@
 	int64_t era;
 	int64_t backoff_us;
 	int64_t call_started_at;
-	int64_t answered_at;
+	/* Wait time of the watch in flight. */
+	int64_t watch_wait_us;
+	int64_t probe_started_at;
+	int64_t failed_at;
+	int64_t read_started_at;
+	/* See registry_client_current_at(). */
+	int64_t current_at;
 	int64_t watch_restarted_at;
-	/* Daemons that read the platform; 0 when it may be all of them. */
-	size_t reader_count;
+	bool is_relay;
 	/* Watches are started; reads of all items always are. */
 	bool reading;
 	/* All items were read; the next calls are watches. */
 	bool watching;
 	bool up;
-	/* A call has failed since the last successful one. */
-	bool call_failed;
 };
 
 static void start_call(struct registry_client *c);
@@ -80,17 +85,10 @@
 	event_add(c->timer, &tv);
 }
 
-static void set_state(struct registry_client *c, bool up, const char *reason,
-		      int64_t now)
+static void set_state(struct registry_client *c, bool up, const char *reason)
 {
 	struct base_log_line line;
-	bool after_outage = up && c->call_failed;
 
-	if (after_outage) {
-		c->call_failed = false;
-		registry_platform_reconnected(c->settings.registry, now);
-	}
-	c->call_failed = c->call_failed || !up;
 	if (up)
 		c->backoff_us = RETRY_MIN_US;
 	if (up == c->up)
@@ -103,7 +101,31 @@
 	base_log_int(&line, "revision",
 		     registry_revision(c->settings.registry));
 	base_log_end(&line);
-	c->settings.on_state(c->settings.ctx, up, after_outage);
+	c->settings.on_state(c->settings.ctx, up);
+}
+
+/*
+ * The platform held a watch from its start to its answer, so it answered
+ * throughout, unless other calls have failed meanwhile.
+ */
+static void record_answer(struct registry_client *c, int64_t started_at,
+			  int64_t now)
+{
+	int64_t since = c->failed_at >= started_at ? now : started_at;
+
+	c->settings.on_answer(c->settings.ctx, since, now);
+}
+
+static void record_failure(struct registry_client *c, int64_t now)
+{
+	c->failed_at = now;
+	c->settings.on_failure(c->settings.ctx);
+}
+
+static void record_current(struct registry_client *c, int64_t at)
+{
+	if (at > c->current_at)
+		c->current_at = at;
 }
 
 static void handle_failure(struct registry_client *c, const char *reason,
@@ -113,7 +135,8 @@
 						     (double)c->backoff_us);
 
 	count(c, "registry_calls_failed");
-	set_state(c, false, reason, now);
+	record_failure(c, now);
+	set_state(c, false, reason);
 	schedule_call(c, wait);
 	c->backoff_us *= 2;
 	if (c->backoff_us > RETRY_MAX_US)
@@ -124,6 +147,7 @@
 {
 	c->revision = registry_read_revision(c->read);
 	registry_read_apply(c->read, c->settings.registry, c->era, now);
+	record_current(c, c->read_started_at);
 	c->watching = true;
 	c->settings.on_change(c->settings.ctx);
 	schedule_call(c, CHANGE_BATCH_US);
@@ -161,6 +185,20 @@
 	}
 }
 
+/*
+ * Time at which the mirror had all changes, by an answer to a watch. When there
+ * were changes, or the answer came early, it may have been made as soon as the
+ * watch had started.
+ */
+static int64_t watch_current_at(const struct registry_client *c,
+				size_t change_count, int64_t now)
+{
+	int64_t waited_until = c->call_started_at + c->watch_wait_us;
+
+	return change_count || now < waited_until ? c->call_started_at
+						  : waited_until;
+}
+
 static void on_events(struct registry_client *c, struct registry_page *page,
 		      int64_t now)
 {
@@ -174,6 +212,7 @@
 			      now);
 	if (page->revision > c->revision)
 		c->revision = page->revision;
+	record_current(c, watch_current_at(c, page->count, now));
 	if (page->count)
 		c->settings.on_change(c->settings.ctx);
 	schedule_call(c, page->count ? CHANGE_BATCH_US : 0);
@@ -271,7 +310,7 @@
 	if (is_first_page || answer->status != 200)
 		return true;
 	/* All items are read again, as the revisions known do not count. */
-	set_state(c, true, "restored", now);
+	set_state(c, true, "restored");
 	schedule_call(c, 0);
 	return false;
 }
@@ -302,8 +341,8 @@
 		handle_failure(c, err.message, now);
 		return;
 	}
-	set_state(c, true, "answered", now);
-	c->answered_at = now;
+	record_answer(c, c->call_started_at, now);
+	set_state(c, true, "answered");
 	if (page.malformed_count)
 		log_malformed_items(c, &page);
 	if (c->watching)
@@ -341,7 +380,8 @@
 		/* After a failure, a short wait detects recovery early. */
 		if (!c->up)
 			wait_ms = 1;
-		timeout = wait_ms * BASE_MS_US + WATCH_ANSWER_SLACK_US;
+		c->watch_wait_us = wait_ms * BASE_MS_US;
+		timeout = c->watch_wait_us + WATCH_ANSWER_SLACK_US;
 		c->settings.codec->watch_target(watched_revision(c), wait_ms,
 						&target);
 	} else {
@@ -351,6 +391,8 @@
 	request.path = base_buf_str(&target);
 	count(c, "registry_calls");
 	c->call_started_at = base_now_us();
+	if (!c->watching && registry_read_is_new(c->read))
+		c->read_started_at = c->call_started_at;
 	c->call = http_client_send(c->http, &request, timeout, on_answer, c);
 	if (!c->call)
 		handle_failure(c, "no connection", c->call_started_at);
@@ -391,35 +433,56 @@
 		schedule_call(c, 0);
 }
 
-void registry_client_set_reader_count(struct registry_client *c, size_t count)
+static void schedule_probe(struct registry_client *c)
 {
-	c->reader_count = count;
+	size_t readers = registry_server_count(c->settings.registry);
+	double us = c->is_relay ? (double)RELAY_PROBE_INTERVAL_US
+				: (double)FLEET_PROBE_INTERVAL_US *
+					  (double)(readers ? readers : 1);
+
+	us *= 0.75 + 0.5 * base_rand_unit(&c->rnd);
+	event_add(c->probe_timer,
+		  &(struct timeval){ .tv_sec = (int64_t)us / BASE_SECOND_US,
+				     .tv_usec = (int64_t)us % BASE_SECOND_US });
+}
+
+void registry_client_set_relay(struct registry_client *c, bool relay)
+{
+	if (relay == c->is_relay)
+		return;
+	c->is_relay = relay;
+	schedule_probe(c);
 }
 
-int64_t registry_client_answered_at(const struct registry_client *c)
+int64_t registry_client_current_at(const struct registry_client *c)
 {
-	return c->answered_at;
+	return c->current_at;
 }
 
-void registry_client_confirm(struct registry_client *c, int64_t now)
+void registry_client_confirm(struct registry_client *c)
 {
 	if (c->watching)
-		set_state(c, true, "a relay reads it", now);
+		set_state(c, true, "a relay reads it");
 }
 
-static void log_probe_failure(struct registry_client *c, const char *reason)
+static void handle_probe_failure(struct registry_client *c, const char *reason,
+				 int64_t now)
 {
 	struct base_log_line line = base_log_begin(
 		c->settings.log, BASE_LOG_INFO, "registry_probe_failed");
 
+	record_failure(c, now);
 	count(c, "registry_probes_failed");
 	base_log_cstr(&line, "why", reason);
 	base_log_end(&line);
 }
 
-/* Whether the answer to a probe shows changes after the watched revision. */
+/*
+ * Whether the answer to a probe shows changes after the watched revision. If
+ * not, the mirror had all changes when the probe was sent.
+ */
 static bool shows_changes(struct registry_client *c,
-			  const struct http_response *answer)
+			  const struct http_response *answer, int64_t now)
 {
 	int64_t era = c->era;
 	struct registry_page page;
@@ -427,23 +490,26 @@
 	bool changes;
 
 	if (!read_era(c, answer, &era)) {
-		log_probe_failure(c, "era cannot be read");
+		handle_probe_failure(c, "era cannot be read", now);
 		return false;
 	}
 	if (era > c->era ||
 	    c->settings.codec->is_revision_compacted(answer->status))
 		return true;
 	if (answer->status != 200) {
-		log_probe_failure(c,
-				  failure_reason(HTTP_RESULT_RESPONSE, answer));
+		handle_probe_failure(
+			c, failure_reason(HTTP_RESULT_RESPONSE, answer), now);
 		return false;
 	}
 	if (!c->settings.codec->page_parse(answer->body, &page, &err)) {
-		log_probe_failure(c, err.message);
+		handle_probe_failure(c, err.message, now);
 		return false;
 	}
 	changes = page.count > 0;
 	c->settings.codec->page_release(&page);
+	record_answer(c, c->probe_started_at, now);
+	if (!changes)
+		record_current(c, c->probe_started_at);
 	return changes;
 }
 
@@ -463,33 +529,20 @@
 		     const struct http_response *answer)
 {
 	struct registry_client *c = ctx;
+	int64_t now = base_now_us();
 
 	c->probe = NULL;
 	if (result != HTTP_RESULT_RESPONSE) {
-		log_probe_failure(c, failure_reason(result, answer));
+		handle_probe_failure(c, failure_reason(result, answer), now);
 		return;
 	}
-	if (!c->watching || !c->call || !shows_changes(c, answer))
+	if (!c->watching || !shows_changes(c, answer, now) || !c->call)
 		return;
 	count(c, "registry_watches_behind");
 	log_watch_behind(c);
 	restart_watch(c);
 }
 
-static void schedule_probe(struct registry_client *c)
-{
-	size_t readers = c->reader_count
-				 ? c->reader_count
-				 : registry_server_count(c->settings.registry);
-	double us = (double)FLEET_PROBE_INTERVAL_US *
-		    (double)(readers ? readers : 1) *
-		    (0.75 + 0.5 * base_rand_unit(&c->rnd));
-	struct timeval tv = { .tv_sec = (int64_t)us / BASE_SECOND_US,
-			      .tv_usec = (int64_t)us % BASE_SECOND_US };
-
-	event_add(c->probe_timer, &tv);
-}
-
 static void on_probe_timer(evutil_socket_t fd, short events, void *arg)
 {
 	BASE_CLEANUP(base_buf_release) struct base_buf target = BASE_BUF_INIT;
@@ -498,14 +551,17 @@
 	struct registry_client *c = arg;
 
 	schedule_probe(c);
-	if (!c->reading || !c->watching || !c->call || !c->up || c->probe)
+	if (!c->reading || !c->watching || !c->up || c->probe)
 		return;
 	c->settings.codec->watch_target(watched_revision(c), PROBE_WAIT_MS,
 					&target);
 	request.path = base_buf_str(&target);
 	count(c, "registry_probes");
+	c->probe_started_at = base_now_us();
 	c->probe = http_client_send(c->http, &request, READ_TIMEOUT_US,
 				    on_probe, c);
+	if (!c->probe)
+		handle_probe_failure(c, "no connection", c->probe_started_at);
 }
 
 struct registry_client *
--- a/packages/daemon/registry_task.c
+++ b/packages/daemon/registry_task.c
@@ -1,6 +1,7 @@
 /* The control task's work on a platform with a registry. */
 #include "registry_task.h"
 #include "registry_client.h"
+#include "registry_evidence.h"
 #include "registry_reader.h"
 
 #include <inttypes.h>
@@ -23,6 +24,12 @@
 	struct base_mailbox *outbox;
 	struct base_log *log;
 	struct registry_reader reader;
+	/* By calls of this daemon; a relay tells others of it. */
+	struct registry_evidence own;
+	/* The same and what relays tell. */
+	struct registry_evidence known;
+	/* Time of the last answer that the data task was told of. */
+	int64_t told_answered_at;
 	int64_t changes_fetched_at;
 	/* Newest revision that a peer reported. */
 	int64_t peer_revision;
@@ -82,13 +89,66 @@
 	activate(ctx);
 }
 
-static void on_state(void *ctx, bool up, bool after_outage)
+static void on_state(void *ctx, bool up)
 {
 	struct registry_task *t = ctx;
 	struct data_message *msg = new_message(DATA_PLATFORM_STATE);
 
 	msg->up = up;
-	msg->after_outage = after_outage;
+	base_mailbox_post(t->outbox, msg);
+}
+
+static void log_outage(struct registry_task *t, int64_t now)
+{
+	struct base_log_line line = base_log_begin(
+		t->log, BASE_LOG_INFO,
+		t->known.outage_ended_at ? "platform_outage_ended"
+					 : "platform_outage_refuted");
+
+	if (t->known.outage_ended_at)
+		base_log_int(&line, "ms_ago",
+			     (now - t->known.outage_ended_at) / BASE_MS_US);
+	base_log_int(&line, "steady_ms",
+		     (now - t->known.steady_since) / BASE_MS_US);
+	base_log_end(&line);
+}
+
+static void add_evidence(struct registry_task *t, int64_t since, int64_t at,
+			 int64_t now)
+{
+	if (!registry_evidence_add(&t->known, since, at))
+		return;
+	log_outage(t, now);
+	registry_platform_reconnected(t->registry, t->known.outage_ended_at);
+}
+
+static void on_answer(void *ctx, int64_t since, int64_t at)
+{
+	struct registry_task *t = ctx;
+
+	registry_evidence_add(&t->own, since, at);
+	add_evidence(t, since, at, at);
+}
+
+static void on_failure(void *ctx)
+{
+	struct registry_task *t = ctx;
+
+	registry_evidence_on_failure(&t->own);
+	registry_evidence_on_failure(&t->known);
+}
+
+/* Tells the data task, which announces it, when a relay got an answer. */
+static void tell_evidence(struct registry_task *t)
+{
+	struct data_message *msg;
+
+	if (!t->reader.is_relay || t->own.answered_at == t->told_answered_at)
+		return;
+	t->told_answered_at = t->own.answered_at;
+	msg = new_message(DATA_PLATFORM_EVIDENCE);
+	msg->current_at = registry_client_current_at(t->client);
+	msg->steady_since = t->own.steady_since;
 	base_mailbox_post(t->outbox, msg);
 }
 
@@ -114,18 +174,17 @@
 static void update_reading(struct registry_task *t, int64_t now)
 {
 	registry_reader_on_answer(&t->reader,
-				  registry_client_answered_at(t->client));
+				  registry_client_current_at(t->client));
 	registry_client_set_reading(
 		t->client,
 		registry_reader_must_read(&t->reader,
 					  registry_revision(t->registry), now));
 }
 
-void registry_task_set_role(struct registry_task *t, bool relay,
-			    size_t relay_count, int64_t now)
+void registry_task_set_role(struct registry_task *t, bool relay, int64_t now)
 {
 	t->reader.is_relay = relay;
-	registry_client_set_reader_count(t->client, relay ? relay_count : 0);
+	registry_client_set_relay(t->client, relay);
 	update_reading(t, now);
 }
 
@@ -153,11 +212,9 @@
 {
 	registry_reader_on_announcement(&t->reader, m->version,
 					registry_revision(t->registry), now);
-	if (m->since_outage_us >= 0)
-		registry_platform_reconnected(t->registry,
-					      now - m->since_outage_us);
+	add_evidence(t, m->steady_since, m->current_at, now);
 	if (!t->reader.is_relay)
-		registry_client_confirm(t->client, now);
+		registry_client_confirm(t->client);
 	registry_task_on_peer_version(t, m->version, now);
 	update_reading(t, now);
 	fetch_changes(t, now);
@@ -172,6 +229,16 @@
 	base_log_end(&line);
 }
 
+/*
+ * A peer's changes may come before any word of the platform's return. Entries
+ * that they remove may have expired; relays tell later when the outage ended.
+ */
+static void prepare_for_peer_changes(struct registry_task *t, int64_t now)
+{
+	if (registry_evidence_is_old(&t->known, now))
+		add_evidence(t, now, now, now);
+}
+
 static void apply_manifest(struct registry_task *t, int64_t now)
 {
 	char missing[2 * BASE_DIGEST_SIZE + 1];
@@ -204,6 +271,7 @@
 {
 	struct base_str key = base_buf_str(&m->key);
 
+	prepare_for_peer_changes(t, now);
 	if (base_str_starts_with(key,
 				 BASE_STR(PUBLICATION_KEY_CHANGES_PREFIX))) {
 		apply_changes(t, m, now);
@@ -224,6 +292,7 @@
 {
 	registry_tick(t->registry, now);
 	activate(t);
+	tell_evidence(t);
 	update_reading(t, now);
 	fetch_changes(t, now);
 	if (t->peer_revision <= registry_revision(t->registry) ||
@@ -259,11 +328,15 @@
 		.counters = settings->counters,
 		.on_change = on_change,
 		.on_state = on_state,
+		.on_answer = on_answer,
+		.on_failure = on_failure,
 		.ctx = t,
 	};
 
 	t->outbox = settings->outbox;
 	t->log = settings->log;
+	registry_evidence_init(&t->own, settings->beat_us);
+	registry_evidence_init(&t->known, settings->beat_us);
 	t->registry = registry_create(settings->codec, &view,
 				      settings->leave_us, settings->log);
 	client.registry = t->registry;
--- a/packages/daemon/registry_task.h
+++ b/packages/daemon/registry_task.h
@@ -18,6 +18,8 @@
 	const char *region;
 	/** Time for which a leaving backend server still takes requests. */
 	int64_t leave_us;
+	/** Interval in which a backend server writes its entry. */
+	int64_t beat_us;
 	const struct registry_codec *codec;
 	/** Receives struct data_message. */
 	struct base_mailbox *outbox;
@@ -30,12 +32,8 @@
 		     const struct registry_task_settings *settings,
 		     struct base_error *err);
 void registry_task_destroy(struct registry_task *t);
-/**
- * Relays read the platform; other daemons do when the relays do not.
- * @param relay_count  relays of all failure domains together
- */
-void registry_task_set_role(struct registry_task *t, bool relay,
-			    size_t relay_count, int64_t now);
+/** Relays read the platform; other daemons do when the relays do not. */
+void registry_task_set_role(struct registry_task *t, bool relay, int64_t now);
 /** A relay that reads the platform announced the revision of its mirror. */
 void registry_task_on_announcement(struct registry_task *t,
 				   const struct control_message *m,
--- a/packages/daemon/relays.c
+++ b/packages/daemon/relays.c
@@ -5,7 +5,6 @@
 #include "membership_internal.h"
 #include "claims.h"
 #include "rate_limiter.h"
-#include "registry.h"
 #include "registry_reader.h"
 
 #include <string.h>
@@ -65,7 +64,6 @@
 
 	msg->type = CONTROL_ROLE;
 	msg->relay = relay;
-	msg->relay_count = m->node->snapshot->domain_count * RELAYS_PER_DOMAIN;
 	control_post(m->node->control, msg);
 }
 
@@ -165,20 +163,24 @@
 	return d ? d->version : 0;
 }
 
+/*
+ * Tells of the own calls only. What other relays tell would seem newer with
+ * each relay that passes it on, by the time on the way.
+ */
 static struct peer_message build_announcement(const struct node *node,
 					      int64_t now)
 {
-	int64_t since_outage_us = now - node->platform_regained_at;
+	int64_t steady_us =
+		node->platform_current_at - node->platform_steady_since;
 
-	if (!node->platform_regained_at ||
-	    since_outage_us > REGISTRY_REREGISTER_TIMEOUT_US)
-		since_outage_us = -1;
 	return (struct peer_message){
 		.type = PEER_CONFIG_ANNOUNCE,
 		.config_announce = {
 			.version = (uint64_t)node->snapshot->version,
 			.hash = node->snapshot->digest,
-			.since_outage_us = since_outage_us,
+			.since_outage_us = -1,
+			.current_us = now - node->platform_current_at,
+			.steady_us = steady_us > 0 ? steady_us : 0,
 		},
 	};
 }
@@ -218,7 +220,7 @@
 	struct peer_message msg;
 
 	if (!node->dialect->registry || !m->is_relay || !node->platform_up ||
-	    !node->snapshot || !node->self)
+	    !node->snapshot || !node->self || !node->platform_current_at)
 		return;
 	if (!changed && now - m->announced_at < REGISTRY_ANNOUNCE_INTERVAL_US)
 		return;
@@ -229,13 +231,15 @@
 }
 
 void relays_on_announcement(struct membership *m,
-			    const struct peer_config_announce *announcement)
+			    const struct peer_config_announce *announcement,
+			    int64_t sent_at)
 {
 	struct control_message *msg = base_alloc(sizeof(*msg));
 
 	msg->type = CONTROL_PEER_ANNOUNCED;
 	msg->version = (int64_t)announcement->version;
 	msg->digest = announcement->hash;
-	msg->since_outage_us = announcement->since_outage_us;
+	msg->current_at = sent_at - announcement->current_us;
+	msg->steady_since = msg->current_at - announcement->steady_us;
 	control_post(m->node->control, msg);
 }
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -99,6 +99,9 @@
 	  FIELD(leave_us), "2", 0, 3600, BASE_SECOND_US, "SECONDS",
 	  "Time for which a leaving backend server still takes requests after "
 	  "its entry is removed from the platform" },
+	{ 'H', SETTING_DURATION, "beat-seconds", "BILBERRYHINGE_BEAT_SECONDS",
+	  FIELD(beat_us), "1500ms", 0, 3600, BASE_SECOND_US, "SECONDS",
+	  "Interval in which a backend server writes its entry on the platform" },
 	{ 'U', SETTING_DURATION, "reuse-after-seconds",
 	  "BILBERRYHINGE_REUSE_AFTER_SECONDS", FIELD(reuse_after_us), "2", 0,
 	  3600, BASE_SECOND_US, "SECONDS",
--- a/packages/daemon/tests/test_registry.c
+++ b/packages/daemon/tests/test_registry.c
@@ -77,6 +77,50 @@
 	registry_destroy(r);
 }
 
+/*
+ * Guards against requests to a server that has left, by a daemon that was cut
+ * off alone and learns from a relay that the platform had answered meanwhile.
+ */
+Test(registry, drops_what_was_kept_for_an_outage_that_did_not_happen)
+{
+	int64_t reconnected_at = 10 * BASE_SECOND_US;
+	int64_t now = reconnected_at + 200 * BASE_MS_US;
+	struct registry *r = mirror_create();
+
+	mirror_apply(r, "s1", "x", 1, 0);
+	mirror_apply(r, "s2", "x", 2, 0);
+	registry_platform_reconnected(r, reconnected_at);
+	mirror_apply(r, "s1", NULL, 3, now);
+	registry_tick(r, now);
+	cr_assert(eq(sz, registry_server_count(r), 2));
+	registry_platform_reconnected(r, 0);
+	registry_tick(r, now);
+	cr_assert(eq(sz, registry_server_count(r), 1));
+	registry_destroy(r);
+}
+
+/*
+ * Guards against a mirror that is emptied when an outage turns out to have
+ * ended earlier than the own connection came back.
+ */
+Test(registry, keeps_entries_from_the_end_of_the_outage)
+{
+	int64_t own_return = 10 * BASE_SECOND_US;
+	int64_t outage_end = own_return - BASE_SECOND_US;
+	struct registry *r = mirror_create();
+
+	mirror_apply(r, "s1", "x", 1, 0);
+	mirror_apply(r, "s2", "x", 2, 0);
+	registry_platform_reconnected(r, own_return);
+	mirror_apply(r, "s1", NULL, 3, own_return);
+	registry_platform_reconnected(r, outage_end);
+	registry_tick(r, outage_end + REGISTRY_REREGISTER_TIMEOUT_US - 1);
+	cr_assert(eq(sz, registry_server_count(r), 2));
+	registry_tick(r, outage_end + REGISTRY_REREGISTER_TIMEOUT_US);
+	cr_assert(eq(sz, registry_server_count(r), 1));
+	registry_destroy(r);
+}
+
 /*
  * Guards against requests to servers that left together and no longer serve:
  * their entries must go before the leave time is over.
--- a/packages/peer/layout.c
+++ b/packages/peer/layout.c
@@ -212,7 +212,10 @@
 	U64(peer_config_announce, version),
 	DIGEST(peer_config_announce, hash),
 	I64(peer_config_announce, since_outage_us),
+	I64(peer_config_announce, current_us),
+	I64(peer_config_announce, steady_us),
 };
+#define CONFIG_ANNOUNCE_REQUIRED_FIELDS 3
 
 static const struct field config_get_fields[] = {
 	NAME(peer_config_get, key),
@@ -246,7 +249,8 @@
 	[PEER_SUSPECT_ANSWER] =
 		LAYOUT_EXTENDED(peer_suspect_answer, suspect_answer_fields, 1),
 	[PEER_CONFIG_ANNOUNCE] =
-		LAYOUT(peer_config_announce, config_announce_fields),
+		LAYOUT_EXTENDED(peer_config_announce, config_announce_fields,
+				CONFIG_ANNOUNCE_REQUIRED_FIELDS),
 	[PEER_CONFIG_GET] = LAYOUT(peer_config_get, config_get_fields),
 	[PEER_CONFIG_VALUE] = LAYOUT(peer_config_value, config_value_fields),
 };
--- a/packages/peer/peer.h
+++ b/packages/peer/peer.h
@@ -425,10 +425,20 @@
 	uint64_t version;
 	struct base_digest hash;
 	/**
-	 * Time since the platform answered the sender again after an outage;
-	 * negative when that is long ago or there was none.
+	 * Negative. Daemons of an earlier version take it for the time since an
+	 * outage of the platform.
 	 */
 	int64_t since_outage_us;
+	/**
+	 * Time since the sender's calls to the platform last showed that no
+	 * later version exists. From daemons of an earlier version 0.
+	 */
+	int64_t current_us;
+	/**
+	 * Time before that for which the platform has answered the sender
+	 * without an outage. From daemons of an earlier version 0.
+	 */
+	int64_t steady_us;
 };
 
 /** Asks for one value of the configuration. */
--- a/packages/peer/tests/samples.c
+++ b/packages/peer/tests/samples.c
@@ -145,7 +145,8 @@
 
 	if (m->type == PEER_CONFIG_ANNOUNCE)
 		m->config_announce =
-			(struct peer_config_announce){ 12, digest, -1 };
+			(struct peer_config_announce){ 12, digest, -1, 250000,
+						       7000000 };
 	else if (m->type == PEER_CONFIG_GET)
 		m->config_get.key = BASE_STR("bilberryhinge/manifest");
 	else
@@ -396,6 +397,10 @@
 				   b->config_announce.hash);
 		ASSERT_SAME(a->config_announce.since_outage_us,
 			    b->config_announce.since_outage_us);
+		ASSERT_SAME(a->config_announce.current_us,
+			    b->config_announce.current_us);
+		ASSERT_SAME(a->config_announce.steady_us,
+			    b->config_announce.steady_us);
 	} else if (a->type == PEER_CONFIG_GET) {
 		ASSERT_SAME_STR(a->config_get.key, b->config_get.key);
 	} else {
--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -12,6 +12,8 @@
 free_port; READY_PORT=$PORT
 free_port; PEER_PORT=$PORT
 free_port; ADMIN_PORT=$PORT
+# Addresses of the store by VM, where they differ.
+declare -A STORE_OF=()
 ip_of() { echo "${VM_NET:-127.0.7}.$1"; }
 
 put_item() { # KEY BODY
@@ -55,7 +57,8 @@
 		--peer-listen="$(ip_of "$1"):$PEER_PORT" \
 		--admin-listen="$(ip_of "$1"):$ADMIN_PORT" \
 		--onward-listen=127.0.0.1:0 \
-		--backend="$(ip_of "$1"):$APP_PORT" --platform="$STORE" \
+		--backend="$(ip_of "$1"):$APP_PORT" \
+		--platform="${STORE_OF[$1]:-$STORE}" \
 		--drain-seconds=6s
 }
 
@@ -69,6 +72,34 @@
 		fail "the fake store does not listen after 10 s"
 }
 
+# start_store_links COUNT: gives each of so many VMs a way to the store of its
+# own, so that it can be cut off from the store alone. To be called before
+# start_vms.
+start_store_links() {
+	local m routes=()
+	free_port
+	for m in $(seq "$1"); do
+		STORE_OF[$m]=$(ip_of $((100 + m))):$PORT
+		routes+=(--route "${STORE_OF[$m]}=$STORE,$(ip_of $((100 + m)))")
+	done
+	start store-link "$BIN/fake_link" "${routes[@]}"
+	STORE_LINK=$(address_of store-link)
+}
+
+# cut_store MODE VM...: MODE is drop, hold or close.
+cut_store() {
+	local mode=$1 m
+	shift
+	for m in "$@"; do
+		send_link_command "$STORE_LINK/v1/cut" \
+			"source=$(ip_of $((100 + m)))"$'\n'"dest=127.0.0."$'\n'"mode=$mode"
+	done
+}
+
+heal_store() {
+	send_link_command "$STORE_LINK/v1/heal" ""
+}
+
 # start_vms SERVICE...: starts a fake application server with the id i-N and a
 # daemon on VM N for each service, and waits until all VMs serve. The store must
 # run and have a configuration.
