Follow a relay only while its evidence of the platform is recent

Cause: a daemon that does not read the store took each announcement of a relay for a sign that it was current. A relay announces as long as its last call has not failed, and a watch without a response fails after up to 10.5 s only. registry_calls of the third machine does not rise before the announcements end.

An announcement now counts as of the time at which the relay's own calls last showed that no later revision exists, which it states by its age; the age of the message is added. Without such a time within 1.2 s (the bound that announcements had) a daemon reads for itself, on a new connection, as an idle one may be silent too. Relays announce each answer at once. A daemon that does not read takes the platform for up only by recent evidence.

--- a/packages/daemon/daemon.c
+++ b/packages/daemon/daemon.c
@@ -234,6 +234,7 @@
 	case DATA_PLATFORM_EVIDENCE:
 		node->platform_current_at = msg->current_at;
 		node->platform_steady_since = msg->steady_since;
+		membership_announce_evidence(node->membership, base_now_us());
 		break;
 	}
 	data_message_free(msg);
--- a/packages/daemon/membership.h
+++ b/packages/daemon/membership.h
@@ -69,6 +69,11 @@
 void membership_fetch(struct membership *m, struct base_str key);
 /** Sends a heartbeat to all linked peers without waiting for the interval. */
 void membership_announce(struct membership *m, int64_t now);
+/**
+ * On a relay: announces to its failure domain that the platform has just
+ * answered it.
+ */
+void membership_announce_evidence(struct membership *m, int64_t now);
 /** False while peers are queried for their version, after start or pause. */
 bool membership_ready(const struct membership *m);
 /**
--- a/packages/daemon/registry_client.c
+++ b/packages/daemon/registry_client.c
@@ -68,6 +68,8 @@
 	/* All items were read; the next calls are watches. */
 	bool watching;
 	bool up;
+	/* The next call opens a connection, as idle ones may be silent. */
+	bool needs_connection;
 };
 
 static void start_call(struct registry_client *c);
@@ -389,6 +391,8 @@
 						&target);
 	}
 	request.path = base_buf_str(&target);
+	request.fresh_connection = c->needs_connection;
+	c->needs_connection = false;
 	count(c, "registry_calls");
 	c->call_started_at = base_now_us();
 	if (!c->watching && registry_read_is_new(c->read))
@@ -429,7 +433,10 @@
 	if (reading == c->reading)
 		return;
 	c->reading = reading;
-	if (is_due(c) && !evtimer_pending(c->timer, NULL))
+	c->needs_connection = reading;
+	if (reading && c->watching && c->call)
+		restart_watch(c);
+	else if (is_due(c) && !evtimer_pending(c->timer, NULL))
 		schedule_call(c, 0);
 }
 
@@ -440,7 +447,8 @@
 				: (double)FLEET_PROBE_INTERVAL_US *
 					  (double)(readers ? readers : 1);
 
-	us *= 0.75 + 0.5 * base_rand_unit(&c->rnd);
+	us *= c->is_relay ? 0.9 + 0.2 * base_rand_unit(&c->rnd)
+			  : 0.75 + 0.5 * base_rand_unit(&c->rnd);
 	event_add(c->probe_timer,
 		  &(struct timeval){ .tv_sec = (int64_t)us / BASE_SECOND_US,
 				     .tv_usec = (int64_t)us % BASE_SECOND_US });
--- a/packages/daemon/registry_reader.c
+++ b/packages/daemon/registry_reader.c
@@ -4,10 +4,9 @@
 
 void registry_reader_on_announcement(struct registry_reader *reader,
 				     int64_t announced, int64_t own_revision,
-				     int64_t now)
+				     int64_t current_at, int64_t now)
 {
-	if (now > reader->confirmed_at)
-		reader->confirmed_at = now;
+	registry_reader_on_answer(reader, current_at);
 	if (announced <= reader->announced_revision)
 		return;
 	if (reader->announced_revision <= own_revision)
@@ -16,10 +15,16 @@
 }
 
 void registry_reader_on_answer(struct registry_reader *reader,
-			       int64_t answered_at)
+			       int64_t current_at)
 {
-	if (answered_at > reader->confirmed_at)
-		reader->confirmed_at = answered_at;
+	if (current_at > reader->confirmed_at)
+		reader->confirmed_at = current_at;
+}
+
+bool registry_reader_is_confirmed(const struct registry_reader *reader,
+				  int64_t now)
+{
+	return now - reader->confirmed_at < REGISTRY_EVIDENCE_TIMEOUT_US;
 }
 
 bool registry_reader_must_read(const struct registry_reader *reader,
@@ -27,8 +32,7 @@
 {
 	int64_t announced = reader->announced_revision;
 
-	if (reader->is_relay ||
-	    now - reader->confirmed_at >= REGISTRY_ANNOUNCE_TIMEOUT_US)
+	if (reader->is_relay || !registry_reader_is_confirmed(reader, now))
 		return true;
 	if (announced <= own_revision)
 		return false;
--- a/packages/daemon/registry_task.c
+++ b/packages/daemon/registry_task.c
@@ -28,6 +28,8 @@
 	struct registry_evidence own;
 	/* The same and what relays tell. */
 	struct registry_evidence known;
+	/* Whether this daemon reads the platform, by the last decision. */
+	bool reading;
 	/* Time of the last answer that the data task was told of. */
 	int64_t told_answered_at;
 	int64_t changes_fetched_at;
@@ -171,14 +173,33 @@
 	t->peer_revision = revision;
 }
 
+static void log_reading(struct registry_task *t, int64_t now)
+{
+	struct base_log_line line = base_log_begin(
+		t->log, BASE_LOG_INFO,
+		t->reading ? "registry_reading" : "registry_reading_ended");
+
+	base_log_int(&line, "relay", t->reader.is_relay);
+	base_log_int(&line, "current_ms_ago",
+		     (now - t->reader.confirmed_at) / BASE_MS_US);
+	base_log_int(&line, "revision", registry_revision(t->registry));
+	base_log_int(&line, "announced", t->reader.announced_revision);
+	base_log_end(&line);
+}
+
 static void update_reading(struct registry_task *t, int64_t now)
 {
+	int64_t revision = registry_revision(t->registry);
+	bool reading;
+
 	registry_reader_on_answer(&t->reader,
 				  registry_client_current_at(t->client));
-	registry_client_set_reading(
-		t->client,
-		registry_reader_must_read(&t->reader,
-					  registry_revision(t->registry), now));
+	reading = registry_reader_must_read(&t->reader, revision, now);
+	registry_client_set_reading(t->client, reading);
+	if (reading == t->reading)
+		return;
+	t->reading = reading;
+	log_reading(t, now);
 }
 
 void registry_task_set_role(struct registry_task *t, bool relay, int64_t now)
@@ -211,9 +232,11 @@
 				   const struct control_message *m, int64_t now)
 {
 	registry_reader_on_announcement(&t->reader, m->version,
-					registry_revision(t->registry), now);
+					registry_revision(t->registry),
+					m->current_at, now);
 	add_evidence(t, m->steady_since, m->current_at, now);
-	if (!t->reader.is_relay)
+	if (!t->reader.is_relay &&
+	    registry_reader_is_confirmed(&t->reader, now))
 		registry_client_confirm(t->client);
 	registry_task_on_peer_version(t, m->version, now);
 	update_reading(t, now);
--- a/packages/daemon/relays.c
+++ b/packages/daemon/relays.c
@@ -214,22 +214,37 @@
 					    msg);
 }
 
+static bool can_announce(const struct membership *m)
+{
+	const struct node *node = m->node;
+
+	return node->dialect->registry && m->is_relay && node->platform_up &&
+	       node->snapshot && node->self && node->platform_current_at;
+}
+
 void relays_announce(struct membership *m, bool changed, int64_t now)
 {
-	struct node *node = m->node;
 	struct peer_message msg;
 
-	if (!node->dialect->registry || !m->is_relay || !node->platform_up ||
-	    !node->snapshot || !node->self || !node->platform_current_at)
-		return;
-	if (!changed && now - m->announced_at < REGISTRY_ANNOUNCE_INTERVAL_US)
+	if (!can_announce(m) ||
+	    (!changed && now - m->announced_at < REGISTRY_ANNOUNCE_INTERVAL_US))
 		return;
-	msg = build_announcement(node, now);
+	msg = build_announcement(m->node, now);
 	announce_to_own_domain(m, &msg, now);
 	if (changed)
 		announce_to_other_relays(m, &msg);
 }
 
+void membership_announce_evidence(struct membership *m, int64_t now)
+{
+	struct peer_message msg;
+
+	if (!can_announce(m))
+		return;
+	msg = build_announcement(m->node, now);
+	announce_to_own_domain(m, &msg, now);
+}
+
 void relays_on_announcement(struct membership *m,
 			    const struct peer_config_announce *announcement,
 			    int64_t sent_at)
--- a/packages/daemon/tests/test_registry_changes.c
+++ b/packages/daemon/tests/test_registry_changes.c
@@ -139,8 +139,8 @@
 	struct registry_reader reader = { 0 };
 
 	cr_assert(registry_reader_must_read(&reader, 5, now));
-	registry_reader_on_announcement(&reader, 5, 5, now);
-	now += REGISTRY_ANNOUNCE_TIMEOUT_US;
+	registry_reader_on_announcement(&reader, 5, 5, now, now);
+	now += REGISTRY_EVIDENCE_TIMEOUT_US;
 	cr_assert(not(registry_reader_must_read(&reader, 5, now - 1)));
 	cr_assert(registry_reader_must_read(&reader, 5, now));
 	registry_reader_on_answer(&reader, now);
@@ -160,11 +160,33 @@
 	int64_t restored = registry_era_revision(2, 3);
 	struct registry_reader reader = { 0 };
 
-	registry_reader_on_announcement(&reader, 6, 5, now);
+	registry_reader_on_announcement(&reader, 6, 5, now, now);
 	cr_assert(not(registry_reader_must_read(&reader, 5, now)));
-	registry_reader_on_announcement(&reader, 7, 5, late);
+	registry_reader_on_announcement(&reader, 7, 5, late, late);
 	cr_assert(registry_reader_must_read(&reader, 5, late));
 	cr_assert(not(registry_reader_must_read(&reader, 7, late)));
-	registry_reader_on_announcement(&reader, restored, 7, late);
+	registry_reader_on_announcement(&reader, restored, 7, late, late);
 	cr_assert(registry_reader_must_read(&reader, 7, late));
 }
+
+/*
+ * Guards against a daemon that follows a relay which gets no answer from the
+ * registry: it announced the revision that it had all the same.
+ */
+Test(registry_reader, reads_when_the_relay_knows_nothing_new)
+{
+	int64_t current_at = 100 * BASE_SECOND_US;
+	int64_t late = current_at + REGISTRY_EVIDENCE_TIMEOUT_US;
+	struct registry_reader reader = { 0 };
+
+	registry_reader_on_announcement(&reader, 5, 5, current_at, current_at);
+	registry_reader_on_announcement(&reader, 5, 5, current_at, late);
+	cr_assert(registry_reader_must_read(&reader, 5, late));
+	cr_assert(not(registry_reader_is_confirmed(&reader, late)));
+	/* The other relay of the failure domain is answered. */
+	registry_reader_on_announcement(&reader, 5, 5, late - 1, late);
+	cr_assert(not(registry_reader_must_read(&reader, 5, late)));
+	/* One that was suspended sends what it had known before. */
+	registry_reader_on_announcement(&reader, 5, 5, current_at, late);
+	cr_assert(not(registry_reader_must_read(&reader, 5, late)));
+}
--- a/tests/platform_lib.sh
+++ b/tests/platform_lib.sh
@@ -51,7 +51,8 @@
 
 start_vm_daemon() { # VM_NUMBER SERVICE
 	start "daemon-m$1" "$BIN/bilberryhinged" --dialect=platform \
-		--vm="$(ip_of "$1")" --domain="z$(($1 % 2))" --service="$2" \
+		--vm="$(ip_of "$1")" \
+		--domain="${ZONE:-z$(($1 % 2))}" --service="$2" \
 		--caller-listen="$(ip_of "$1"):$CALLER_PORT" \
 		--ready-listen="$(ip_of "$1"):$READY_PORT" \
 		--peer-listen="$(ip_of "$1"):$PEER_PORT" \
