Give each failure domain a fixed part of every rate where a registry lists them

Both sides of the cut held shares, three halves of the rate together.

Cause: the number of shares followed the list of servers and the evacuated domains. A domain that is cut off acts on its last list, nothing ends its share, and with a registry there are no versions by which the others could confirm.

On a platform with a registry each failure domain now has an equal part of each rate, whether it is in, evacuated or not listed: counted are the domains of the settings (--domains, from the platform's zones) and all that were listed since the start. The holders in a domain divide its part. Evacuations move no share any more, daemons that start while few servers are listed hold no larger ones, and a cut domain goes on serving its own part. Weighed: shares that end some seconds after their last evidence; a cut domain would refuse its clients and an outage of the store would stop all rates. The price: what belongs to a lost domain is not granted to others.

The native platform keeps its confirmations. The tests of rate_holders pass the new argument; their checks are unchanged.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -29,6 +29,11 @@
 struct daemon_settings {
 	char *vm;
 	char *domain;
+	/**
+	 * Failure domains of the deployment, separated by commas; those that
+	 * the platform lists are added.
+	 */
+	char *domains;
 	char *region;
 	/**
 	 * Service of the own backend server, sent as the caller's service with
--- a/packages/daemon/rate_accounts.c
+++ b/packages/daemon/rate_accounts.c
@@ -7,8 +7,17 @@
 /* Epoch of all accounts; see rate_accounts_set_single_epoch(). */
 #define SINGLE_EPOCH 1
 
+/* A failure domain that has a part of each rate. */
+struct rate_part {
+	char *domain;
+	UT_hash_handle hh;
+};
+
 struct rate_accounts {
 	rate_hash_fn hash;
+	/* See rate_accounts_set_fixed_parts(). */
+	bool fixed_parts;
+	struct rate_part *parts;
 	struct rate_account_state *by_id;
 	/* Number of the last update. */
 	uint64_t generation;
@@ -41,12 +50,40 @@
 	accounts->single_epoch = true;
 }
 
+static void add_part(struct rate_accounts *accounts, struct base_str domain)
+{
+	struct rate_part *part;
+
+	HASH_FIND(hh, accounts->parts, domain.ptr, domain.len, part);
+	if (part)
+		return;
+	part = base_alloc(sizeof(*part));
+	part->domain = base_str_dup(domain);
+	HASH_ADD_KEYPTR(hh, accounts->parts, part->domain, domain.len, part);
+}
+
+void rate_accounts_set_fixed_parts(struct rate_accounts *accounts,
+				   struct base_str names)
+{
+	struct base_str name;
+
+	accounts->fixed_parts = true;
+	while (base_str_next_item(&names, &name))
+		add_part(accounts, name);
+}
+
 void rate_accounts_destroy(struct rate_accounts *accounts)
 {
 	struct rate_account_state *a, *next;
+	struct rate_part *part, *next_part;
 
 	if (!accounts)
 		return;
+	HASH_ITER (hh, accounts->parts, part, next_part) {
+		HASH_DEL(accounts->parts, part);
+		free(part->domain);
+		free(part);
+	}
 	HASH_ITER (hh, accounts->by_id, a, next) {
 		HASH_DEL(accounts->by_id, a);
 		free(a->name);
@@ -112,18 +149,46 @@
 	return same;
 }
 
+static uint32_t holders_per_domain(const struct update *u,
+				   const struct config_account *account)
+{
+	uint32_t parts = HASH_COUNT(u->accounts->parts);
+
+	if (!u->accounts->fixed_parts)
+		return rate_holders_per_domain(u->snapshot, account);
+	return parts ? rate_holder_count(parts, account->burst) / parts : 0;
+}
+
+/* With fixed parts, the holders of a failure domain divide its part. */
+static uint32_t share_divisor(const struct update *u,
+			      const struct rate_holders *chosen)
+{
+	uint32_t in_domain = 0;
+	size_t i;
+
+	for (i = 0; i < chosen->count; i++)
+		in_domain += chosen->vms[i]->domain == u->self->domain;
+	if (!u->accounts->fixed_parts || !in_domain)
+		return (uint32_t)chosen->count;
+	return HASH_COUNT(u->accounts->parts) * in_domain;
+}
+
 /* Returns whether the holders are the same as before the update. */
 static bool update_holders(const struct update *u, struct rate_account_state *a,
-			   uint32_t holders_per_domain)
+			   uint32_t per_domain)
 {
 	struct base_str name = { a->name, a->name_len };
 	struct rate_holders chosen, ordered;
 
 	if (u->same_roster && a->configured &&
-	    a->holders_per_domain == holders_per_domain)
+	    a->holders_per_domain == per_domain)
 		return true;
-	a->holders_per_domain = holders_per_domain;
-	rate_holders_choose(u->snapshot, name, holders_per_domain, &chosen);
+	a->holders_per_domain = per_domain;
+	rate_holders_choose(u->snapshot, name, per_domain,
+			    u->accounts->fixed_parts ? RATE_DOMAINS_LISTED
+						     : RATE_DOMAINS_IN,
+			    &chosen);
+	a->share_divisor = share_divisor(u, &chosen);
 	rate_holders_order(&chosen, name, u->self->vm, u->self->domain,
 			   &ordered);
 	return set_holders(u, a, &chosen, &ordered);
@@ -147,8 +212,7 @@
 		a->configured = false;
 		a->no_other_holders_since = u->epoch;
 	}
-	same = update_holders(u, a,
-			      rate_holders_per_domain(u->snapshot, account));
+	same = update_holders(u, a, holders_per_domain(u, account));
 	a->changed = !was_configured || !u->same_roster || !same ||
 		     a->rate != account->rate || a->burst != account->burst;
 	a->rate = account->rate;
@@ -190,7 +254,12 @@
 {
 	uint64_t version = (uint64_t)u->snapshot->version;
 
+	size_t i;
+
 	u->accounts->generation++;
+	for (i = 0; u->accounts->fixed_parts && i < u->snapshot->domain_count;
+	     i++)
+		add_part(u->accounts, u->snapshot->domains[i].name);
 	u->epoch = version;
 	u->no_version_skipped =
 		before && u->snapshot->version - before->version <= 1;
--- a/packages/daemon/rate_accounts.h
+++ b/packages/daemon/rate_accounts.h
@@ -37,6 +37,11 @@
 	/** The same holders in the order in which the own entry asks them. */
 	uint64_t ask_order[RATE_HOLDERS_MAX];
 	size_t holder_count;
+	/**
+	 * The own daemon's share, if it is a holder, is the rate divided by
+	 * this number.
+	 */
+	uint32_t share_divisor;
 	/**
 	 * Configuration version that last changed the holders; see
 	 * rate_epoch.version.
@@ -88,6 +93,16 @@
  * of the rate.
  */
 void rate_accounts_set_single_epoch(struct rate_accounts *accounts);
+/**
+ * Gives each failure domain an equal part of each rate, in place of each
+ * holder. Counted are @p names and all domains that any snapshot has listed,
+ * evacuated ones included. Daemons that are cut off act on an older list than
+ * the others; when the parts depended on the list, those of both sides together
+ * could exceed the rate. What belongs to a domain that is lost is not granted.
+ * @param names  separated by commas; may be empty
+ */
+void rate_accounts_set_fixed_parts(struct rate_accounts *accounts,
+				   struct base_str names);
 void rate_accounts_destroy(struct rate_accounts *accounts);
 /**
  * Applies a new snapshot.
--- a/packages/daemon/rate_holders.c
+++ b/packages/daemon/rate_holders.c
@@ -16,9 +16,11 @@
  * Without holders, every request would be refused as beyond its account's rate.
  */
 static bool domain_has_holders(const struct config_snapshot *s,
-			       const struct config_domain *d)
+			       const struct config_domain *d,
+			       enum rate_holder_domains domains)
 {
-	return !d->out || !count_domains_in(s);
+	return domains == RATE_DOMAINS_LISTED || !d->out ||
+	       !count_domains_in(s);
 }
 
 uint32_t rate_holders_per_domain(const struct config_snapshot *snapshot,
@@ -35,6 +37,7 @@
 
 bool rate_holders_choose(const struct config_snapshot *snapshot,
 			 struct base_str account, uint32_t holders_per_domain,
+			 enum rate_holder_domains domains,
 			 struct rate_holders *out)
 {
 	size_t i;
@@ -45,7 +48,8 @@
 	for (i = 0; i < snapshot->domain_count; i++) {
 		const struct config_domain *d = &snapshot->domains[i];
 
-		if (!domain_has_holders(snapshot, d) || !holders_per_domain)
+		if (!domain_has_holders(snapshot, d, domains) ||
+		    !holders_per_domain)
 			continue;
 		if (out->count + holders_per_domain > RATE_HOLDERS_MAX) {
 			out->count = 0;
--- a/packages/daemon/rate_holders.h
+++ b/packages/daemon/rate_holders.h
@@ -20,11 +20,19 @@
  */
 uint32_t rate_holders_per_domain(const struct config_snapshot *snapshot,
 				 const struct config_account *account);
+/** The failure domains in which an account has holders. */
+enum rate_holder_domains {
+	/** Those that are in, or all when all are out. */
+	RATE_DOMAINS_IN,
+	/** All that are listed. */
+	RATE_DOMAINS_LISTED,
+};
+
 /**
- * Chooses the holders of an account: @p holders_per_domain VMs in each failure
- * domain that is in, or in every domain when all are out. A domain with fewer
- * VMs has fewer holders. The holders are sorted by domain and, within a domain,
- * by their rank from config_snapshot_rank_vms().
+ * Chooses the holders of an account: @p holders_per_domain VMs in each of these
+ * failure domains. A domain with fewer VMs has fewer holders. The holders are
+ * sorted by domain and, within a domain, by their rank from
+ * config_snapshot_rank_vms().
  * @param account  name of the account
  * @return false, with no holders, when there would be more than
  *         RATE_HOLDERS_MAX of them or when the snapshot has more than
@@ -32,6 +40,7 @@
  */
 bool rate_holders_choose(const struct config_snapshot *snapshot,
 			 struct base_str account, uint32_t holders_per_domain,
+			 enum rate_holder_domains domains,
 			 struct rate_holders *out);
 /**
  * Sorts holders into the order in which the entry on VM @p self asks them:
--- a/packages/daemon/rate_limiter.c
+++ b/packages/daemon/rate_limiter.c
@@ -470,8 +470,7 @@
 	}
 	if (a->discard_share)
 		rate_holder_remove_share(limiter->holder, a->id);
-	share = rate_share_compute(a->rate, a->burst,
-				   (uint32_t)a->holder_count);
+	share = rate_share_compute(a->rate, a->burst, a->share_divisor);
 	epoch.confirmer_count = list_confirmers(limiter, a, confirmers);
 	rate_holder_set_share(limiter->holder, a->id, &share, &epoch, now);
 }
@@ -574,8 +573,12 @@
 	limiter->timer_at = INT64_MAX;
 	limiter->gauges_due_at = INT64_MAX;
 	limiter->accounts = rate_accounts_create(roster_name_hash);
-	if (node->dialect->registry)
+	if (node->dialect->registry) {
 		rate_accounts_set_single_epoch(limiter->accounts);
+		rate_accounts_set_fixed_parts(
+			limiter->accounts,
+			base_str_from(node->settings->domains));
+	}
 	limiter->holder = rate_holder_create(random_id(&node->rnd), now);
 	limiter->entry = rate_entry_create(random_id(&node->rnd));
 	limiter->timer = event_new(node->base, -1, 0, on_timer, limiter);
--- a/packages/daemon/settings.c
+++ b/packages/daemon/settings.c
@@ -17,6 +17,8 @@
 	SETTING_DIALECT,
 	/** Names separated by commas, or empty. */
 	SETTING_NAME_LIST,
+	/** Names as of SETTING_NAME, separated by commas, or empty. */
+	SETTING_DOMAIN_LIST,
 	SETTING_ADDRESS,
 	SETTING_ADDRESS_LIST,
 	SETTING_SECRET,
@@ -51,6 +53,10 @@
 	  "NAME", "Name of this VM in the configuration" },
 	{ 'd', SETTING_NAME, "domain", "BILBERRYHINGE_DOMAIN", FIELD(domain),
 	  NULL, 0, 0, 1, "NAME", "Failure domain of this VM" },
+	{ 'F', SETTING_DOMAIN_LIST, "domains", "BILBERRYHINGE_DOMAINS",
+	  FIELD(domains), "", 0, 0, 1, "NAME,...",
+	  "Failure domains of the deployment; each keeps its part of the client "
+	  "accounts' rates also while the platform does not list it" },
 	{ 'r', SETTING_NAME, "region", "BILBERRYHINGE_REGION", FIELD(region),
 	  "default", 0, 0, 1, "NAME",
 	  "Region of this VM, if the platform does not provide it" },
@@ -202,6 +208,20 @@
 			     "UVWXYZ0123456789._-") == strlen(value);
 }
 
+static bool check_domain_list(const char *value)
+{
+	struct base_str rest = base_str_from(value);
+	struct base_str item;
+	char name[80];
+
+	while (base_str_next_item(&rest, &item)) {
+		snprintf(name, sizeof(name), "%.*s", BASE_STR_ARG(item));
+		if (!is_name(name))
+			return false;
+	}
+	return true;
+}
+
 static enum daemon_status set_number(const struct setting *s, const char *value,
 				     int64_t *field, struct base_error *err)
 {
@@ -290,6 +310,10 @@
 	case SETTING_NAME_LIST:
 		return set_text(s, value, field, "names, separated by commas",
 				check_name_list(value), err);
+	case SETTING_DOMAIN_LIST:
+		return set_text(s, value, field,
+				"names as of --domain, separated by commas",
+				check_domain_list(value), err);
 	case SETTING_ADDRESS_LIST:
 		return set_text(s, value, field,
 				"IP:PORT, several separated by commas",
--- a/packages/daemon/tests/test_rate_accounts.c
+++ b/packages/daemon/tests/test_rate_accounts.c
@@ -259,3 +259,98 @@
 	free(f9);
 	free(f1);
 }
+
+/* Domains as the settings of a daemon may name them. */
+#define NO_DOMAINS BASE_STR("")
+#define THREE_DOMAINS BASE_STR("d000,d001,d002")
+
+/*
+ * Adds up what the holders in one domain may grant of the rate when they act on
+ * the list @p f, and before on @p before, if set.
+ */
+static double granted_in_domain(const struct rate_fleet *f,
+				const struct rate_fleet *before, size_t domain,
+				struct base_str names)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < f->snapshot.vm_count; i++) {
+		struct rate_local_vm self = { f->vms[i].name,
+					      f->vms[i].domain };
+		struct rate_accounts *accounts =
+			rate_accounts_create(distinct_hash);
+		const struct rate_account_state *a;
+
+		rate_accounts_set_single_epoch(accounts);
+		rate_accounts_set_fixed_parts(accounts, names);
+		if (before)
+			rate_accounts_update(accounts, &before->snapshot, NULL,
+					     &self, count_collision, NULL);
+		rate_accounts_update(accounts, &f->snapshot,
+				     before ? &before->snapshot : NULL, &self,
+				     count_collision, NULL);
+		a = rate_accounts_find(accounts, BASE_STR("a000"));
+		if (f->vms[i].domain->index == domain &&
+		    rate_account_is_holder(a, distinct_hash(self.vm)))
+			sum += 1.0 / a->share_divisor;
+		rate_accounts_destroy(accounts);
+	}
+	return sum;
+}
+
+/*
+ * Guards against an account that runs beyond its rate in a cut: the domain that
+ * is cut off still takes the second one for evacuated, while the others know
+ * that the second is back and the first evacuated. Both sides held halves.
+ */
+Test(rate_accounts, sides_of_a_cut_hold_no_more_than_the_rate)
+{
+	struct rate_fleet *cut_off = rate_fleet_create(3, 9, 1, 100);
+	struct rate_fleet *others = rate_fleet_copy_at_version(cut_off, 2);
+	double sum;
+
+	cut_off->domains[1].out = true;
+	others->domains[0].out = true;
+	sum = granted_in_domain(cut_off, NULL, 0, NO_DOMAINS) +
+	      granted_in_domain(others, NULL, 1, NO_DOMAINS) +
+	      granted_in_domain(others, NULL, 2, NO_DOMAINS);
+	cr_assert(lt(dbl, sum, 1.000001));
+	cr_assert(gt(dbl, sum, 0.999999));
+	free(others);
+	free(cut_off);
+}
+
+/*
+ * Guards against the same when the entries of a domain that is cut off have
+ * expired, so that the others do not list it: they may have listed it before,
+ * or have started since and know it from their settings.
+ */
+Test(rate_accounts, a_domain_that_is_not_listed_keeps_its_part)
+{
+	struct rate_fleet *all = rate_fleet_create(3, 9, 1, 100);
+	struct rate_fleet *rest = rate_fleet_create(2, 6, 1, 100);
+
+	rest->snapshot.version = 2;
+	cr_assert(epsilon_eq(dbl, granted_in_domain(rest, all, 0, NO_DOMAINS),
+			     1.0 / 3, 1e-6));
+	cr_assert(epsilon_eq(dbl,
+			     granted_in_domain(rest, NULL, 0, THREE_DOMAINS),
+			     1.0 / 3, 1e-6));
+	cr_assert(epsilon_eq(dbl, granted_in_domain(rest, NULL, 0, NO_DOMAINS),
+			     1.0 / 2, 1e-6));
+	free(rest);
+	free(all);
+}
+
+/* Guards against a domain with few VMs whose part is not handed out whole. */
+Test(rate_accounts, few_holders_divide_the_whole_part_of_their_domain)
+{
+	struct rate_fleet *f = rate_fleet_create(3, 4, 1, 100);
+
+	cr_assert(epsilon_eq(dbl, granted_in_domain(f, NULL, 0, NO_DOMAINS),
+			     1.0 / 3, 1e-6));
+	cr_assert(epsilon_eq(dbl, granted_in_domain(f, NULL, 1, NO_DOMAINS),
+			     1.0 / 3, 1e-6));
+	free(f);
+}
--- a/packages/daemon/tests/test_rate_holders.c
+++ b/packages/daemon/tests/test_rate_holders.c
@@ -16,7 +16,7 @@
 
 	cr_assert(rate_holders_choose(&f->snapshot, a->name,
 				      rate_holders_per_domain(&f->snapshot, a),
-				      &out));
+				      RATE_DOMAINS_IN, &out));
 	return out;
 }
 
@@ -120,6 +120,19 @@
 	free(f);
 }
 
+/* Guards against holders that move away each time a domain is evacuated. */
+Test(rate_holders, listed_domains_have_holders_while_they_are_out)
+{
+	struct rate_fleet *f = rate_fleet_create(3, 9, 1, BURST_LARGE);
+	struct rate_holders h;
+
+	f->domains[1].out = true;
+	cr_assert(rate_holders_choose(&f->snapshot, f->accounts[0].name, 3,
+				      RATE_DOMAINS_LISTED, &h));
+	cr_assert(eq(sz, h.count, 9));
+	free(f);
+}
+
 /*
  * Guards against shares that are reset, and so refuse requests, when an added
  * VM does not become a holder of the account.
@@ -231,7 +244,7 @@
 	struct rate_holders out;
 
 	cr_assert(not(rate_holders_choose(&f->snapshot, f->accounts[0].name, 8,
-					  &out)));
+					  RATE_DOMAINS_IN, &out)));
 	cr_assert(eq(sz, out.count, 0));
 	free(f);
 }
--- a/packages/daemon/tests/test_settings.c
+++ b/packages/daemon/tests/test_settings.c
@@ -101,6 +101,22 @@
 	daemon_settings_release(&settings);
 }
 
+/* Guards against names of failure domains that are cut or never match. */
+Test(settings, domains_are_a_list_of_names)
+{
+	struct daemon_settings settings;
+	struct base_error err = { "" };
+
+	cr_assert(eq(int,
+		     parse("--domains=cr-central-a,Zone_2.x", NULL, &settings),
+		     DAEMON_OK));
+	cr_assert(eq(str, settings.domains, "cr-central-a,Zone_2.x"));
+	daemon_settings_release(&settings);
+	cr_assert(eq(int, parse("--domains=a b", &err, &settings),
+		     DAEMON_ERR_SETTING));
+	daemon_settings_release(&settings);
+}
+
 /*
  * Guards against a deployment whose addresses change hands sooner than the
  * daemon takes for granted, and against one that cannot say "at any time".
--- a/tests/session_store_readers_lost.sh
+++ b/tests/session_store_readers_lost.sh
@@ -8,6 +8,7 @@
 . "$(dirname "$0")/lib.sh"
 . "$(dirname "$0")/platform_lib.sh"
 APPLY_S=2 # a change must be in force after this time
+STABLE_S=3 # daemons count as in touch this long after a cut
 VM_COUNT=5
 RELAY_COUNT=2
 ZONE=z0
@@ -71,7 +72,7 @@
 		"${others[@]}"
 	expect_status k1 200 "meanwhile" "${others[@]}" "${relays[@]}"
 	heal_store
-	sleep 3
+	sleep $((STABLE_S + APPLY_S))
 	expect_status k2 401 "afterwards" $(seq $VM_COUNT)
 done
 sleep 8 # the last watches of the other daemons end
