Watch a probe of a lost server until the verdict

A request that crashes servers was not suspected after one of its crashes, so that it crashed four servers in place of three.

Cause: when connections are lost, a probe that is refused tells a death. A process that dies closes its connections before its listening socket, so the kernel may still accept the probe, and an accepted probe counted as life for good.

An accepted probe is now watched until the verdict, 20 ms after the loss. When it is closed, a second one decides: a dead server refuses it, a live one at its connection limit accepts it.

death_detector/a_probe_that_is_accepted_while_the_server_dies fails on (not dead) and passes now; the other three hold before and after. session_crash_herd (four at the same time), session_crash and review/13 (five at the same time) passed with it.

--- a/packages/daemon/death_detector.c
+++ b/packages/daemon/death_detector.c
@@ -18,6 +18,9 @@
 	struct bufferevent *probe;
 	bool identified;
 	bool probe_failed;
+	bool probe_accepted;
+	/* The first probe was accepted and then closed; the second decides. */
+	bool probe_repeated;
 	uint64_t *ids;
 	size_t count;
 	size_t capacity;
@@ -31,18 +34,36 @@
 	d->probe = NULL;
 }
 
+static void start_probe(struct death_detector *d);
+
+/*
+ * A process that dies closes its listening socket after its connections, so
+ * that a probe may still be accepted, and is closed with that socket. A live
+ * server at its connection limit closes a probe too, but accepts another one.
+ */
 static void on_probe(struct bufferevent *bev, short events, void *arg)
 {
 	struct death_detector *d = arg;
+	bool closed = events & (BEV_EVENT_ERROR | BEV_EVENT_EOF);
 
-	if (events & BEV_EVENT_ERROR)
-		d->probe_failed = true;
+	if (events & BEV_EVENT_CONNECTED) {
+		d->probe_accepted = true;
+		bufferevent_enable(bev, EV_READ);
+	}
+	if (!closed)
+		return;
 	end_probe(d);
+	if (!d->probe_accepted) {
+		d->probe_failed = true;
+	} else if (!d->probe_repeated) {
+		d->probe_repeated = true;
+		start_probe(d);
+	}
 }
 
 static void start_probe(struct death_detector *d)
 {
-	d->probe_failed = false;
+	d->probe_accepted = false;
 	d->probe = bufferevent_socket_new(d->base, -1, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(d->probe, NULL, NULL, on_probe, d);
 	if (bufferevent_socket_connect(d->probe, (struct sockaddr *)&d->addr,
@@ -76,6 +97,8 @@
 
 	if (!d->count) {
 		d->in_flight = in_flight;
+		d->probe_failed = false;
+		d->probe_repeated = false;
 		start_probe(d);
 		event_add(d->timer, &tv);
 	}
