Keep copies of a service's suspects at daemons of other services

Cause: suspects were told only to guards of the service. When all of them end, nobody can tell the new ones; when one lives on, it does (that held before).

Each change of a suspect also goes to six daemons of other services, its keepers, at most two in a failure domain, by rank. A daemon that starts opens links to the keepers of its service, and they send what they keep as it connects. The copies are apart from the keeper's own suspects, so that none evicts another.

--- a/packages/daemon/quarantine.c
+++ b/packages/daemon/quarantine.c
@@ -3,6 +3,7 @@
 #include "guard.h"
 #include "roster.h"
 #include "service_peers.h"
+#include "suspect_keepers.h"
 #include "suspect_messages.h"
 
 #include <uthash.h>
@@ -57,6 +58,7 @@
 	struct node *node;
 	struct retry_suspects *suspects;
 	struct retry_arbiter *arbiter;
+	struct suspect_keepers *keepers;
 	struct service_peers peers;
 	struct quarantined *quarantined;
 	struct quarantined *waiting;
@@ -515,8 +517,12 @@
 			serve_permit_request(q, remote, msg, receive_info);
 		return;
 	}
-	if (!is_own_service(q, s->service))
+	if (!is_own_service(q, s->service)) {
+		if (q->node->self)
+			suspect_keepers_store(q->keepers, s,
+					      receive_info->received_at);
 		return;
+	}
 	if (s->permit_id)
 		retry_arbiter_return_permit(
 			q->arbiter, q->peers.service, s->permit_id,
@@ -547,16 +553,21 @@
 	vm = config_snapshot_find_vm(q->node->snapshot, hello->vm);
 	if (service_peers_contains(&q->peers, vm))
 		service_peers_send_suspects(&q->peers, NULL, remote, now);
+	else if (vm)
+		suspect_keepers_send(q->keepers, vm, NULL, remote, now);
 }
 
 void quarantine_on_link_up(struct quarantine *q, const struct config_vm *vm,
 			   int64_t now)
 {
-	struct peer_link *link;
+	struct peer_link *link =
+		peer_transport_find_link(q->node->transport, vm->address);
 
-	if (!service_peers_contains(&q->peers, vm))
+	if (!service_peers_contains(&q->peers, vm)) {
+		if (link && q->node->self)
+			suspect_keepers_send(q->keepers, vm, link, NULL, now);
 		return;
-	link = peer_transport_find_link(q->node->transport, vm->address);
+	}
 	if (link)
 		service_peers_send_suspects(&q->peers, link, NULL, now);
 	service_peers_arbiter(&q->peers, now);
@@ -589,8 +600,10 @@
 	if (!self)
 		return;
 	service = roster_service_id(q->node->roster, self->service->name);
-	if (service != q->peers.service)
+	if (service != q->peers.service) {
 		q->peers.is_arbiter = false;
+		suspect_keepers_ask(q->keepers, now);
+	}
 	q->peers.service = service;
 	/*
 	 * A new arbiter grants no permit for RETRY_PERMIT_MAX_US. Before links
@@ -609,8 +622,10 @@
 	q->node = node;
 	q->suspects = retry_suspects_create();
 	q->arbiter = retry_arbiter_create(q->suspects, node->incarnation);
+	q->keepers = suspect_keepers_create(node);
 	q->peers = (struct service_peers){
 		.node = node,
+		.keepers = q->keepers,
 		.suspects = q->suspects,
 		.arbiter = q->arbiter,
 		.service = UINT32_MAX,
@@ -629,6 +644,7 @@
 		delayed_failures_free(q->delayed);
 	HASH_ITER (hh, q->quarantined, r, next)
 		quarantined_free(q, r);
+	suspect_keepers_destroy(q->keepers);
 	retry_arbiter_destroy(q->arbiter);
 	retry_suspects_destroy(q->suspects);
 	event_free(q->timer);
--- a/packages/daemon/service_peers.c
+++ b/packages/daemon/service_peers.c
@@ -1,6 +1,7 @@
 /* Links to the other guards of the local service, and their arbiter. */
 #include "service_peers.h"
 #include "membership.h"
+#include "suspect_keepers.h"
 #include "suspect_messages.h"
 
 /*
@@ -106,6 +107,7 @@
 		if (link)
 			peer_transport_send(node->transport, link, &msg);
 	}
+	suspect_keepers_notify(p->keepers, &msg, base_now_us());
 }
 
 struct suspect_recipient {
--- a/packages/daemon/service_peers.h
+++ b/packages/daemon/service_peers.h
@@ -10,8 +10,11 @@
 
 #include "node.h"
 
+struct suspect_keepers;
+
 struct service_peers {
 	struct node *node;
+	struct suspect_keepers *keepers;
 	struct retry_suspects *suspects;
 	struct retry_arbiter *arbiter;
 	/** Roster id of the local service; UINT32_MAX without a snapshot. */
@@ -38,7 +41,8 @@
 const struct config_vm *service_peers_arbiter(struct service_peers *peers,
 					      int64_t now);
 /**
- * Sends the new state of a suspect to the other guards. A guard whose link is
+ * Sends the new state of a suspect to the other guards and to the keepers of
+ * the service. A guard whose link is
  * down receives all suspects when it connects. A retry_suspect_cb; @p ctx is
  * the struct service_peers. The local VM must be in the snapshot.
  */
