Send suspects to guards and from keepers by one function

Read of the whole change: suspect_keepers.c had written again how service_peers.c sends all suspects of a service over a link or as a reply, and opened the links to the keepers in two loops alike. suspect_send_all() in suspect_messages.c now serves both, and one loop opens the links. Messages, their order and the counters stay as they were.

--- a/packages/daemon/service_peers.c
+++ b/packages/daemon/service_peers.c
@@ -110,35 +110,15 @@
 	suspect_keepers_notify(p->keepers, &msg, base_now_us());
 }
 
-struct suspect_recipient {
-	struct service_peers *peers;
-	/* One of the two is NULL. */
-	struct peer_link *link;
-	const struct peer_remote *remote;
-};
-
-static void send_suspect(void *ctx, const struct retry_suspect_update *update)
-{
-	const struct suspect_recipient *to = ctx;
-	struct node *node = to->peers->node;
-	struct peer_message msg;
-
-	if (!suspect_update_to_message(node->self->service->name, update, &msg))
-		return;
-	if (to->link)
-		peer_transport_send(node->transport, to->link, &msg);
-	else
-		peer_transport_reply(node->transport, to->remote, &msg);
-}
-
 void service_peers_send_suspects(struct service_peers *p,
 				 struct peer_link *link,
 				 const struct peer_remote *remote, int64_t now)
 {
-	struct suspect_recipient to = { p, link, remote };
+	const struct suspect_recipient to = { p->node,
+					      p->node->self->service->name,
+					      link, remote };
 
-	retry_suspects_for_each(p->suspects, p->service, now, send_suspect,
-				&to);
+	suspect_send_all(&to, p->suspects, p->service, now);
 }
 
 bool service_peers_contains(const struct service_peers *p,
--- a/packages/daemon/suspect_keepers.c
+++ b/packages/daemon/suspect_keepers.c
@@ -59,37 +59,48 @@
 	return count;
 }
 
-void suspect_keepers_ask(struct suspect_keepers *k, int64_t now)
+/* Opens the links to the keepers of the local service. Returns their number. */
+static size_t open_links(const struct suspect_keepers *k,
+			 struct peer_link **out)
 {
 	const struct config_vm *keepers[SUSPECT_KEEPERS];
 	struct node *node = k->node;
 	size_t n = suspect_keepers_choose(node->snapshot, node->self->service,
 					  keepers);
+	size_t count = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
 		struct peer_link *link = node_get_link(node, keepers[i]);
 
 		if (link)
-			membership_record_link_use(node->membership, link, now);
+			out[count++] = link;
 	}
+	return count;
+}
+
+void suspect_keepers_ask(struct suspect_keepers *k, int64_t now)
+{
+	struct peer_link *links[SUSPECT_KEEPERS];
+	size_t n = open_links(k, links);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		membership_record_link_use(k->node->membership, links[i], now);
 }
 
 void suspect_keepers_notify(struct suspect_keepers *k, struct peer_message *msg,
 			    int64_t now)
 {
-	const struct config_vm *keepers[SUSPECT_KEEPERS];
+	struct peer_link *links[SUSPECT_KEEPERS];
 	struct node *node = k->node;
-	size_t n = suspect_keepers_choose(node->snapshot, node->self->service,
-					  keepers);
+	size_t n = open_links(k, links);
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct peer_link *link = node_get_link(node, keepers[i]);
-
-		if (!link || peer_transport_send(node->transport, link, msg))
+		if (peer_transport_send(node->transport, links[i], msg))
 			continue;
-		membership_record_link_use(node->membership, link, now);
+		membership_record_link_use(node->membership, links[i], now);
 		node_counter_add(node, "suspects_told_to_keepers");
 	}
 }
@@ -105,35 +116,18 @@
 		node_counter_add(k->node, "suspects_kept");
 }
 
-struct recipient {
-	struct node *node;
-	struct base_str service;
-	/* One of the two is NULL. */
-	struct peer_link *link;
-	const struct peer_remote *remote;
-};
-
-static void send_suspect(void *ctx, const struct retry_suspect_update *update)
-{
-	const struct recipient *to = ctx;
-	struct peer_message msg;
-
-	if (!suspect_update_to_message(to->service, update, &msg))
-		return;
-	node_counter_add(to->node, "suspects_given_back");
-	if (to->link)
-		peer_transport_send(to->node->transport, to->link, &msg);
-	else
-		peer_transport_reply(to->node->transport, to->remote, &msg);
-}
-
 void suspect_keepers_send(struct suspect_keepers *k, const struct config_vm *vm,
 			  struct peer_link *link,
 			  const struct peer_remote *remote, int64_t now)
 {
-	struct recipient to = { k->node, vm->service->name, link, remote };
-
-	retry_suspects_for_each(
-		k->kept, roster_service_id(k->node->roster, vm->service->name),
-		now, send_suspect, &to);
+	struct base_str service = vm->service->name;
+	const struct suspect_recipient to = { k->node, service, link, remote };
+	size_t sent = suspect_send_all(
+		&to, k->kept, roster_service_id(k->node->roster, service), now);
+
+	/* A counter appears with its first event. */
+	if (sent)
+		base_counter_add(base_counters_get(k->node->counters,
+						   "suspects_given_back"),
+				 (int64_t)sent);
 }
--- a/packages/daemon/suspect_messages.c
+++ b/packages/daemon/suspect_messages.c
@@ -166,6 +166,36 @@
 	return permit;
 }
 
+struct suspect_sending {
+	const struct suspect_recipient *to;
+	size_t count;
+};
+
+static void send_suspect(void *ctx, const struct retry_suspect_update *update)
+{
+	struct suspect_sending *sending = ctx;
+	const struct suspect_recipient *to = sending->to;
+	struct peer_message msg;
+
+	if (!suspect_update_to_message(to->service, update, &msg))
+		return;
+	sending->count++;
+	if (to->link)
+		peer_transport_send(to->node->transport, to->link, &msg);
+	else
+		peer_transport_reply(to->node->transport, to->remote, &msg);
+}
+
+size_t suspect_send_all(const struct suspect_recipient *to,
+			const struct retry_suspects *suspects, uint32_t service,
+			int64_t now)
+{
+	struct suspect_sending sending = { to, 0 };
+
+	retry_suspects_for_each(suspects, service, now, send_suspect, &sending);
+	return sending.count;
+}
+
 void suspect_update_count(struct node *node, enum retry_suspect_state state)
 {
 	if (state == RETRY_SUSPECT_SUSPECTED)
--- a/packages/daemon/suspect_messages.h
+++ b/packages/daemon/suspect_messages.h
@@ -39,6 +39,24 @@
 struct retry_permit
 suspect_permit_from_answer(const struct peer_suspect_answer *answer);
 
+/** A daemon of the service that is told of its suspects. */
+struct suspect_recipient {
+	struct node *node;
+	struct base_str service;
+	/** One of the two is NULL: sends over a link, or replies to a remote.
+	 */
+	struct peer_link *link;
+	const struct peer_remote *remote;
+};
+
+/**
+ * Sends all suspects of a service.
+ * @param service  number of the service in @p suspects
+ * @return number of messages
+ */
+size_t suspect_send_all(const struct suspect_recipient *to,
+			const struct retry_suspects *suspects, uint32_t service,
+			int64_t now);
 /** Increments the counter `suspects` of the state. */
 void suspect_update_count(struct node *node, enum retry_suspect_state state);
 
